--- /dev/null
+++ b/packages/cli/src/context.ts
@@ -0,0 +1,48 @@
+/** The edges that commands work with, made from the options of one command line. */
+import { randomUUID } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { KeyValueClient } from '@amaranthmast/platform/client'
+import { readText } from '@amaranthmast/settings/settings'
+import type { Arguments, Context } from './command.ts'
+import { ConfigurationStore } from './configurationstore.ts'
+import { STORE_TIMEOUT_MILLISECONDS } from './defaults.ts'
+import { Instances } from './instances.ts'
+import { requestPage } from './statuspage.ts'
+
+/** Where text goes. */
+export interface Output {
+  /** Results. */
+  out: (text: string) => void
+  /** Errors and progress. */
+  err: (text: string) => void
+}
+
+/** A context and the connections that it holds. */
+export interface OpenContext extends Context {
+  close: () => Promise<void>
+}
+
+const CLEAR_SCREEN = '\u001b[2J\u001b[H'
+
+/** Opens the edges. Nothing is sent before a command asks for it. */
+export function openContext (options: Arguments, output: Output): OpenContext {
+  const client = new KeyValueClient({
+    endpoints: options.store, timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS, random: Math.random, now: Date.now
+  })
+  const { prefix } = options
+  return {
+    configurations: new ConfigurationStore({ client, prefix, now: Date.now, sleep: pause }),
+    instances: new Instances({ client, prefix, statusUrls: options.status, ask: requestPage }),
+    readText,
+    now: Date.now,
+    sleep: pause,
+    newApplyId: randomUUID,
+    progress: (line) => output.err(`${line}\n`),
+    picture: (lines) => output.out(`${CLEAR_SCREEN}${lines.join('\n')}\n`),
+    close: () => client.close()
+  }
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await sleep(milliseconds)
+}
--- /dev/null
+++ b/packages/cli/src/drain.ts
@@ -0,0 +1,73 @@
+/**
+ * `drain KIND NAME`: takes a target, a rack or a provider out of service, or puts it back. It is an
+ * apply of the draining lists: compared and swapped like any other, and part of the history.
+ */
+import type { ConfigurationFile } from '@amaranthmast/settings/configurationfile'
+import { checkConfigurationFile, warningsOf } from '@amaranthmast/settings/configurationfile'
+import { DRAIN_FIELDS, DrainKind } from '@amaranthmast/settings/difference'
+import type { Result } from 'neverthrow'
+import { err, ok, ResultAsync } from 'neverthrow'
+import type { Accepted } from './applying.ts'
+import { replaceBase, reportAccepted } from './applying.ts'
+import type { Arguments, Command, Context, Report } from './command.ts'
+import { DRAIN_ATTEMPTS } from './defaults.ts'
+import type { ToolError } from './errors.ts'
+import { FileRefused, RaceLost, RequestRefused } from './errors.ts'
+import { STORE_OPTIONS } from './options.ts'
+
+async function drainPart (context: Context, options: Arguments): Promise<Result<Report, ToolError>> {
+  const accepted = await acceptDrain(context, options)
+  if (accepted.isErr()) return err(accepted.error)
+  const report = await reportAccepted(context, options, accepted.value.accepted)
+  const warnings = warningsOf(accepted.value.document)
+  return ok({ ...report, lines: [...report.lines, ...warnings.map((warning) => `warning: ${warning}`)], json: { ...report.json, warnings } })
+}
+
+/**
+ * The order names one part of the fleet and not a whole file, so it holds whatever another apply has
+ * changed meanwhile: after a lost race it is made again from what is in force then.
+ */
+async function acceptDrain (context: Context, options: Arguments): Promise<Result<{ accepted: Accepted, document: ConfigurationFile }, ToolError>> {
+  for (let attempt = 1; ; attempt++) {
+    const base = await context.configurations.current()
+    if (base.isErr()) return err(base.error)
+    const { stored } = base.value
+    if (stored === undefined) return err(new RequestRefused('nothing can be drained before the first apply: apply a configuration file first'))
+    const document = changeDrain(stored.document, stored.version, options)
+    if (document.isErr()) return err(document.error)
+    if (document.value === undefined) return ok({ accepted: unchanged(stored.version), document: stored.document })
+    const accepted = await replaceBase(context, base.value, document.value)
+    if (accepted.isOk()) return ok({ accepted: accepted.value, document: document.value })
+    if (!(accepted.error instanceof RaceLost) || attempt >= DRAIN_ATTEMPTS) return err(accepted.error)
+  }
+}
+
+/** The document with the drain begun or ended; undefined when it is so already. */
+function changeDrain (document: ConfigurationFile, version: number, { kind, name, undo }: Arguments): Result<ConfigurationFile | undefined, ToolError> {
+  const field = DRAIN_FIELDS[kind]
+  const names = document.draining[field]
+  if (names.includes(name) !== undo) return ok(undefined)
+  const next = undo ? names.filter((each) => each !== name) : [...names, name]
+  return checkConfigurationFile({ ...document, editedFrom: version, draining: { ...document.draining, [field]: next } })
+    .mapErr((error) => new FileRefused(`drain ${kind} ${name}`, error))
+}
+
+function unchanged (version: number): Accepted {
+  return { version, latest: version, applyId: undefined, changes: [] }
+}
+
+/** The command. */
+export const drain: Command = {
+  usage: 'drain <kind> <name>',
+  summary: 'Give a target, a rack or a provider no new work; what runs is finished',
+  options: [...STORE_OPTIONS, 'undo', 'wait', 'wait-seconds', 'status'],
+  positionals: {
+    kind: { describe: 'What is drained', type: 'string', choices: Object.values(DrainKind) },
+    name: { describe: 'Its name; a target has the id of its agent', type: 'string' }
+  },
+  examples: [
+    ['$0 drain rack r1 --wait', 'take a rack out of service'],
+    ['$0 drain target agent-3 --undo', 'put a target back']
+  ],
+  run: (context, options) => new ResultAsync(drainPart(context, options))
+}
--- /dev/null
+++ b/packages/cli/test/apply.test.ts
@@ -0,0 +1,225 @@
+/** Applying a file: accepted once or refused whole, whatever happens to races, answers and the store. */
+import { test } from 'node:test'
+import type { TestContext } from 'node:test'
+import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
+import { LostAnswer, Outage } from '@amaranthmast/standins/keyvaluefaults'
+import { StoreTimedOut } from '@amaranthmast/platform/errors'
+import { expect } from 'earl'
+import { errAsync, ResultAsync } from 'neverthrow'
+import type { Arguments, Report } from '../src/command.ts'
+import { RaceLost, ToolError } from '../src/errors.ts'
+import { ExitCode } from '../src/exitcodes.ts'
+import { fileWith, Tool } from './toolcontext.ts'
+
+/** A store of its own and a tool on it. */
+async function start (context: TestContext): Promise<{ store: KeyValueStandIn, tool: Tool }> {
+  const store = new KeyValueStandIn()
+  await store.start()
+  const tool = new Tool(store)
+  context.after(async () => {
+    await tool.client.close()
+    await store.stop()
+  })
+  return { store, tool }
+}
+
+function textOf (outcome: Report | ToolError): string {
+  return outcome instanceof ToolError ? outcome.message : outcome.lines.join('\n')
+}
+
+test('an apply writes the version and its history together', async (context) => {
+  const { tool } = await start(context)
+  const outcome = await tool.apply(fileWith(0, 60))
+  expect(outcome.exitCode).toEqual(ExitCode.Done)
+  expect(textOf(outcome)).toInclude('Version 1 is accepted (apply apply-1).\n  + service label-check: provider-a 60 %, provider-b 40 %')
+  const { configuration, 'history/00000001': past } = await tool.stored()
+  expect(configuration?.version).toEqual(1)
+  expect(past).toEqual(configuration)
+})
+
+test('a file that is in force already writes nothing', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  const { revision } = store
+  const outcome = await tool.apply(fileWith(0, 60))
+  expect(outcome.exitCode).toEqual(ExitCode.Done)
+  expect(textOf(outcome)).toEqual('Version 1 holds exactly this already: nothing was written.')
+  expect(store.revision).toEqual(revision)
+})
+
+// Two operators edit version 1 in the same minute. The second apply would undo what the first has
+// changed, and nobody would know until the shares are seen to be off.
+test('the loser of a race is told what changed since its base', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  await tool.apply(fileWith(1, 20))
+  const { revision } = store
+  const outcome = await tool.apply(fileWith(1, 80))
+  expect(outcome.exitCode).toEqual(ExitCode.Refused)
+  expect(textOf(outcome)).toEqual([
+    'nothing was written: the file was edited from version 1, and version 2 is in force.',
+    'Changed since version 1:',
+    '  ~ service label-check: share of provider-a 60 % -> 20 %',
+    '  ~ service label-check: share of provider-b 40 % -> 80 %',
+    'Run get, make your changes in what it prints, and apply that.'
+  ].join('\n'))
+  expect(store.revision).toEqual(revision)
+})
+
+// Both operators pass the check of the base before either has written. Only the comparison in the
+// store can tell them apart then.
+test('applies at the same instant: one wins', async (context) => {
+  const { tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  tool.files.one = fileWith(1, 20)
+  tool.files.other = fileWith(1, 80)
+  const outcomes = await Promise.all(['one', 'other'].map((file) => tool.run('apply', { file })))
+  expect(outcomes.map(({ exitCode }) => exitCode).sort()).toEqual([ExitCode.Done, ExitCode.Refused])
+  expect(outcomes.find((outcome) => outcome instanceof ToolError)).toBeA(RaceLost)
+  expect((await tool.stored()).configuration?.version).toEqual(2)
+})
+
+// The store takes the write and its answer is lost. An operator who is told of a failure applies
+// again, and one who is told nothing does not know which shares are in force.
+for (const loseAnswersBy of Object.values(LostAnswer)) {
+  test(`an answer that is lost once is settled, ${loseAnswersBy}`, async (context) => {
+    const { store, tool } = await start(context)
+    await tool.apply(fileWith(0, 60))
+    await store.setFaults({ loseAnswers: 1, loseAnswersBy })
+    const { revision } = store
+    const outcome = await tool.apply(fileWith(1, 20))
+    expect(outcome.exitCode).toEqual(ExitCode.Done)
+    expect(textOf(outcome)).toInclude('Version 2 is accepted (apply apply-2).')
+    expect(store.revision).toEqual(revision + 1)
+  })
+}
+
+/** Replaces the outcome of the next write to the configuration. */
+function interceptWrite (tool: Tool, outcome: (send: () => ReturnType<Swap>) => ReturnType<Swap>): void {
+  const { client } = tool
+  tool.configurationClient = {
+    read: (key) => client.read(key),
+    compareAndSwap: (...write) => {
+      const isFirst = tool.configurationClient !== client
+      tool.configurationClient = client
+      return isFirst ? outcome(() => client.compareAndSwap(...write)) : client.compareAndSwap(...write)
+    }
+  }
+}
+
+type Swap = Tool['client']['compareAndSwap']
+
+/** The error, after something else has happened. */
+function meanwhileThen<E> (meanwhile: () => Promise<unknown>, error: E): ResultAsync<never, E> {
+  return ResultAsync.fromSafePromise(meanwhile()).andThen(() => errAsync(error))
+}
+
+// The write takes effect and its answer is lost; before the tool asks again, another operator has
+// applied on top of it. The key no longer holds this apply, only the history does: without it the
+// tool would tell that the race was lost, though the apply was in force.
+test('an apply that a later one has replaced is known by its history', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  await store.setFaults({ loseAnswers: 1 })
+  interceptWrite(tool, (send) => send().orElse((error) => meanwhileThen(() => tool.apply(fileWith(2, 80)), error)))
+  const outcome = await tool.apply(fileWith(1, 20))
+  expect(outcome.exitCode).toEqual(ExitCode.Done)
+  expect(textOf(outcome)).toInclude('Version 2 is accepted (apply apply-2).')
+  expect(textOf(outcome)).toInclude('A later apply has replaced it since: version 3 is in force.')
+})
+
+// The write is lost on the way, so it never takes effect, and others apply meanwhile. The tool must
+// not claim one of theirs for its own.
+for (const others of [1, 2]) {
+  test(`a write lost on the way loses the race to ${others} others`, async (context) => {
+    const { tool } = await start(context)
+    await tool.apply(fileWith(0, 60))
+    const applyOthers = async () => {
+      for (let base = 1; base <= others; base++) await tool.apply(fileWith(base, 10 * base))
+    }
+    interceptWrite(tool, () => meanwhileThen(applyOthers, new StoreTimedOut('lost on the way', true)))
+    const outcome = await tool.apply(fileWith(1, 90))
+    expect(outcome).toBeA(RaceLost)
+    expect((await tool.stored()).configuration?.version).toEqual(1 + others)
+  })
+}
+
+for (const outage of [Outage.Refuse, Outage.Hang, Outage.NoLeader]) {
+  test(`a store that is down changes nothing, ${outage}`, async (context) => {
+    const { store, tool } = await start(context)
+    await tool.apply(fileWith(0, 60))
+    await store.setFaults({ outage })
+    const outcome = await tool.apply(fileWith(1, 20))
+    expect(outcome.exitCode).toEqual(ExitCode.StoreUnavailable)
+    expect(textOf(outcome)).toInclude('nothing was changed')
+    await store.clearFaults()
+    expect(Object.keys(await tool.stored())).toEqual(['configuration', 'history/00000001'])
+  })
+}
+
+test('an outage between read and write changes nothing', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  interceptWrite(tool, (send) => ResultAsync.fromSafePromise(store.setFaults({ outage: Outage.NoLeader })).andThen(send))
+  const outcome = await tool.apply(fileWith(1, 20))
+  expect(outcome.exitCode).toEqual(ExitCode.StoreUnavailable)
+  await store.clearFaults()
+  expect((await tool.stored()).configuration?.version).toEqual(1)
+})
+
+// The store goes down right after it took the write. Neither success nor failure can be told
+// truthfully: the tool must say so, and the same file applied later must not be written twice.
+test('an outage right after the write leaves the outcome open', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  await store.setFaults({ loseAnswers: 1 })
+  interceptWrite(tool, (send) => send().orElse((error) => meanwhileThen(() => store.setFaults({ outage: Outage.Refuse }), error)))
+  const outcome = await tool.apply(fileWith(1, 20))
+  expect(outcome.exitCode).toEqual(ExitCode.Unsettled)
+  expect(textOf(outcome)).toInclude('may have taken effect as version 2')
+  await store.clearFaults()
+  expect(textOf(await tool.apply(fileWith(1, 20)))).toEqual('Version 2 holds exactly this already: nothing was written.')
+})
+
+// A replica that lags answers the read of the base with an older version than the operator has
+// edited. Taking it for the truth tells the operator of a race that never was.
+test('a stale answer is not taken for a lost race', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  await tool.apply(fileWith(1, 20))
+  await store.setFaults({ staleRevisions: 1 })
+  const outcome = await tool.apply(fileWith(2, 80))
+  expect(outcome.exitCode).toEqual(ExitCode.Refused)
+  expect(textOf(outcome)).toInclude('Its answer is stale, or it was restored from a copy')
+})
+
+// The base read is stale by one version and happens to be the one that the file was edited from.
+// The comparison in the store still refuses the write.
+test('a stale base is refused by the store', async (context) => {
+  const { store, tool } = await start(context)
+  await tool.apply(fileWith(0, 60))
+  await tool.apply(fileWith(1, 20))
+  await store.setFaults({ staleRevisions: 1 })
+  const outcome = await tool.apply(fileWith(1, 80))
+  expect(outcome.exitCode).toEqual(ExitCode.Refused)
+  expect(textOf(outcome)).toInclude('version 2 is in force')
+})
+
+const TENANTS = Object.fromEntries(Array.from({ length: 16_000 }, (_, index) => [`tenant-${index}`, {}]))
+
+const BAD_FILES: Array<{ story: string, content: unknown, text: string, options?: Partial<Arguments> }> = [
+  { story: 'a missing file', content: '', text: 'cannot read g (ENOENT)', options: { file: 'g' } },
+  { story: 'a file that is not JSON', content: '{', text: 'f is refused:\n  (document): is not JSON' },
+  { story: 'a file with faults', content: { ...fileWith(0, 60), share: 1 }, text: '  share: is an unknown field' },
+  { story: 'a file above the limit', content: { ...fileWith(0, 60), tenants: TENANTS }, text: 'the key-value service holds 1048576 at most' }
+]
+
+for (const { story, content, text, options } of BAD_FILES) {
+  test(`refused before anything is sent: ${story}`, async (context) => {
+    const { store, tool } = await start(context)
+    const outcome = await tool.apply(content, options)
+    expect(outcome.exitCode).toEqual(ExitCode.BadInput)
+    expect(textOf(outcome)).toInclude(text)
+    expect(store.calls.reads + store.calls.writes).toEqual(0)
+  })
+}
--- /dev/null
+++ b/packages/cli/test/toolcontext.ts
@@ -0,0 +1,95 @@
+/** What the tests of the tool share: a context on the key-value stand-in, with everything else in memory. */
+import { KeyValueClient } from '@amaranthmast/platform/client'
+import type { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
+import { err, ok } from 'neverthrow'
+import { FileUnreadable } from '@amaranthmast/settings/errors'
+import type { Arguments, Context, Report } from '../src/command.ts'
+import { COMMANDS } from '../src/commands.ts'
+import type { ConfigurationClient } from '../src/configurationstore.ts'
+import { ConfigurationStore } from '../src/configurationstore.ts'
+import type { ToolError } from '../src/errors.ts'
+import { Instances } from '../src/instances.ts'
+import type { StatusClient, StatusPage } from '../src/statuspage.ts'
+
+const PREFIX = '/test/'
+
+const ARGUMENTS: Arguments = {
+  store: [], prefix: PREFIX, json: false, status: [], wait: false, waitSeconds: 1, limit: 20, undo: false, once: true, interval: 1, file: 'f', kind: 'rack' as Arguments['kind'], name: 'r1'
+}
+
+/** A valid file with the share of one of two providers. */
+export function fileWith (editedFrom: number, share: number): Record<string, unknown> {
+  return {
+    editedFrom,
+    services: { 'label-check': { shares: { 'provider-a': share, 'provider-b': 100 - share } } },
+    providers: { 'provider-a': { expectedTargets: 1 }, 'provider-b': { expectedTargets: 1 } },
+    tenants: {}
+  }
+}
+
+/** A status page of an entry. */
+export function pageOf (instance: string, configurationVersion: number, more: Partial<StatusPage> = {}): Partial<StatusPage> {
+  return { instance, role: 'entry', state: 'serving', configurationVersion, ...more }
+}
+
+/** Runs commands of the tool; every apply has its own name, `apply-1` and so on. */
+export class Tool {
+  readonly client: KeyValueClient
+  readonly progress: string[] = []
+  /** Contents by path, as objects or as text. */
+  readonly files: Record<string, unknown> = {}
+  /** Pages by URL; one that is not here does not answer. */
+  readonly pages: Record<string, () => Partial<StatusPage>> = {}
+  /** Replaces the store's client for the configuration. */
+  configurationClient: ConfigurationClient
+  #applies = 0
+  #elapsed = 0
+
+  constructor (store: KeyValueStandIn) {
+    this.client = new KeyValueClient({ endpoints: [store.endpoint], timeoutMilliseconds: 200, random: () => 0, now: Date.now })
+    this.configurationClient = this.client
+  }
+
+  /** Runs a command; the wait of the tool passes at once on its own clock. */
+  async run (command: string, options: Partial<Arguments> = {}): Promise<Report | ToolError> {
+    const result = await COMMANDS[command]?.run(this.#context(options.status ?? []), { ...ARGUMENTS, ...options })
+    if (result === undefined) throw new RangeError(`no command ${command}`)
+    return result.isOk() ? result.value : result.error
+  }
+
+  /** Applies a file that is given as its content. */
+  async apply (content: unknown, options: Partial<Arguments> = {}): Promise<Report | ToolError> {
+    this.files.f = content
+    return await this.run('apply', { file: 'f', ...options })
+  }
+
+  /** Every key that the store holds under the prefix, with its value. */
+  async stored (): Promise<Record<string, { version: number, applyId: string }>> {
+    const read = (await this.client.readPrefix(PREFIX, 100))._unsafeUnwrap()
+    return Object.fromEntries(read.entries.map(({ key, value }) => [key.slice(PREFIX.length), JSON.parse(value)]))
+  }
+
+  #context (statusUrls: readonly string[]): Context {
+    const now = () => Date.UTC(2026, 0, 1) + this.#elapsed
+    const sleep = async (milliseconds: number) => { this.#elapsed += milliseconds }
+    return {
+      configurations: new ConfigurationStore({ client: this.configurationClient, prefix: PREFIX, now, sleep }),
+      instances: new Instances({ client: this.client, prefix: PREFIX, statusUrls, ask: this.#ask }),
+      readText: (path) => path in this.files ? ok(textOf(this.files[path])) : err(new FileUnreadable(path, 'ENOENT')),
+      now,
+      sleep,
+      newApplyId: () => `apply-${++this.#applies}`,
+      progress: (line) => this.progress.push(line),
+      picture: () => {}
+    }
+  }
+
+  readonly #ask: StatusClient = async (url) => {
+    const page = this.pages[url]
+    return page === undefined ? { failure: 'ECONNREFUSED' } : { text: JSON.stringify(page()) }
+  }
+}
+
+function textOf (content: unknown): string {
+  return typeof content === 'string' ? content : JSON.stringify(content)
+}
--- a/packages/coordination/src/entry.ts
+++ b/packages/coordination/src/entry.ts
@@ -10,13 +10,11 @@
 import type { Scheduler, SchedulerStatus } from './scheduling.ts'
 import { ConfigurationAdoption, Responsibility } from './adoption.ts'
 import { AgentLinks } from './agentlinks.ts'
-import { DEFAULT_MEMORY_LIMITS, DEFAULT_TIMINGS, NOT_READY_RETRY_MILLISECONDS } from './defaults.ts'
+import { DEFAULT_MEMORY_LIMITS, DEFAULT_TIMINGS } from './defaults.ts'
 import { ALL_ENTRY_GUARDS } from './entrycontext.ts'
 import { EntryState } from './entrytypes.ts'
-import { answerWithout } from './execution.ts'
 import { Jobs } from './jobs.ts'
 import { Membership } from './membership.ts'
-import { AnswerKind, Cause } from './messages.ts'
 import { Receipts } from './receipts.ts'
 import { backupsOf, ownerOf } from './rendezvous.ts'
 import { Router } from './router.ts'
@@ -104,13 +102,9 @@
   #effects: EntryEffect[] = []
 
   readonly #onEvent: EventHandlers = {
-    submitted: ({ request, job }, now) => {
-      if (this.#takesRequests(request)) this.#router.submit(request, job, now)
-    },
+    submitted: ({ request, job }, now) => this.#router.submit(request, job, now),
     callerGone: ({ request }) => this.#router.callerGone(request),
-    cancelRequested: ({ request, job }, now) => {
-      if (this.#takesRequests(request)) this.#router.cancel(request, job, now)
-    },
+    cancelRequested: ({ request, job }, now) => this.#router.cancel(request, job, now),
     lookUpRequested: ({ request, job }, now) => this.#router.lookUp(request, job, now),
     agentMessage: ({ agent, message }, now) => this.#agentMessage(agent, message, now),
     agentDisconnected: ({ agent }, now) => this.#agentDisconnected(agent, now),
@@ -193,7 +187,8 @@
       jobs: this.#jobs,
       receipts: this.#receipts,
       takeover: this.#takeover,
-      horizon: () => this.#horizon
+      horizon: () => this.#horizon,
+      ready: () => this.#ready
     })
   }
 
@@ -240,21 +235,16 @@
     }
   }
 
+  /** Whether the entry has ever been a member whose memory was complete. */
+  get #ready (): boolean {
+    return this.#state === EntryState.Serving || this.#state === EntryState.Leaving
+  }
+
   #agentStatus (instance: Instance): EntryStatus['agents'][number] {
     const target = this.#agents.targetOf(instance)
     return { instance, target: target?.target ?? '', provider: target?.provider ?? '', connected: this.#agents.connected(instance) }
   }
 
-  // Requests of callers
-
-  #takesRequests (request: string): boolean {
-    if (this.#state === EntryState.Serving || this.#state === EntryState.Leaving) return true
-    const detail = 'the entry is not ready: come back later, or ask another entry'
-    const answer = answerWithout(AnswerKind.Refused, Cause.NotReady, detail, NOT_READY_RETRY_MILLISECONDS)
-    this.#emit({ type: 'answer', request, answer })
-    return false
-  }
-
   // Agents
 
   #agentMessage (agent: Instance, message: AgentToEntry, now: number): void {
@@ -487,11 +477,11 @@
   #replaced (now: number): void {
     const departed = this.#departingSince !== undefined
     if (!departed) this.#changeState(EntryState.Fenced)
-    this.#router.fenced()
     this.#stop()
   }
 
   #stop (): void {
+    this.#router.stopped()
     this.#stopped = true
     this.#emit({ type: 'stopped' })
   }
--- a/packages/coordination/src/execution.ts
+++ b/packages/coordination/src/execution.ts
@@ -64,6 +64,8 @@
   attached: Attachment[] = []
   /** Entry whose confirmation of the receipt is awaited before the first dispatch. */
   awaitedBackup: Instance | undefined
+  /** It may have run before the memory of the system begins. */
+  forgotten = false
   readonly #tasks: TaskProgress[] = []
   readonly #lines = new Map<number, { line: LedgerLine, agent: Instance }>()
   #succeeded = 0
@@ -195,7 +197,7 @@
 
   /** The answer to a job that ends before its tasks have: as much as is provable and no more. */
   brokenOffAnswer (cause: Cause, detail: string, retryAfterMilliseconds: number): Answer {
-    if (!this.touched) return answerWithout(AnswerKind.Refused, cause, detail, retryAfterMilliseconds)
+    if (!this.touched && !this.forgotten) return answerWithout(AnswerKind.Refused, cause, detail, retryAfterMilliseconds)
     const ran = this.#tasks.some(task => task.stage === TaskStage.Done)
     return answerWithout(ran ? AnswerKind.Failed : AnswerKind.MayHaveRun, cause, detail)
   }
--- a/packages/coordination/src/jobs.ts
+++ b/packages/coordination/src/jobs.ts
@@ -64,18 +64,24 @@
     return this.#held.values()
   }
 
-  /** Takes a job that nobody has seen before, or refuses it. */
-  accept (job: Job, from: Attachment, now: number): void {
+  /**
+   * Takes a job that nobody remembers, or refuses it.
+   *
+   * @param forgotten whether it may have run before the memory begins: "not run" is never said then
+   */
+  accept (job: Job, from: Attachment, forgotten: boolean, now: number): void {
     const tasks = schedulableTasks(job, now)
     const admission = this.#open >= this.#context.limits.openJobs
       ? { admitted: false as const, cause: Cause.Overloaded, detail: 'too many jobs are open at this entry', retryAfterMilliseconds: 1000 }
       : this.#scheduler.admit(tasks, now)
     if (!admission.admitted) {
       const { cause, detail, retryAfterMilliseconds } = admission
-      this.refuse(job.key, from, answerWithout(AnswerKind.Refused, cause, detail, retryAfterMilliseconds), now)
+      const kind = forgotten ? AnswerKind.MayHaveRun : AnswerKind.Refused
+      this.refuse(job.key, from, answerWithout(kind, cause, detail, retryAfterMilliseconds), now)
       return
     }
     const execution = new Execution(job.key, job.digest, now)
+    execution.forgotten = forgotten
     this.#held.set(job.key, execution)
     this.#open += 1
     execution.begin(job, now)
--- a/packages/coordination/src/router.ts
+++ b/packages/coordination/src/router.ts
@@ -54,6 +54,8 @@
   takeover: Takeover
   /** Since when the memory is complete, in milliseconds since 1970; 0 for ever. */
   horizon: () => number
+  /** Whether this entry is, or was, a member with a complete memory: until then it holds requests back. */
+  ready: () => boolean
 }
 
 export class Router {
@@ -62,6 +64,7 @@
   readonly #receipts: Receipts
   readonly #takeover: Takeover
   readonly #horizon: () => number
+  readonly #ready: () => boolean
   readonly #waiting = new Map<JobKey, Waiting>()
   readonly #questions = new Map<string, Question>()
   #parked: Parked[] = []
@@ -73,6 +76,7 @@
     this.#receipts = parts.receipts
     this.#takeover = parts.takeover
     this.#horizon = parts.horizon
+    this.#ready = parts.ready
   }
 
   get waiting (): number {
@@ -175,7 +179,7 @@
     for (const { job, from, deadline } of parked) {
       const remainingMilliseconds = deadline - now
       if (remainingMilliseconds > 0) this.#take({ ...job, remainingMilliseconds }, from, now)
-      else this.#jobs.refuse(job.key, from, this.#notReady(), now)
+      else this.reply(from, job.key, this.#unreached())
     }
   }
 
@@ -190,9 +194,9 @@
     }
   }
 
-  /** This entry was replaced: its callers are told to ask the others. */
-  fenced (): void {
-    const detail = 'the entry was replaced while it had the job: submit the same job id again'
+  /** This entry ends, replaced or stopped: callers that still wait are told to ask the others. */
+  stopped (): void {
+    const detail = 'the entry ended while it had the job: submit the same job id again'
     const answer = answerWithout(AnswerKind.MayHaveRun, Cause.EntryLost, detail, NOT_READY_RETRY_MILLISECONDS)
     for (const waiting of this.#waiting.values()) this.#answerAll(waiting, answer)
     this.#waiting.clear()
@@ -271,6 +275,10 @@
   }
 
   #route (waiting: Waiting, now: number): void {
+    if (!this.#ready()) {
+      waiting.rerouteAt = now + REROUTE_MILLISECONDS
+      return
+    }
     const holder = this.#holderOf(waiting.job.key)
     if (holder !== undefined && holder !== this.#context.instance) {
       this.#sendTo(waiting, holder, now)
@@ -325,12 +333,13 @@
       this.#park(job, from, now)
       return
     }
-    if (this.#beforeHorizon(job)) {
+    const forgotten = this.#beforeHorizon(job)
+    if (forgotten && !job.repeatable) {
       const detail = 'the job was lodged before the memory of the system begins: it may have run'
       this.reply(from, job.key, answerWithout(AnswerKind.MayHaveRun, Cause.BeforeHorizon, detail))
       return
     }
-    this.#jobs.accept(job, from, now)
+    this.#jobs.accept(job, from, forgotten, now)
   }
 
   /** What a lost entry had is taken up only when every agent has told what it started, or is given up. */
@@ -365,7 +374,7 @@
    * long as a job from before it would have been remembered.
    */
   #beforeHorizon (job: Job): boolean {
-    if (!this.#context.guards.horizon || job.repeatable) return false
+    if (!this.#context.guards.horizon) return false
     const { retention, clockMargin } = this.#context.timings
     const wallNow = this.#context.wallClock()
     const horizon = this.#horizon()
@@ -402,23 +411,23 @@
 
   #giveUp (waiting: Waiting): void {
     this.#waiting.delete(waiting.job.key)
-    if (waiting.unresolved.size === 0) {
-      this.#answerAll(waiting, this.#notReady())
-      return
-    }
-    const detail = 'the deadline passed and the entry that has the job did not answer'
-    this.#answerAll(waiting, answerWithout(AnswerKind.MayHaveRun, Cause.OwnerUnreachable, detail))
+    this.#answerAll(waiting, this.#unreached())
   }
 
-  #notReady (): Answer {
-    const detail = 'the entry that owns this job id could not be reached: come back later'
-    return answerWithout(AnswerKind.Refused, Cause.OwnerUnreachable, detail, NOT_READY_RETRY_MILLISECONDS)
+  /**
+   * The entry that owns the job was not reached in time. This request started nothing, but an
+   * earlier submission of the same id, through another entry, may have: "not run" would be a guess.
+   */
+  #unreached (): Answer {
+    const detail = 'the entry that owns this job id could not be reached: submit the same job id again later'
+    return answerWithout(AnswerKind.MayHaveRun, Cause.OwnerUnreachable, detail, NOT_READY_RETRY_MILLISECONDS)
   }
 
   #question (kind: Question['kind'], request: string, job: JobKey, now: number): void {
     const submission = this.#newSubmission()
     const question = { kind, request, job, expiresAt: now + QUESTION_PATIENCE_MILLISECONDS }
     this.#questions.set(submission, question)
+    if (!this.#ready()) return
     const holder = this.#holderOf(job)
     if (holder !== undefined && holder !== this.#context.instance) {
       this.#ask(question, submission, holder)
--- /dev/null
+++ b/packages/coordination/src/targets.ts
@@ -0,0 +1,340 @@
+/** The targets as one entry knows them, indexed so that a choice does not depend on their number. */
+import type { DrainConfiguration } from './configuration.ts'
+import { FleetHealth, TargetHealth, Trust } from './health.ts'
+import { IndexedHeap } from './heap.ts'
+import type { Instance, TargetDescription, TargetReport, TaskNeeds } from './messages.ts'
+import type { Policy } from './policies.ts'
+import { CANDIDATES_FOR_NEEDS, HANG_MILLISECONDS, HANG_RUNS, REPORT_HALF_LIFE_MILLISECONDS } from './schedulingdefaults.ts'
+
+/** One target, reached through one run of its agent. */
+export class Target {
+  readonly agent: Instance
+  readonly description: TargetDescription
+  readonly health: TargetHealth
+  /** In [0, 1): sends the odd tasks of different entries to different targets. */
+  readonly tie: number
+  report: TargetReport
+  up = true
+  drained = false
+  /** Tasks dispatched there and not settled. */
+  outstanding = 0
+  accelerators = 0
+  memoryMegabytes = 0
+  /** Refused a task for want of room: left alone until then. */
+  fullUntil = -Infinity
+  #reportedAt: number
+  #ownWhenReported = 0
+  #sinceReport = 0
+  /** Last sign of life while it had tasks of ours. */
+  #activeAt: number
+  #longestRun = 0
+
+  constructor (agent: Instance, description: TargetDescription, report: TargetReport, health: TargetHealth, tie: number, now: number) {
+    this.agent = agent
+    this.description = description
+    this.report = report
+    this.health = health
+    this.tie = tie
+    this.#reportedAt = now
+    this.#activeAt = now
+  }
+
+  noteReport (report: TargetReport, now: number): void {
+    this.report = report
+    this.#reportedAt = now
+    this.#ownWhenReported = this.outstanding
+    this.#sinceReport = 0
+  }
+
+  noteDispatch (needs: TaskNeeds, estimate: number, now: number): void {
+    if (this.outstanding === 0) {
+      this.#activeAt = now
+      this.#longestRun = 0
+    }
+    this.outstanding += 1
+    this.#sinceReport += 1
+    this.accelerators += needs.accelerators
+    this.memoryMegabytes += needs.memoryMegabytes
+    this.#longestRun = Math.max(this.#longestRun, estimate)
+  }
+
+  noteSettled (needs: TaskNeeds, now: number): void {
+    this.outstanding -= 1
+    this.#sinceReport -= 1
+    this.accelerators -= needs.accelerators
+    this.memoryMegabytes -= needs.memoryMegabytes
+    this.#activeAt = now
+  }
+
+  /** Load as last reported and what this entry did since, per slot. */
+  reportedLoad (): number {
+    const { running, queued } = this.report
+    return (running + queued + this.#sinceReport) / this.description.slots
+  }
+
+  /** What other entries hold here, as last reported; the older the report, the less it counts. */
+  othersLoad (now: number): number {
+    const { running, queued } = this.report
+    const others = Math.max(0, running + queued - this.#ownWhenReported)
+    return others * 2 ** (-(now - this.#reportedAt) / REPORT_HALF_LIFE_MILLISECONDS)
+  }
+
+  /** Takes new work, now or as soon as it has room. */
+  get usable (): boolean {
+    return this.up && !this.drained && !this.report.leaving && this.health.trust !== Trust.Ejected
+  }
+
+  /**
+   * Guards against a target that hangs while its agent's stream is up: no outcome comes, so that no
+   * failure is ever counted. Several tasks of ours and no sign of life for many run times is taken
+   * for a hang; the next outcome ends it.
+   */
+  silent (now: number): boolean {
+    return this.outstanding > 1 && now >= this.#silentAt()
+  }
+
+  hasRoom (limit: number, now: number): boolean {
+    if (!this.usable || now < this.fullUntil || this.silent(now)) return false
+    return this.outstanding < Math.min(limit, this.health.limit())
+  }
+
+  fits (needs: TaskNeeds): boolean {
+    const { accelerators, memoryMegabytes } = this.description
+    if (needs.accelerators > 0 && this.accelerators + needs.accelerators > accelerators) return false
+    return needs.memoryMegabytes === 0 || this.memoryMegabytes + needs.memoryMegabytes <= memoryMegabytes
+  }
+
+  /** When something changes here by the passing of time alone; undefined when nothing does. */
+  nextChange (now: number): number | undefined {
+    if (!this.up) return undefined
+    if (this.health.trust === Trust.Ejected) return this.health.probeAt
+    if (this.fullUntil > now) return this.fullUntil
+    return this.outstanding > 1 && this.#silentAt() > now ? this.#silentAt() : undefined
+  }
+
+  #silentAt (): number {
+    return this.#activeAt + Math.max(HANG_MILLISECONDS, HANG_RUNS * this.#longestRun)
+  }
+}
+
+/** Targets that are alike: same provider, services and size. */
+export class Pool {
+  readonly provider: string
+  readonly services: ReadonlySet<string>
+  readonly accelerators: number
+  readonly memoryMegabytes: number
+  /** Targets with room, best first. */
+  readonly available = new IndexedHeap<Target>()
+  /** Targets that take new work, now or as soon as they have room. */
+  usable = 0
+  usableSlots = 0
+
+  constructor (description: TargetDescription) {
+    this.provider = description.provider
+    this.services = new Set(description.services)
+    this.accelerators = description.accelerators
+    this.memoryMegabytes = description.memoryMegabytes
+  }
+
+  /** Tells whether a target of this kind could run the task if it had nothing else to do. */
+  couldRun (service: string, needs: TaskNeeds): boolean {
+    return this.services.has(service) && needs.accelerators <= this.accelerators &&
+      needs.memoryMegabytes <= this.memoryMegabytes
+  }
+
+  choose (needs: TaskNeeds, policy: Policy, random: () => number): Target | undefined {
+    const target = policy.choose(this.available, random)
+    if (target === undefined || target.fits(needs)) return target
+    return this.#search(needs)
+  }
+
+  /** The best that fits among the first few, so that the time for a choice stays bounded. */
+  #search (needs: TaskNeeds): Target | undefined {
+    const passed: Array<{ target: Target, rank: number }> = []
+    let found: Target | undefined
+    while (found === undefined && passed.length < CANDIDATES_FOR_NEEDS) {
+      const rank = this.available.peekKey()
+      const target = this.available.pop()
+      if (target === undefined || rank === undefined) break
+      passed.push({ target, rank })
+      if (target.fits(needs)) found = target
+    }
+    for (const { target, rank } of passed) this.available.set(target, rank)
+    return found
+  }
+}
+
+/** Every target, its pool, and what the passing of time changes. */
+export class Fleet {
+  readonly #policy: Policy
+  readonly #random: () => number
+  readonly #targets = new Map<Instance, Target>()
+  readonly #names = new Map<string, Target>()
+  readonly #health = new Map<string, TargetHealth>()
+  readonly #pools = new Map<string, Pool>()
+  readonly #wakeUps = new IndexedHeap<Target>()
+  readonly #usable = new Set<Target>()
+  readonly #fleetHealth = new FleetHealth()
+  #draining: DrainConfiguration = { targets: [], racks: [], providers: [] }
+  #entries = 1
+  /** Rises when a pool is added: routes computed before are out of date. */
+  generation = 0
+
+  constructor (policy: Policy, random: () => number) {
+    this.#policy = policy
+    this.#random = random
+  }
+
+  configure (draining: DrainConfiguration, now: number): void {
+    this.#draining = draining
+    for (const target of this.#targets.values()) {
+      target.drained = this.#isDrained(target.description)
+      this.refresh(target, now)
+    }
+  }
+
+  setEntryCount (entries: number, now: number): void {
+    this.#entries = Math.max(1, entries)
+    for (const target of this.#targets.values()) this.refresh(target, now)
+  }
+
+  get (agent: Instance): Target | undefined {
+    return this.#targets.get(agent)
+  }
+
+  targets (): IterableIterator<Target> {
+    return this.#targets.values()
+  }
+
+  pools (): IterableIterator<Pool> {
+    return this.#pools.values()
+  }
+
+  up (agent: Instance, description: TargetDescription, report: TargetReport, now: number): void {
+    const known = this.#targets.get(agent)
+    if (known?.up === true) {
+      known.noteReport(report, now)
+      this.refresh(known, now)
+      return
+    }
+    const earlier = this.#names.get(description.target)
+    if (earlier !== undefined && earlier !== known) this.down(earlier.agent, now)
+    const target = known ?? this.#create(agent, description, report, now)
+    target.up = true
+    target.noteReport(report, now)
+    target.health.noteReturn(now)
+    target.drained = this.#isDrained(description)
+    this.#names.set(description.target, target)
+    this.#fleetHealth.add(target.health)
+    this.refresh(target, now)
+  }
+
+  down (agent: Instance, now: number): void {
+    const target = this.#targets.get(agent)
+    if (target === undefined || !target.up) return
+    target.up = false
+    this.#fleetHealth.remove(target.health)
+    if (this.#names.get(target.description.target) === target) this.#names.delete(target.description.target)
+    this.refresh(target, now)
+    this.forget(target)
+  }
+
+  /** Drops a target that is gone and has nothing outstanding. */
+  forget (target: Target): void {
+    if (!target.up && target.outstanding === 0) this.#targets.delete(target.agent)
+  }
+
+  /** Takes in an outcome at the target: `runRatio` is its run time against the expected one. */
+  noteOutcome (target: Target, failed: boolean, runRatio: number, now: number): void {
+    if (target.up) this.#fleetHealth.remove(target.health)
+    if (failed) target.health.noteFailure()
+    else target.health.noteSuccess(runRatio)
+    if (!target.up) return
+    this.#fleetHealth.add(target.health)
+    if (!failed || !this.#fleetHealth.shouldEject(target.health)) return
+    this.#fleetHealth.remove(target.health)
+    target.health.eject(now)
+    this.#fleetHealth.add(target.health)
+  }
+
+  /** Puts the target where it belongs after any change to it. */
+  refresh (target: Target, now: number): void {
+    const pool = this.#pool(target.description)
+    this.#count(target, pool)
+    const limit = this.#policy.limit(target, this.#entries, now)
+    if (target.hasRoom(limit, now)) pool.available.set(target, this.#policy.rank(target, now))
+    else pool.available.delete(target)
+    const change = target.nextChange(now)
+    if (change === undefined) this.#wakeUps.delete(target)
+    else this.#wakeUps.set(target, change)
+  }
+
+  /** Does what the passing of time demands. */
+  advance (now: number): void {
+    while ((this.#wakeUps.peekKey() ?? Infinity) <= now) {
+      const target = this.#wakeUps.pop() as Target
+      if (target.health.trust === Trust.Ejected && target.health.probeAt <= now) this.#probe(target)
+      this.refresh(target, now)
+    }
+  }
+
+  nextChange (): number | undefined {
+    return this.#wakeUps.peekKey()
+  }
+
+  #probe (target: Target): void {
+    this.#fleetHealth.remove(target.health)
+    target.health.probe()
+    this.#fleetHealth.add(target.health)
+  }
+
+  #create (agent: Instance, description: TargetDescription, report: TargetReport, now: number): Target {
+    let health = this.#health.get(description.target)
+    if (health === undefined) {
+      health = new TargetHealth(description.slots)
+      this.#health.set(description.target, health)
+      this.#forgetOldHealth()
+    }
+    const target = new Target(agent, description, report, health, this.#random(), now)
+    this.#targets.set(agent, target)
+    return target
+  }
+
+  /** Names of targets that never return would pile up otherwise. */
+  #forgetOldHealth (): void {
+    if (this.#health.size <= 2 * this.#names.size + 64) return
+    for (const name of this.#health.keys()) {
+      if (this.#names.has(name)) continue
+      this.#health.delete(name)
+      return
+    }
+  }
+
+  #count (target: Target, pool: Pool): void {
+    const counted = this.#usable.has(target)
+    if (counted === target.usable) return
+    const sign = counted ? -1 : 1
+    pool.usable += sign
+    pool.usableSlots += sign * target.description.slots
+    if (counted) this.#usable.delete(target)
+    else this.#usable.add(target)
+  }
+
+  #pool (description: TargetDescription): Pool {
+    const { provider, services, accelerators, memoryMegabytes } = description
+    const key = JSON.stringify([provider, [...services].sort(), accelerators, memoryMegabytes])
+    let pool = this.#pools.get(key)
+    if (pool === undefined) {
+      pool = new Pool(description)
+      this.#pools.set(key, pool)
+      this.generation += 1
+    }
+    return pool
+  }
+
+  #isDrained (description: TargetDescription): boolean {
+    const { targets, racks, providers } = this.#draining
+    return targets.includes(description.target) || racks.includes(description.rack) ||
+      providers.includes(description.provider)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agentdaemon.ts
@@ -0,0 +1,134 @@
+/** The daemon in the role of an agent: the edges around the decision logic. */
+import { Agent } from '@amaranthmast/coordination/agent'
+import type { AgentEffect, AgentEvent } from '@amaranthmast/coordination/agenttypes'
+import { AgentState } from '@amaranthmast/coordination/agenttypes'
+import { DEFAULT_TIMINGS } from '@amaranthmast/coordination/defaults'
+import type { TargetDescription } from '@amaranthmast/coordination/messages'
+import { Slots } from '@amaranthmast/coordination/slots'
+import { KeyValueClient } from '@amaranthmast/platform/client'
+import type { AgentSettings } from '@amaranthmast/settings/settingstypes'
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import { setTimeout as pause } from 'node:timers/promises'
+import { FLUSH_MILLISECONDS, QUEUE_PER_SLOT, TICK_MILLISECONDS } from './defaults.ts'
+import { Entries } from './entries.ts'
+import type { Daemon, Environment } from './environment.ts'
+import { Exposition } from './exposition.ts'
+import type { ListenError } from './listen.ts'
+import type { EffectHandlers } from './loop.ts'
+import { Loop, runLoop } from './loop.ts'
+import { Direction, ProcessMetrics } from './metrics.ts'
+import { StatusPort } from './status.ts'
+import { Target } from './targets.ts'
+import { ViewReader } from './viewreader.ts'
+
+export class AgentDaemon implements Daemon {
+  readonly #environment: Environment
+  readonly #settings: AgentSettings
+  readonly #loop = new Loop<AgentEvent>()
+  readonly #metrics = new ProcessMetrics()
+  readonly #client: KeyValueClient
+  readonly #viewReader: ViewReader
+  readonly #entries: Entries
+  readonly #target: Target
+  readonly #status: StatusPort
+  readonly #agent: Agent
+  #state = AgentState.Joining
+
+  readonly #handlers: EffectHandlers<AgentEffect> = {
+    sendEntry: ({ entry, message }) => {
+      this.#metrics.message('entry', Direction.Sent, message.case)
+      this.#entries.send(entry, message)
+    },
+    startTask: ({ task, dispatch }) => this.#target.start(task, dispatch),
+    abortTask: ({ task }) => this.#target.abort(task),
+    connectEntries: ({ entries }) => this.#entries.connect(entries),
+    readView: () => { this.#viewReader.read() },
+    stateChanged: ({ state, detail }) => {
+      this.#state = state
+      this.#environment.log.info({ state, detail }, 'state changed')
+    },
+    stopped: () => this.#loop.end()
+  }
+
+  constructor (settings: AgentSettings, environment: Environment) {
+    const { instance, log, now, random } = environment
+    const post = (event: AgentEvent) => this.#loop.post(event)
+    this.#settings = settings
+    this.#environment = environment
+    this.#client = new KeyValueClient({ endpoints: settings.store.endpoints, timeoutMilliseconds: settings.store.timeoutMilliseconds, random, now })
+    this.#viewReader = new ViewReader({ client: this.#client, settings: settings.store, log, now, random }, event => {
+      if (event.type === 'viewRead') post({ type: 'viewRead', view: event.view })
+    })
+    this.#entries = new Entries(environment, event => this.#received(event))
+    this.#target = new Target(settings.target.url, settings.target.slots, post, now)
+    const health = { ready: () => this.#state === AgentState.Serving, state: () => this.#state }
+    this.#status = new StatusPort({ ...health, metrics: () => this.#exposed(), status: () => this.#statusPage() })
+    const target = describeTarget(settings)
+    this.#agent = new Agent({ instance, target, slots: new Slots({ ...target, queueLimit: target.slots * QUEUE_PER_SLOT }), timings: { ...DEFAULT_TIMINGS, ...settings.timings } })
+  }
+
+  async listen (): Promise<Result<void, ListenError>> {
+    const result = await this.#status.listen(this.#settings.status.host, this.#settings.status.port)
+    return result.isErr() ? err(result.error) : ok(undefined)
+  }
+
+  async run (): Promise<void> {
+    const timer = setInterval(() => this.#loop.post({ type: 'tick' }), TICK_MILLISECONDS)
+    try {
+      await runLoop(this.#loop, this.#agent, this.#handlers, this.#environment.now)
+    } finally {
+      clearInterval(timer)
+    }
+  }
+
+  stop (): void {
+    this.#loop.post({ type: 'stopOrdered' })
+  }
+
+  unfinished (): Readonly<Record<string, number>> {
+    return this.#sizes()
+  }
+
+  async close (): Promise<void> {
+    this.#entries.finish()
+    await pause(FLUSH_MILLISECONDS)
+    this.#status.close()
+    await this.#target.close()
+    await this.#client.close()
+  }
+
+  #received (event: AgentEvent): void {
+    if (event.type === 'entryMessage') this.#metrics.message('entry', Direction.Received, event.message.case)
+    this.#loop.post(event)
+  }
+
+  #sizes (): Record<string, number> {
+    return { entries: this.#entries.size, calls: this.#target.size }
+  }
+
+  #exposed (): string {
+    const exposition = new Exposition()
+    this.#metrics.expose(exposition, this.#state, this.#sizes())
+    return exposition.text()
+  }
+
+  #statusPage (): unknown {
+    return {
+      role: this.#settings.role,
+      id: this.#settings.id,
+      instance: this.#environment.instance,
+      dataCentre: this.#settings.dataCentre,
+      rack: this.#settings.rack,
+      target: describeTarget(this.#settings),
+      sizes: this.#sizes(),
+      storeCalls: this.#client.calls,
+      ...this.#agent.status()
+    }
+  }
+}
+
+function describeTarget ({ id, dataCentre, rack, target }: AgentSettings): TargetDescription {
+  const { provider, services, slots, accelerators, memoryMegabytes } = target
+  return { target: id, provider, services, slots, accelerators, memoryMegabytes, dataCentre, rack }
+}
--- /dev/null
+++ b/packages/daemon/src/agents.ts
@@ -0,0 +1,43 @@
+/** The entry's side of the streams that agents open. */
+import type { EntryEvent } from '@amaranthmast/coordination/entrytypes'
+import type { AgentToEntry, EntryToAgent, Instance } from '@amaranthmast/coordination/messages'
+import { agentMessages, entryFrame } from '@amaranthmast/protocol/codec'
+import type { AgentFrame, EntryFrame } from '@amaranthmast/protocol/inner_pb'
+import type { HandlerContext } from '@connectrpc/connect'
+import { serveLink } from './innerlistener.ts'
+import { Links } from './links.ts'
+
+export class Agents {
+  readonly #own: Instance
+  readonly #links: Links<AgentToEntry, EntryToAgent, EntryFrame>
+
+  /** @param post takes the events of all agents */
+  constructor (own: Instance, post: (event: EntryEvent) => void) {
+    this.#own = own
+    this.#links = new Links<AgentToEntry, EntryToAgent, EntryFrame>({
+      connected: () => {},
+      message: (agent, message) => post({ type: 'agentMessage', agent, message }),
+      disconnected: agent => post({ type: 'agentDisconnected', agent })
+    }, entryFrame)
+  }
+
+  /** Serves the stream of one agent. */
+  serve (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncIterable<EntryFrame> {
+    return serveLink(this.#links, this.#own, frames, context, agentMessages)
+  }
+
+  /** Sends a message; dropped when the agent has no link. */
+  send (agent: Instance, message: EntryToAgent): void {
+    this.#links.send(agent, message)
+  }
+
+  /** Agents with a link. */
+  get size (): number {
+    return this.#links.size
+  }
+
+  /** Lets what waits leave and ends the streams in order. */
+  finish (): void {
+    this.#links.finish()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/body.ts
@@ -0,0 +1,32 @@
+/** Reads the body of a caller's request, up to the limit. */
+import type { IncomingMessage } from 'node:http'
+import { BODY_LIMIT } from './defaults.ts'
+
+/** Why there is no body. */
+export enum BodyFault {
+  /** It is above the limit; the rest has not been read. */
+  TooLarge = 'tooLarge',
+  /** The caller went away while sending. */
+  Broken = 'broken'
+}
+
+/** Reads the whole body. A stated length above the limit is refused before anything is read. */
+export function readBody (request: IncomingMessage): Promise<Buffer | BodyFault> {
+  if (Number(request.headers['content-length'] ?? 0) > BODY_LIMIT) return Promise.resolve(BodyFault.TooLarge)
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > BODY_LIMIT) {
+        request.pause()
+        resolve(BodyFault.TooLarge)
+        return
+      }
+      chunks.push(chunk)
+    })
+    request.on('end', () => resolve(Buffer.concat(chunks)))
+    request.on('error', () => resolve(BodyFault.Broken))
+    request.on('close', () => resolve(BodyFault.Broken))
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/defaults.ts
@@ -0,0 +1,94 @@
+/** Limits and intervals of the daemon, in one place. Durations are in milliseconds, sizes in bytes. */
+
+/** Interval of the daemon's one timer. */
+export const TICK_MILLISECONDS = 50
+
+/** Largest body of a request of a caller. */
+export const BODY_LIMIT = 4 * 1024 * 1024
+
+/** Most tasks of one job. */
+export const TASK_LIMIT = 140
+
+/** What a job id, a tenant and a service look like. */
+export const ID_PATTERN = /^[A-Za-z0-9._:-]{1,128}$/
+
+/** Deadline of a job that states none. */
+export const DEADLINE_DEFAULT_MILLISECONDS = 30_000
+
+/** Longest deadline that a job may ask for. */
+export const DEADLINE_LIMIT_MILLISECONDS = 24 * 60 * 60 * 1000
+
+/** Characters of a digest of a job's content: 132 bits. */
+export const DIGEST_LENGTH = 22
+
+/** Longest run time that a task may declare. */
+export const RUN_LIMIT_MILLISECONDS = 24 * 60 * 60 * 1000
+
+/** Most accelerators or megabytes that a task may ask for. */
+export const NEEDS_LIMIT = 1_000_000_000
+
+/** How long a caller may take to send its request. */
+export const REQUEST_TIMEOUT_MILLISECONDS = 30_000
+
+/** How long an idle connection of a caller stays open: longer than balancers keep theirs. */
+export const KEEP_ALIVE_MILLISECONDS = 75_000
+
+/** Connections of callers at one time. */
+export const CALLER_CONNECTIONS = 8192
+
+/** Most messages in one frame of the inner protocol. */
+export const FRAME_ITEMS = 512
+
+/** Messages that may wait for one peer: a link that holds more has a stuck reader and is closed. */
+export const OUTBOX_ITEMS = 65_536
+
+/** Silence on a link after which the dialling end asks whether the other end is still there. */
+export const PING_INTERVAL_MILLISECONDS = 5000
+
+/** How long the answer to that question may take before the link counts as lost. */
+export const PING_TIMEOUT_MILLISECONDS = 5000
+
+/** How long a new connection to a peer may take. */
+export const CONNECT_TIMEOUT_MILLISECONDS = 2000
+
+/** First pause before a link is dialled again; it doubles with every failure. */
+export const RECONNECT_FIRST_MILLISECONDS = 50
+
+/** Longest pause before a link is dialled again. */
+export const RECONNECT_LAST_MILLISECONDS = 2000
+
+/** Memory that one HTTP/2 session may use, in megabytes: several whole jobs on their way. */
+export const SESSION_MEMORY_MEGABYTES = 64
+
+/** Time between reads of the configuration, which guard against a watch that went silent. */
+export const CONFIGURATION_POLL_MILLISECONDS = 2000
+
+/** Time between reads of the view beside those that the decision logic asks for. */
+export const VIEW_POLL_MILLISECONDS = 30_000
+
+/** Largest result of a task. */
+export const RESULT_LIMIT = 4 * 1024 * 1024
+
+/** Characters of a target's error body that are passed on to the caller. */
+export const FAILURE_DETAIL_LENGTH = 300
+
+/** When a call to a target is given up whatever the deadline: guards the slot against a target that hangs. */
+export const TARGET_TIMEOUT_MILLISECONDS = 10 * 60 * 1000
+
+/** How long an idle connection to the target stays open. */
+export const TARGET_KEEP_ALIVE_MILLISECONDS = 4000
+
+/** How long a planned stop may take before the process ends with work left. */
+export const STOP_LIMIT_MILLISECONDS = 60_000
+
+/** Largest value that the histograms hold apart: a duration in milliseconds, or a ratio. */
+export const HISTOGRAM_LIMIT = 10 * 60 * 1000
+
+/** Pairs of tenant and service with histograms of their own; later ones share one. */
+export const HISTOGRAM_CLASSES = 1000
+
+/** How long the last messages and responses of a planned stop may take to leave. */
+export const FLUSH_MILLISECONDS = 200
+
+/** Tasks that may wait at an agent, for each slot of its target. */
+export const QUEUE_PER_SLOT = 1
--- /dev/null
+++ b/packages/daemon/src/entrydaemon.ts
@@ -0,0 +1,168 @@
+/** The daemon in the role of an entry: the edges around the decision logic. */
+import type { EntryEffect, EntryEvent } from '@amaranthmast/coordination/entrytypes'
+import { DEFAULT_TIMINGS } from '@amaranthmast/coordination/defaults'
+import { Entry } from '@amaranthmast/coordination/entry'
+import { EntryState } from '@amaranthmast/coordination/entrytypes'
+import { TaskScheduler } from '@amaranthmast/coordination/scheduler'
+import { KeyValueClient } from '@amaranthmast/platform/client'
+import { parseConfiguration } from '@amaranthmast/settings/configurationfile'
+import type { EntrySettings } from '@amaranthmast/settings/settingstypes'
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import { setTimeout as pause } from 'node:timers/promises'
+import { Agents } from './agents.ts'
+import { Callers } from './callers.ts'
+import { FLUSH_MILLISECONDS, TICK_MILLISECONDS } from './defaults.ts'
+import { EntryMetrics } from './entrymetrics.ts'
+import type { Daemon, Environment } from './environment.ts'
+import { Exposition } from './exposition.ts'
+import { InnerListener } from './innerlistener.ts'
+import type { ListenError } from './listen.ts'
+import type { EffectHandlers } from './loop.ts'
+import { Loop, runLoop } from './loop.ts'
+import { Direction, ProcessMetrics } from './metrics.ts'
+import { Peers } from './peers.ts'
+import { StatusPort } from './status.ts'
+import { EntryStore } from './store.ts'
+
+export class EntryDaemon implements Daemon {
+  readonly #environment: Environment
+  readonly #settings: EntrySettings
+  readonly #loop = new Loop<EntryEvent>()
+  readonly #metrics = new ProcessMetrics()
+  readonly #entryMetrics = new EntryMetrics()
+  readonly #client: KeyValueClient
+  readonly #store: EntryStore
+  readonly #agents: Agents
+  readonly #peers: Peers
+  readonly #callers: Callers
+  readonly #inner: InnerListener
+  readonly #status: StatusPort
+  readonly #entry: Entry
+  #state = EntryState.Joining
+
+  readonly #handlers: EffectHandlers<EntryEffect> = {
+    answer: ({ request, answer }) => this.#callers.answer(request, answer),
+    lookedUp: ({ request, state, answer }) => this.#callers.lookedUp(request, state, answer),
+    sendAgent: ({ agent, message }) => {
+      this.#metrics.message('agent', Direction.Sent, message.case)
+      this.#agents.send(agent, message)
+    },
+    sendPeer: ({ peer, message }) => {
+      this.#metrics.message('peer', Direction.Sent, message.case)
+      this.#peers.send(peer, message)
+    },
+    connectPeers: ({ peers }) => this.#peers.connect(peers),
+    readView: () => this.#store.readView(),
+    writeView: ({ view, expectedRevision }) => { this.#store.writeView(view, expectedRevision) },
+    configurationAdopted: ({ configuration }) => {
+      this.#environment.log.info({ version: configuration.version }, 'configuration in force')
+    },
+    stateChanged: ({ state, detail }) => {
+      this.#state = state
+      this.#environment.log.info({ state, detail }, 'state changed')
+    },
+    jobFinished: effect => this.#entryMetrics.jobFinished(effect),
+    taskFinished: effect => this.#entryMetrics.taskFinished(effect),
+    stopped: () => this.#loop.end()
+  }
+
+  constructor (settings: EntrySettings, environment: Environment) {
+    const { instance, log, now, random, wallClock } = environment
+    const post = (event: EntryEvent) => this.#loop.post(event)
+    this.#settings = settings
+    this.#environment = environment
+    this.#client = new KeyValueClient({ endpoints: settings.store.endpoints, timeoutMilliseconds: settings.store.timeoutMilliseconds, random, now })
+    this.#store = new EntryStore({ client: this.#client, settings: settings.store, log, now, random }, post)
+    this.#agents = new Agents(instance, event => this.#received('agent', event))
+    this.#peers = new Peers(environment, event => this.#received('peer', event))
+    this.#inner = new InnerListener({
+      agent: (frames, context) => this.#agents.serve(frames, context),
+      peer: (frames, context) => this.#peers.serve(frames, context)
+    })
+    const health = { ready: () => this.#state === EntryState.Serving, state: () => this.#state }
+    this.#callers = new Callers(post, health)
+    this.#status = new StatusPort({ ...health, metrics: () => this.#exposed(), status: () => this.#statusPage() })
+    this.#entry = new Entry({
+      instance,
+      address: settings.peers.address,
+      dataCentre: settings.dataCentre,
+      scheduler: new TaskScheduler({ random, ...settings.scheduler }),
+      parseConfiguration: (document, version) => parseConfiguration(document, version).unwrapOr(undefined),
+      timings: { ...DEFAULT_TIMINGS, ...settings.timings },
+      random,
+      wallClock
+    })
+  }
+
+  /** Starts to listen; the view is not read before that succeeded. */
+  async listen (): Promise<Result<void, ListenError>> {
+    const { peers, callers, status } = this.#settings
+    const results = [
+      await this.#inner.listen(peers.host, peers.port),
+      await this.#status.listen(status.host, status.port),
+      await this.#callers.listen(callers.host, callers.port)
+    ]
+    const failure = results.find(result => result.isErr())
+    return failure?.isErr() ? err(failure.error) : ok(undefined)
+  }
+
+  async run (): Promise<void> {
+    const timer = setInterval(() => this.#loop.post({ type: 'tick' }), TICK_MILLISECONDS)
+    this.#store.start()
+    try {
+      await runLoop(this.#loop, this.#entry, this.#handlers, this.#environment.now)
+    } finally {
+      clearInterval(timer)
+    }
+  }
+
+  stop (): void {
+    this.#callers.drain()
+    this.#loop.post({ type: 'stopOrdered' })
+  }
+
+  unfinished (): Readonly<Record<string, number>> {
+    return this.#sizes()
+  }
+
+  async close (): Promise<void> {
+    this.#store.stop()
+    this.#peers.finish()
+    this.#agents.finish()
+    await Promise.race([this.#callers.close(), pause(FLUSH_MILLISECONDS)])
+    await pause(FLUSH_MILLISECONDS)
+    this.#inner.close()
+    this.#status.close()
+    await this.#client.close()
+  }
+
+  #received (link: string, event: EntryEvent): void {
+    if (event.type === 'agentMessage' || event.type === 'peerMessage') this.#metrics.message(link, Direction.Received, event.message.case)
+    this.#loop.post(event)
+  }
+
+  #sizes (): Record<string, number> {
+    return { callers: this.#callers.size, agents: this.#agents.size, peers: this.#peers.size }
+  }
+
+  #exposed (): string {
+    const exposition = new Exposition()
+    this.#metrics.expose(exposition, this.#state, this.#sizes())
+    this.#entryMetrics.expose(exposition)
+    return exposition.text()
+  }
+
+  #statusPage (): unknown {
+    return {
+      role: this.#settings.role,
+      id: this.#settings.id,
+      instance: this.#environment.instance,
+      dataCentre: this.#settings.dataCentre,
+      sizes: this.#sizes(),
+      storeCalls: this.#client.calls,
+      classes: this.#entryMetrics.figures(),
+      ...this.#entry.status()
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/innerclient.ts
@@ -0,0 +1,115 @@
+/** The dialling end of the inner protocol. */
+import type { Instance } from '@amaranthmast/coordination/messages'
+import { Inner } from '@amaranthmast/protocol/inner_pb'
+import type { CallOptions, Client } from '@connectrpc/connect'
+import { Code, ConnectError, createClient } from '@connectrpc/connect'
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { CONNECT_TIMEOUT_MILLISECONDS, PING_INTERVAL_MILLISECONDS, PING_TIMEOUT_MILLISECONDS, SESSION_MEMORY_MEGABYTES } from './defaults.ts'
+import type { Destination } from './dialer.ts'
+import { EXPECTED_HEADER, INSTANCE_HEADER, PROBE_HEADER } from './innerlistener.ts'
+import type { Link, Links } from './links.ts'
+import type { Logger } from './log.ts'
+
+/** How a stream ended. */
+export interface StreamEnd {
+  /** It had been up. */
+  wasUp: boolean
+  /** The instance listens no longer: its address refused a connection, or another instance has it. */
+  refused: boolean
+  /** Why it ended, for the log. */
+  reason: string
+}
+
+/** One of the streams of the service. */
+export type OpenStream<OutFrame, InFrame> =
+  (client: Client<typeof Inner>, frames: AsyncIterable<OutFrame>, options: CallOptions) => AsyncIterable<InFrame>
+
+/** What a dialling end needs to run a stream as a link. */
+export interface LinkDial<In, Out, InFrame, OutFrame> {
+  links: Links<In, Out, OutFrame>
+  /** The instance of this process. */
+  own: Instance
+  open: OpenStream<OutFrame, InFrame>
+  messagesOf: (frame: InFrame) => In[]
+  log: Logger
+}
+
+/** Dials an instance and runs the stream as a link until it ends. Never rejects. */
+export async function dialLink<In, Out, InFrame, OutFrame> (
+  dial: LinkDial<In, Out, InFrame, OutFrame>, destination: Destination, signal: AbortSignal
+): Promise<StreamEnd> {
+  const controller = new AbortController()
+  const outbox = dial.links.newOutbox()
+  let link: Link<In, Out, OutFrame> | undefined
+  const end = await runStream(dial, destination, AbortSignal.any([signal, controller.signal]), outbox.frames(), {}, frame => {
+    link ??= dial.links.open(destination.instance, outbox, () => controller.abort())
+    link.receive(dial.messagesOf(frame))
+  })
+  link?.close()
+  outbox.end()
+  if (end.wasUp) dial.log.info({ peer: destination.instance, reason: end.reason }, 'link lost')
+  return end
+}
+
+/** Asks whether the instance is still there, without a link. Never rejects. */
+export async function probe<In, Out, InFrame, OutFrame> (
+  dial: LinkDial<In, Out, InFrame, OutFrame>, destination: Destination, signal: AbortSignal
+): Promise<StreamEnd> {
+  const outbox = dial.links.newOutbox()
+  outbox.end()
+  return await runStream(dial, destination, signal, outbox.frames(), { [PROBE_HEADER]: '1' }, () => {})
+}
+
+async function runStream<In, Out, InFrame, OutFrame> (
+  dial: LinkDial<In, Out, InFrame, OutFrame>, destination: Destination, signal: AbortSignal,
+  frames: AsyncIterable<OutFrame>, headers: Record<string, string>, received: (frame: InFrame) => void
+): Promise<StreamEnd> {
+  const slow = new AbortController()
+  const timer = setTimeout(() => slow.abort(), CONNECT_TIMEOUT_MILLISECONDS)
+  const sessions = sessionManager(destination.address)
+  const options = {
+    signal: AbortSignal.any([signal, slow.signal]),
+    headers: { ...headers, [INSTANCE_HEADER]: dial.own, [EXPECTED_HEADER]: destination.instance }
+  }
+  let wasUp = false
+  try {
+    for await (const frame of dial.open(client(destination.address, sessions), frames, options)) {
+      clearTimeout(timer)
+      wasUp = true
+      received(frame)
+    }
+    return { wasUp, refused: false, reason: 'ended by the other end' }
+  } catch (error) {
+    return { wasUp, refused: !wasUp && isRefusal(error), reason: error instanceof Error ? error.message : String(error) }
+  } finally {
+    clearTimeout(timer)
+    sessions.abort()
+  }
+}
+
+function client (address: string, sessions: Http2SessionManager): Client<typeof Inner> {
+  return createClient(Inner, createConnectTransport({
+    baseUrl: address, httpVersion: '2', sessionManager: sessions, acceptCompression: [], useBinaryFormat: true
+  }))
+}
+
+/**
+ * A session of its own for each stream: a connection that died unnoticed is never dialled over
+ * again. The pings guard against a network that swallows packets, which leaves both ends silent
+ * without an error; they are sent only when nothing has arrived for a while.
+ */
+function sessionManager (address: string): Http2SessionManager {
+  return new Http2SessionManager(
+    address,
+    { pingIntervalMs: PING_INTERVAL_MILLISECONDS, pingTimeoutMs: PING_TIMEOUT_MILLISECONDS },
+    { maxSessionMemory: SESSION_MEMORY_MEGABYTES }
+  )
+}
+
+function isRefusal (error: unknown): boolean {
+  if (error instanceof ConnectError && error.code === Code.FailedPrecondition) return true
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    if ('code' in cause && cause.code === 'ECONNREFUSED') return true
+  }
+  return false
+}
--- /dev/null
+++ b/packages/daemon/src/log.ts
@@ -0,0 +1,17 @@
+/** The daemon's log: one JSON object a line on standard error, for changes of state only. */
+import type { Instance } from '@amaranthmast/coordination/messages'
+import type { LogLevel } from '@amaranthmast/settings/settingstypes'
+import type { Logger } from 'pino'
+import { destination, pino, stdTimeFunctions } from 'pino'
+
+export type { Logger } from 'pino'
+
+const STANDARD_ERROR = 2
+
+/**
+ * Opens the log. Lines are written at once: they are few, and the last one before a crash is the
+ * one that is needed.
+ */
+export function openLog (level: LogLevel, instance: Instance): Logger {
+  return pino({ level, base: { instance }, timestamp: stdTimeFunctions.isoTime }, destination({ dest: STANDARD_ERROR, sync: true }))
+}
--- /dev/null
+++ b/packages/daemon/src/loop.ts
@@ -0,0 +1,94 @@
+/**
+ * The daemon's one loop: events from all edges, gathered per turn of Node's event loop, as a
+ * stream that is scanned through the decision logic.
+ */
+import type { Disposable, Scheduler, Sink } from 'most'
+import { Stream } from 'most'
+
+/** Gathers events and hands them out in order, all of one turn together. */
+export class Loop<Event> {
+  #waiting: Event[] = []
+  #scheduled = false
+  #sink: Sink<Event[]> | undefined
+  #scheduler: Scheduler | undefined
+
+  /** Adds an event; it is handled in a later phase of this turn, never inside this call. */
+  post (event: Event): void {
+    this.#waiting.push(event)
+    this.#schedule()
+  }
+
+  /** The stream of turns. One observer at a time; it starts with what was posted before. */
+  turns (): Stream<Event[]> {
+    return new Stream({ run: (sink, scheduler) => this.#observe(sink, scheduler) })
+  }
+
+  /** Ends the stream: what was not handled by now never is. */
+  end (): void {
+    const sink = this.#sink
+    this.#sink = undefined
+    this.#waiting = []
+    sink?.end(this.#time())
+  }
+
+  #observe (sink: Sink<Event[]>, scheduler: Scheduler): Disposable<Event[]> {
+    this.#sink = sink
+    this.#scheduler = scheduler
+    if (this.#waiting.length > 0) this.#schedule()
+    return { dispose: () => { this.#sink = undefined } }
+  }
+
+  #schedule (): void {
+    if (this.#scheduled || this.#sink === undefined) return
+    this.#scheduled = true
+    setImmediate(() => this.#turn())
+  }
+
+  #turn (): void {
+    this.#scheduled = false
+    const sink = this.#sink
+    if (sink === undefined) return
+    const events = this.#waiting
+    this.#waiting = []
+    try {
+      sink.event(this.#time(), events)
+    } catch (error) {
+      sink.error(this.#time(), error as Error)
+    }
+  }
+
+  #time (): number {
+    return this.#scheduler?.now() ?? 0
+  }
+}
+
+/** The decision logic as the loop sees it. */
+export interface Core<Event, Effect> {
+  handle: (event: Event, now: number) => Effect[]
+}
+
+/** One handler for each kind of effect. */
+export type EffectHandlers<Effect extends { type: string }> = {
+  [Type in Effect['type']]: (effect: Extract<Effect, { type: Type }>) => void
+}
+
+/**
+ * Scans the events of a loop through the decision logic and carries out its effects.
+ *
+ * @param now clock of the process in milliseconds, never set back
+ * @returns settles when the loop ends; rejects with what the logic or a handler threw
+ */
+export async function runLoop<Event, Effect extends { type: string }> (
+  loop: Loop<Event>, core: Core<Event, Effect>, handlers: EffectHandlers<Effect>, now: () => number
+): Promise<void> {
+  const table = handlers as unknown as Record<string, (effect: Effect) => void>
+  await loop.turns()
+    .scan<Effect[]>((_previous, events) => effectsOf(core, events, now()), [])
+    .observe(effects => {
+      for (const effect of effects) table[effect.type]?.(effect)
+    })
+}
+
+function effectsOf<Event, Effect> (core: Core<Event, Effect>, events: Event[], now: number): Effect[] {
+  return events.flatMap(event => core.handle(event, now))
+}
--- /dev/null
+++ b/packages/daemon/src/outbox.ts
@@ -0,0 +1,58 @@
+/** What waits to be sent over one link: everything of one turn leaves as one frame. */
+import { FRAME_ITEMS, OUTBOX_ITEMS } from './defaults.ts'
+
+/**
+ * Messages for one peer, read as frames by the transport. While the transport is busy, messages
+ * gather and leave together, so that a slow peer gets fewer, larger frames.
+ */
+export class Outbox<Message, Frame> {
+  readonly #toFrame: (messages: readonly Message[]) => Frame
+  #waiting: Message[] = []
+  #ended = false
+  #wake: (() => void) | undefined
+
+  constructor (toFrame: (messages: readonly Message[]) => Frame) {
+    this.#toFrame = toFrame
+  }
+
+  /**
+   * Adds a message.
+   *
+   * @returns false when the peer has not read for so long that the outbox is full
+   */
+  push (message: Message): boolean {
+    if (this.#ended) return true
+    if (this.#waiting.length >= OUTBOX_ITEMS) return false
+    this.#waiting.push(message)
+    this.#wake?.()
+    return true
+  }
+
+  /** Ends the frames after what waits now has been read. */
+  end (): void {
+    this.#ended = true
+    this.#wake?.()
+  }
+
+  /**
+   * The frames, starting with an empty one: the transport sends its headers only together with a
+   * first frame, and the other end takes them as the sign that the link is up.
+   */
+  async * frames (): AsyncGenerator<Frame> {
+    yield this.#toFrame([])
+    while (true) {
+      if (this.#waiting.length > 0) {
+        yield this.#toFrame(this.#waiting.splice(0, FRAME_ITEMS))
+      } else if (this.#ended) {
+        return
+      } else {
+        await this.#pushed()
+      }
+    }
+  }
+
+  async #pushed (): Promise<void> {
+    await new Promise<void>(resolve => { this.#wake = resolve })
+    this.#wake = undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/supervise.ts
@@ -0,0 +1,56 @@
+/** Runs a daemon until it is stopped by a signal, or by a fault. */
+import { setTimeout as pause } from 'node:timers/promises'
+import { STOP_LIMIT_MILLISECONDS } from './defaults.ts'
+import type { Daemon } from './environment.ts'
+import type { Logger } from './log.ts'
+
+const SIGNALS: NodeJS.Signals[] = ['SIGTERM', 'SIGINT']
+
+/** Why a daemon ended. */
+enum End {
+  /** Nothing was left to do. */
+  Stopped = 'stopped',
+  /** A second signal came, or a planned stop took too long. */
+  CutShort = 'cutShort',
+  Fault = 'fault'
+}
+
+const EXIT_CODES: Record<End, number> = { [End.Stopped]: 0, [End.CutShort]: 1, [End.Fault]: 1 }
+
+/**
+ * Runs a daemon. The first signal orders a planned stop; a second one, or the time limit, ends the
+ * process with what is left named in the log.
+ *
+ * @returns exit code of the process
+ */
+export async function runUntilStopped (daemon: Daemon, log: Logger): Promise<number> {
+  const cutShort = new Promise<End>(resolve => onSignals(daemon, log, resolve))
+  const end = await Promise.race([runToEnd(daemon, log), cutShort])
+  if (end === End.CutShort) log.warn(daemon.unfinished(), 'planned stop cut short, work is left')
+  await daemon.close()
+  log.info({ end }, 'ended')
+  return EXIT_CODES[end]
+}
+
+async function runToEnd (daemon: Daemon, log: Logger): Promise<End> {
+  try {
+    await daemon.run()
+    return End.Stopped
+  } catch (error) {
+    log.fatal({ err: error }, 'a fault of the program: please report this line')
+    return End.Fault
+  }
+}
+
+function onSignals (daemon: Daemon, log: Logger, cutShort: (end: End) => void): void {
+  let stopping = false
+  for (const signal of SIGNALS) {
+    process.on(signal, () => {
+      if (stopping) return cutShort(End.CutShort)
+      stopping = true
+      log.info({ signal }, 'planned stop ordered')
+      daemon.stop()
+      pause(STOP_LIMIT_MILLISECONDS, undefined, { ref: false }).then(() => cutShort(End.CutShort))
+    })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/targetcall.ts
@@ -0,0 +1,105 @@
+/** One call to a target, and what can be said for certain of how it ended. */
+import { TaskOutcome } from '@amaranthmast/coordination/messages'
+import type { Dispatcher } from 'undici'
+import { FAILURE_DETAIL_LENGTH, RESULT_LIMIT } from './defaults.ts'
+
+/** How a call ended. */
+export interface CallEnd {
+  outcome: TaskOutcome
+  /** The result as the target gave it; empty unless the task succeeded. */
+  payload: Uint8Array
+  /** Text for a person; empty when the task succeeded. */
+  detail: string
+}
+
+const STATUS_OK = 200
+const NOTHING = new Uint8Array(0)
+
+/**
+ * Collects the response of one call and settles once.
+ *
+ * A call that broke off proves nothing, since the target may have read the task before. It is
+ * certain that a task never started only while nothing of it was written: no connection came up,
+ * or it was broken off before its turn.
+ */
+export class TargetCall implements Dispatcher.DispatchHandler {
+  readonly #settle: (end: CallEnd) => void
+  readonly #chunks: Buffer[] = []
+  #controller: Dispatcher.DispatchController | undefined
+  #aborted = false
+  #settled = false
+  #status = 0
+  #size = 0
+
+  /** @param settle called once, when the call has ended */
+  constructor (settle: (end: CallEnd) => void) {
+    this.#settle = settle
+  }
+
+  /** Breaks the call off. */
+  abort (): void {
+    this.#aborted = true
+    if (this.#controller === undefined) this.#fail('the call was broken off before it was sent')
+    else this.#controller.abort(new Error('broken off'))
+  }
+
+  /** Just before the first byte is written: the last moment at which an abort still prevents the start. */
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this.#aborted) controller.abort(new Error('broken off'))
+    else this.#controller = controller
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
+    this.#status = status
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#size += chunk.length
+    this.#chunks.push(chunk)
+    if (this.#size <= RESULT_LIMIT) return
+    this.#finish(failed(`the result of the target is larger than ${RESULT_LIMIT} bytes`))
+    controller.abort(new Error('too large'))
+  }
+
+  onResponseEnd (): void {
+    this.#finish(endOf(this.#status, Buffer.concat(this.#chunks)))
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    const code = (error as NodeJS.ErrnoException).code
+    this.#fail(this.#aborted ? 'the call to the target was broken off' : `the call to the target failed: ${code ?? error.message}`)
+  }
+
+  #fail (detail: string): void {
+    const outcome = this.#controller === undefined ? TaskOutcome.NotStarted : TaskOutcome.MayHaveRun
+    this.#finish({ outcome, payload: NOTHING, detail })
+  }
+
+  #finish (end: CallEnd): void {
+    if (this.#settled) return
+    this.#settled = true
+    this.#settle(end)
+  }
+}
+
+function endOf (status: number, body: Buffer): CallEnd {
+  if (status !== STATUS_OK) {
+    return failed(`the target answered with status ${status}: ${body.toString('utf8').slice(0, FAILURE_DETAIL_LENGTH)}`)
+  }
+  // A result that is not JSON would make the whole answer of its job unreadable for the caller.
+  if (!isJson(body)) return failed('the result of the target is not JSON')
+  return { outcome: TaskOutcome.Succeeded, payload: body, detail: '' }
+}
+
+function isJson (body: Buffer): boolean {
+  try {
+    JSON.parse(body.toString('utf8'))
+    return true
+  } catch {
+    return false
+  }
+}
+
+function failed (detail: string): CallEnd {
+  return { outcome: TaskOutcome.Failed, payload: NOTHING, detail }
+}
--- /dev/null
+++ b/packages/daemon/src/version.ts
@@ -0,0 +1,2 @@
+/** Release of the daemon. */
+export const VERSION = '0.1.0'
--- /dev/null
+++ b/packages/platform/test/watcher.test.ts
@@ -0,0 +1,240 @@
+/** A watcher brings the newest value through every fault, and never an older one. */
+import type { TestContext } from 'node:test'
+import { test } from 'node:test'
+import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
+import { Outage } from '@amaranthmast/standins/keyvaluefaults'
+import { waitFor } from '@amaranthmast/standins/wait'
+import { expect } from 'earl'
+import { errAsync } from 'neverthrow'
+import { KeyValueClient } from '../src/client.ts'
+import { StoreUnavailable } from '../src/errors.ts'
+import type { WatchedValue } from '../src/watcher.ts'
+import { Watcher } from '../src/watcher.ts'
+
+const NEVER = 1_000_000
+
+interface Watched {
+  standIn: KeyValueStandIn
+  client: KeyValueClient
+  watcher: Watcher
+  values: Array<string | undefined>
+  revisions: number[]
+  health: boolean[]
+}
+
+/** A stand-in that holds `a`, and a watcher that is not started. */
+async function prepare (context: TestContext, rereadMilliseconds: number): Promise<Watched> {
+  const standIn = new KeyValueStandIn()
+  await standIn.start()
+  const client = new KeyValueClient({
+    endpoints: [standIn.endpoint], timeoutMilliseconds: 200, random: () => 0.5, now: () => 0
+  })
+  await client.put('view', 'a')
+  const values: Array<string | undefined> = []
+  const revisions: number[] = []
+  const health: boolean[] = []
+  const watcher = new Watcher({
+    client,
+    key: 'view',
+    random: () => 0.5,
+    rereadMilliseconds,
+    backoffBaseMilliseconds: 10,
+    backoffMaximumMilliseconds: 40,
+    onChange: (value: WatchedValue) => {
+      values.push(value.entry?.value)
+      revisions.push(value.modRevision)
+    },
+    onHealth: (error) => { health.push(error === undefined) }
+  })
+  context.after(async () => {
+    watcher.stop()
+    await client.close()
+    await standIn.stop()
+  })
+  return { standIn, client, watcher, values, revisions, health }
+}
+
+async function waitForValue (values: Array<string | undefined>, value: string): Promise<void> {
+  await waitFor(`value ${value}`, 5000, 5, () => values.at(-1) === value)
+}
+
+async function waitForWatch (standIn: KeyValueStandIn): Promise<void> {
+  await waitFor('an open watch', 5000, 5, () => standIn.calls.watchesOpen === 1)
+}
+
+test('a watcher reports the present value and each change', async (context) => {
+  const { standIn, client, watcher, values, revisions } = await prepare(context, NEVER)
+  watcher.start()
+  await waitForWatch(standIn)
+
+  await client.put('view', 'b')
+  await client.put('view', 'c')
+  await waitForValue(values, 'c')
+
+  expect(values).toEqual(['a', 'b', 'c'])
+  expect(revisions).toEqual([2, 3, 4])
+})
+
+test('a watcher reports that the key is missing, then that it exists', async (context) => {
+  const { client, values } = await prepare(context, NEVER)
+  const watcher = new Watcher({
+    client, key: 'configuration', random: () => 0.5, onChange: ({ entry }) => { values.push(entry?.value) }
+  })
+  context.after(() => { watcher.stop() })
+  watcher.start()
+  await waitFor('a report', 5000, 5, () => values.length === 1)
+
+  await client.put('configuration', 'first')
+  await waitForValue(values, 'first')
+
+  expect(values).toEqual([undefined, 'first'])
+})
+
+// An operator's change is in force everywhere but on one instance, for ever: its watch was lost,
+// or stayed open and brought nothing. The watcher must find the change by itself.
+const LOST_CHANGES: Array<{
+  name: string, rereadMilliseconds: number, lose: (standIn: KeyValueStandIn) => unknown, heal: (standIn: KeyValueStandIn) => unknown
+}> = [
+  { name: 'watch cut', rereadMilliseconds: NEVER, lose: (standIn) => { standIn.cutWatches() }, heal: () => {} },
+  { name: 'event dropped', rereadMilliseconds: 50, lose: (standIn) => standIn.setFaults({ dropWatchEvents: true }), heal: () => {} },
+  { name: 'event later than the next read', rereadMilliseconds: 50, lose: (standIn) => standIn.setFaults({ watchDelayMilliseconds: 60_000 }), heal: () => {} },
+  { name: 'service slow', rereadMilliseconds: 50, lose: (standIn) => standIn.setFaults({ readDelayMilliseconds: 150, writeDelayMilliseconds: 150, watchDelayMilliseconds: 150 }), heal: () => {} },
+  { name: 'cut and compacted', rereadMilliseconds: NEVER, lose: (standIn) => { standIn.cutWatches() }, heal: (standIn) => { standIn.compact() } }
+]
+
+for (const { name, rereadMilliseconds, lose, heal } of LOST_CHANGES) {
+  test(`a watcher finds a change by itself: ${name}`, async (context) => {
+    const { standIn, client, watcher, values, revisions } = await prepare(context, rereadMilliseconds)
+    watcher.start()
+    await waitForWatch(standIn)
+
+    await lose(standIn)
+    await client.put('view', 'b')
+    await heal(standIn)
+    await waitForValue(values, 'b')
+
+    expect(values).toEqual(['a', 'b'])
+    expect(revisions).toEqual([2, 3])
+  })
+}
+
+for (const outage of [Outage.Refuse, Outage.Hang, Outage.NoLeader]) {
+  test(`a watcher brings what was written before an outage, once it is over: ${outage}`, async (context) => {
+    const { standIn, client, watcher, values, health } = await prepare(context, 50)
+    watcher.start()
+    await waitForWatch(standIn)
+    await standIn.setFaults({ dropWatchEvents: true })
+    await client.put('view', 'b')
+    await standIn.setFaults({ outage, dropWatchEvents: false })
+    await waitFor('the loss', 5000, 5, () => health.length > 0)
+
+    await standIn.clearFaults()
+    await waitForValue(values, 'b')
+
+    expect(values).toEqual(['a', 'b'])
+    expect(health).toEqual([false, true])
+  })
+}
+
+test('a watcher that starts in an outage reports when it is over', async (context) => {
+  const { standIn, watcher, values, health } = await prepare(context, NEVER)
+  await standIn.setFaults({ outage: Outage.Refuse })
+  watcher.start()
+  await waitFor('a failed read', 5000, 5, () => health.length > 0)
+  const valuesInOutage = [...values]
+
+  await standIn.clearFaults()
+  await waitForValue(values, 'a')
+
+  expect(valuesInOutage).toEqual([])
+  expect(values).toEqual(['a'])
+})
+
+// A change is in force, then an instance goes back to the value before it: a lagging member of the
+// service answered its next read, or a new watch replayed old changes.
+test('a watcher never goes back when reads are stale', async (context) => {
+  const { standIn, client, watcher, values, revisions } = await prepare(context, 20)
+  watcher.start()
+  await waitForWatch(standIn)
+  await client.put('view', 'b')
+  await client.put('view', 'c')
+  await waitForValue(values, 'c')
+
+  await standIn.setFaults({ staleRevisions: 2 })
+  const readsBefore = standIn.calls.reads
+  await waitFor('stale reads', 5000, 5, () => standIn.calls.reads > readsBefore + 3)
+  standIn.cutWatches()
+  await waitForWatch(standIn)
+  await client.put('view', 'd')
+  await waitForValue(values, 'd')
+
+  expect(values).toEqual(['a', 'b', 'c', 'd'])
+  expect(revisions).toEqual([2, 3, 4, 5])
+})
+
+test('a watcher that starts on a stale read catches up by its watch', async (context) => {
+  const { standIn, client, watcher, values } = await prepare(context, NEVER)
+  await client.put('view', 'b')
+  await standIn.setFaults({ staleRevisions: 1 })
+
+  watcher.start()
+  await waitForValue(values, 'b')
+
+  expect(values).toEqual(['a', 'b'])
+})
+
+test('a watcher reports a deletion once and a new value after it', async (context) => {
+  const { standIn, client, watcher, values } = await prepare(context, 20)
+  const { lease } = (await client.grantLease(30))._unsafeUnwrap()
+  watcher.start()
+  await waitForWatch(standIn)
+
+  await client.put('view', 'b', lease)
+  await client.revokeLease(lease)
+  await waitFor('the deletion', 5000, 5, () => values.includes(undefined))
+  const readsBefore = standIn.calls.reads
+  await waitFor('reads of the missing key', 5000, 5, () => standIn.calls.reads > readsBefore + 2)
+  await client.put('view', 'c')
+  await waitForValue(values, 'c')
+
+  expect(values).toEqual(['a', 'b', undefined, 'c'])
+})
+
+test('a stopped watcher reports nothing and holds no watch', async (context) => {
+  const { standIn, client, watcher, values } = await prepare(context, 20)
+  watcher.start()
+  await waitForWatch(standIn)
+
+  watcher.stop()
+  await client.put('view', 'b')
+  await waitFor('the end of the watch', 5000, 5, () => standIn.calls.watchesOpen === 0)
+
+  expect(values).toEqual(['a'])
+  expect(watcher.watching).toEqual(false)
+})
+
+test('the waits of a watcher double up to their limit', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  let reads = 0
+  const client = {
+    read: () => {
+      reads += 1
+      return errAsync(new StoreUnavailable('down'))
+    },
+    watch: () => () => {}
+  }
+  const watcher = new Watcher({
+    client, key: 'view', random: () => 0, onChange: () => {}, backoffBaseMilliseconds: 100, backoffMaximumMilliseconds: 400
+  })
+  context.after(() => { watcher.stop() })
+  watcher.start()
+
+  const readsAfter: number[] = []
+  for (const milliseconds of [49, 1, 99, 1, 199, 1, 199, 1]) {
+    await new Promise((resolve) => { setImmediate(resolve) })
+    context.mock.timers.tick(milliseconds)
+    readsAfter.push(reads)
+  }
+
+  expect(readsAfter).toEqual([1, 2, 2, 3, 3, 4, 4, 5])
+})
--- /dev/null
+++ b/packages/settings/src/difference.ts
@@ -0,0 +1,143 @@
+/** What changes between two configuration files: as typed changes, and as lines for a person. */
+import type { ConfigurationFile } from './configurationfile.ts'
+
+/** Parts of the fleet that can be drained. */
+export enum DrainKind {
+  Target = 'target',
+  Rack = 'rack',
+  Provider = 'provider'
+}
+
+/** Field of the draining lists that holds the names of each kind. */
+export const DRAIN_FIELDS = {
+  [DrainKind.Target]: 'targets',
+  [DrainKind.Rack]: 'racks',
+  [DrainKind.Provider]: 'providers'
+} as const
+
+/** Field of a tenant's quota. */
+export type QuotaField = keyof ConfigurationFile['tenants'][string]
+
+/** One change from a file to another. Shares are in percent. */
+export type Change =
+  | { type: 'serviceAdded', service: string, shares: Record<string, number> }
+  | { type: 'serviceRemoved', service: string }
+  | { type: 'shareChanged', service: string, provider: string, before: number, after: number }
+  | { type: 'providerAdded', provider: string, expectedTargets: number }
+  | { type: 'providerRemoved', provider: string }
+  | { type: 'expectedTargetsChanged', provider: string, before: number, after: number }
+  | { type: 'tenantAdded', tenant: string, quota: ConfigurationFile['tenants'][string] }
+  | { type: 'tenantRemoved', tenant: string }
+  | { type: 'quotaChanged', tenant: string, field: QuotaField, before: number, after: number }
+  | { type: 'drainStarted', kind: DrainKind, name: string }
+  | { type: 'drainEnded', kind: DrainKind, name: string }
+
+const QUOTA_FIELDS: readonly QuotaField[] = ['tasksPerSecond', 'burst', 'slots', 'weight']
+
+const EMPTY_FILE: ConfigurationFile = {
+  editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], providers: [] }
+}
+
+/** Every change from one file to another; `editedFrom` and the order of names do not count. */
+export function differenceOf (before: ConfigurationFile | undefined, after: ConfigurationFile): Change[] {
+  const base = before ?? EMPTY_FILE
+  return [
+    ...serviceChanges(base, after),
+    ...providerChanges(base, after),
+    ...tenantChanges(base, after),
+    ...Object.values(DrainKind).flatMap((kind) => drainChanges(base, after, kind))
+  ]
+}
+
+/** The changes as lines: what is added, removed or changed, and what it leads to where that is not plain. */
+export function formatChanges (changes: readonly Change[]): string[] {
+  return changes.map((change) => (FORMATS[change.type] as (change: Change) => string)(change))
+}
+
+const FORMATS: { [Type in Change['type']]: (change: Change & { type: Type }) => string } = {
+  serviceAdded: ({ service, shares }) => `+ service ${service}: ${formatShares(shares)}`,
+  serviceRemoved: ({ service }) => `- service ${service}: new jobs for it are refused`,
+  shareChanged: ({ service, provider, before, after }) => `~ service ${service}: share of ${provider} ${before} % -> ${after} %`,
+  providerAdded: ({ provider, expectedTargets }) => `+ provider ${provider}: ${formatTargets(expectedTargets)} expected`,
+  providerRemoved: ({ provider }) => `- provider ${provider}: its targets receive no new work`,
+  expectedTargetsChanged: ({ provider, before, after }) => `~ provider ${provider}: expected targets ${before} -> ${after}`,
+  tenantAdded: ({ tenant, quota }) => `+ tenant ${tenant}: ${QUOTA_FIELDS.map((field) => formatQuota(field, quota[field])).join(', ')}`,
+  tenantRemoved: ({ tenant }) => `- tenant ${tenant}: its new jobs are refused`,
+  quotaChanged: ({ tenant, field, before, after }) => `~ tenant ${tenant}: ${formatQuota(field, before)} -> ${formatQuota(field, after)}`,
+  drainStarted: ({ kind, name }) => `! drain ${kind} ${name}: no new work, what runs is finished`,
+  drainEnded: ({ kind, name }) => `! end the drain of ${kind} ${name}: it receives work again`
+}
+
+function formatTargets (targets: number): string {
+  return targets === 1 ? '1 target' : `${targets} targets`
+}
+
+function formatShares (shares: Record<string, number>): string {
+  return Object.entries(shares).map(([provider, share]) => `${provider} ${share} %`).join(', ')
+}
+
+const QUOTA_FORMATS: Record<QuotaField, (value: number) => string> = {
+  tasksPerSecond: (value) => value === 0 ? 'no limit of tasks per second' : `${value} tasks per second`,
+  burst: (value) => `burst ${value}`,
+  slots: (value) => value === 0 ? 'no limit of slots' : `${value} slots`,
+  weight: (value) => `weight ${value}`
+}
+
+function formatQuota (field: QuotaField, value: number): string {
+  return QUOTA_FORMATS[field](value)
+}
+
+/** Names of both records with what each holds, sorted by name. */
+function paired<Value> (before: Record<string, Value>, after: Record<string, Value>) {
+  const names = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort()
+  return names.map((name) => ({ name, before: ownValue(before, name), after: ownValue(after, name) }))
+}
+
+function ownValue<Value> (record: Record<string, Value>, name: string): Value | undefined {
+  return Object.hasOwn(record, name) ? record[name] : undefined
+}
+
+function serviceChanges (base: ConfigurationFile, next: ConfigurationFile): Change[] {
+  return paired(base.services, next.services).flatMap(({ name, before, after }): Change[] => {
+    if (after === undefined) return [{ type: 'serviceRemoved', service: name }]
+    if (before === undefined) return [{ type: 'serviceAdded', service: name, shares: after.shares }]
+    return shareChanges(name, before.shares, after.shares)
+  })
+}
+
+function shareChanges (service: string, base: Record<string, number>, next: Record<string, number>): Change[] {
+  return paired(base, next).flatMap(({ name, before = 0, after = 0 }): Change[] => {
+    if (before === after) return []
+    return [{ type: 'shareChanged', service, provider: name, before, after }]
+  })
+}
+
+function providerChanges (base: ConfigurationFile, next: ConfigurationFile): Change[] {
+  return paired(base.providers, next.providers).flatMap(({ name, before, after }): Change[] => {
+    if (after === undefined) return [{ type: 'providerRemoved', provider: name }]
+    if (before === undefined) return [{ type: 'providerAdded', provider: name, expectedTargets: after.expectedTargets }]
+    if (before.expectedTargets === after.expectedTargets) return []
+    return [{ type: 'expectedTargetsChanged', provider: name, before: before.expectedTargets, after: after.expectedTargets }]
+  })
+}
+
+function tenantChanges (base: ConfigurationFile, next: ConfigurationFile): Change[] {
+  return paired(base.tenants, next.tenants).flatMap(({ name, before, after }): Change[] => {
+    if (after === undefined) return [{ type: 'tenantRemoved', tenant: name }]
+    if (before === undefined) return [{ type: 'tenantAdded', tenant: name, quota: after }]
+    return QUOTA_FIELDS
+      .filter((field) => before[field] !== after[field])
+      .map((field) => ({ type: 'quotaChanged', tenant: name, field, before: before[field], after: after[field] }))
+  })
+}
+
+function drainChanges (base: ConfigurationFile, next: ConfigurationFile, kind: DrainKind): Change[] {
+  const before = new Set(base.draining[DRAIN_FIELDS[kind]])
+  const after = new Set(next.draining[DRAIN_FIELDS[kind]])
+  const started = [...after].filter((name) => !before.has(name)).sort()
+  const ended = [...before].filter((name) => !after.has(name)).sort()
+  return [
+    ...started.map((name): Change => ({ type: 'drainStarted', kind, name })),
+    ...ended.map((name): Change => ({ type: 'drainEnded', kind, name }))
+  ]
+}
--- /dev/null
+++ b/packages/settings/src/validation.ts
@@ -0,0 +1,170 @@
+/** Checks a value against a zod schema and turns the library's issues into faults with examples. */
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import * as z from 'zod/mini'
+import { DocumentRefused } from './errors.ts'
+import type { Fault } from './fault.ts'
+import { formatPath } from './fault.ts'
+
+type Schema = z.core.$ZodType
+type Issue = z.core.$ZodIssue
+type Path = readonly PropertyKey[]
+
+const EXAMPLE_NAME = 'label-check'
+
+/** Parses JSON text; the position of a syntax error is in the fault's reason. */
+export function parseJson (text: string): Result<unknown, DocumentRefused> {
+  try {
+    return ok(JSON.parse(text, refuseReservedKey))
+  } catch (error) {
+    const reason = `is not JSON: ${(error as Error).message}`
+    return err(new DocumentRefused([{ path: formatPath([]), reason, example: '{"name":"value"}' }]))
+  }
+}
+
+/**
+ * `__proto__` is dropped silently by schemas of records: a service of that name would be accepted
+ * and never be served. Refusing the key in the text is the only place that still sees it.
+ */
+function refuseReservedKey (key: string, value: unknown): unknown {
+  if (key === '__proto__') throw new SyntaxError('the name __proto__ is reserved')
+  return value
+}
+
+/** Checks a value; all faults are reported at once. */
+export function validate<S extends Schema> (schema: S, value: unknown): Result<z.output<S>, DocumentRefused> {
+  const parsed = z.safeParse(schema, value)
+  if (parsed.success) return ok(parsed.data)
+  return err(new DocumentRefused(parsed.error.issues.flatMap((issue) => faultsOf(schema, issue, value))))
+}
+
+function faultsOf (schema: Schema, issue: Issue, value: unknown): Fault[] {
+  if (issue.code === 'unrecognized_keys') return unknownFields(schema, issue, value)
+  const found = valueAt(value, issue.path)
+  const example = exampleAt(schema, issue, value)
+  return [{ path: formatPath(issue.path), reason: reasonOf(issue, found), example }]
+}
+
+function unknownFields (schema: Schema, issue: Issue & { code: 'unrecognized_keys' }, value: unknown): Fault[] {
+  const place = schemaAt(schema, issue.path, value)
+  const known = place === undefined ? [] : fieldsOf(place)
+  const example = known.length === 0 ? 'none' : `one of the known fields ${known.join(', ')}`
+  return issue.keys.map((key) => ({ path: formatPath([...issue.path, key]), reason: 'is an unknown field', example }))
+}
+
+const REASONS: { [Code in Issue['code']]?: (issue: Issue & { code: Code }, found: unknown) => string } = {
+  invalid_type: (issue, found) => `must be ${TYPE_NAMES[issue.expected] ?? issue.expected}, not ${nameType(found)}`,
+  too_small: (issue) => `must ${boundOf(issue.origin, 'least', issue.minimum, issue.inclusive)}`,
+  too_big: (issue) => `must ${boundOf(issue.origin, 'most', issue.maximum, issue.inclusive)}`,
+  invalid_format: (issue, found) => `${issue.message}, not ${JSON.stringify(found)}`,
+  invalid_value: (issue) => `must be one of ${issue.values.map(String).join(', ')}`,
+  invalid_union: (issue) => `must be one of ${(issue as { options?: unknown[] }).options?.join(', ') ?? 'the known forms'}`,
+  invalid_key: (issue) => `the name ${issue.issues[0]?.message ?? 'is refused'}`,
+  custom: (issue) => issue.message
+}
+
+const TYPE_NAMES: Record<string, string> = {
+  string: 'a text',
+  number: 'a number',
+  int: 'a whole number',
+  boolean: 'true or false',
+  array: 'a list',
+  object: 'an object',
+  record: 'an object'
+}
+
+function reasonOf (issue: Issue, found: unknown): string {
+  if (found === undefined && issue.code !== 'custom') return 'is missing'
+  const handler = REASONS[issue.code] as ((issue: Issue, found: unknown) => string) | undefined
+  return handler === undefined ? issue.message : handler(issue, found)
+}
+
+function nameType (value: unknown): string {
+  if (value === null) return 'null'
+  if (Array.isArray(value)) return 'a list'
+  if (typeof value === 'number') return String(value)
+  if (typeof value === 'string') return 'a text'
+  if (typeof value === 'object') return 'an object'
+  return String(value)
+}
+
+function boundOf (origin: string, side: 'least' | 'most', bound: unknown, inclusive = true): string {
+  if (origin === 'string') return `have at ${side} ${String(bound)} characters`
+  if (origin === 'array') return `have at ${side} ${String(bound)} ${bound === 1 ? 'item' : 'items'}`
+  if (inclusive) return `be at ${side} ${String(bound)}`
+  return `be ${side === 'least' ? 'above' : 'below'} ${String(bound)}`
+}
+
+function valueAt (value: unknown, path: Path): unknown {
+  let current = value
+  for (const step of path) {
+    if (typeof current !== 'object' || current === null) return undefined
+    current = (current as Record<PropertyKey, unknown>)[step]
+  }
+  return current
+}
+
+function exampleAt (schema: Schema, issue: Issue, value: unknown): string {
+  if (issue.code === 'custom' && typeof issue.params?.example === 'string') return issue.params.example
+  if (issue.code === 'invalid_key') return EXAMPLE_NAME
+  const place = schemaAt(schema, issue.path, value)
+  return place === undefined ? 'none' : exampleOf(place)
+}
+
+/** The example registered for a schema, as JSON; for an object without one, its fields. */
+function exampleOf (schema: Schema): string {
+  for (let current: Schema | undefined = schema; current !== undefined; current = innerOf(current)) {
+    const examples = z.globalRegistry.get(current)?.examples as unknown[] | undefined
+    if (examples !== undefined) return JSON.stringify(examples[0])
+  }
+  const fields = fieldsOf(schema)
+  return fields.length === 0 ? '{}' : `an object with ${fields.join(', ')}`
+}
+
+/** The parts of zod's definitions that are followed here. */
+interface Definition {
+  type: string
+  shape?: Record<string, Schema>
+  valueType?: Schema
+  element?: Schema
+  innerType?: Schema
+  options?: readonly Schema[]
+  discriminator?: string
+}
+
+function definitionOf (schema: Schema): Definition {
+  return schema._zod.def as unknown as Definition
+}
+
+function innerOf (schema: Schema): Schema | undefined {
+  return definitionOf(schema).innerType
+}
+
+function unwrap (schema: Schema): Schema {
+  const inner = innerOf(schema)
+  return inner === undefined ? schema : unwrap(inner)
+}
+
+function fieldsOf (schema: Schema): string[] {
+  return Object.keys(definitionOf(unwrap(schema)).shape ?? {})
+}
+
+/** The schema that the value at the path was checked against. */
+function schemaAt (schema: Schema, path: Path, value: unknown): Schema | undefined {
+  const definition = definitionOf(unwrap(schema))
+  if (definition.options !== undefined) return schemaAt(chooseOption(definition, value), path, value)
+  const [step, ...rest] = path
+  if (step === undefined) return schema
+  const next = definition.shape?.[String(step)] ?? definition.valueType ?? definition.element
+  return next === undefined ? undefined : schemaAt(next, rest, valueAt(value, [step]))
+}
+
+function chooseOption (definition: Definition, value: unknown): Schema {
+  const options = definition.options ?? []
+  const tag = valueAt(value, [definition.discriminator ?? ''])
+  const match = options.find((option) => {
+    const literal = definitionOf(option).shape?.[definition.discriminator ?? '']
+    return literal !== undefined && z.safeParse(literal, tag).success
+  })
+  return match ?? options[0] as Schema
+}
--- /dev/null
+++ b/packages/settings/test/settings.test.ts
@@ -0,0 +1,123 @@
+/** The daemon's settings file: what is accepted, and one line per fault for what is not. */
+import { test } from 'node:test'
+import { expect } from 'earl'
+import type { Result } from 'neverthrow'
+import type { DocumentRefused } from '../src/errors.ts'
+import { publishedEntry } from '../src/publishedinstance.ts'
+import { checkSettings, readSettings } from '../src/settings.ts'
+import type { EntrySettings } from '../src/settingstypes.ts'
+
+const ENTRY = { role: 'entry', id: 'entry-1', dataCentre: 'gulf-1', store: { endpoints: ['http://127.0.0.1:2379'] } }
+const AGENT = {
+  role: 'agent',
+  id: 'agent-1',
+  dataCentre: 'gulf-1',
+  store: { endpoints: ['http://127.0.0.1:2379'] },
+  target: { url: 'http://127.0.0.1:6101', provider: 'provider-a', services: ['label-check'] }
+}
+
+function linesOf (result: Result<unknown, DocumentRefused>): string[] {
+  return result.isOk() ? [] : result.error.message.split('\n')
+}
+
+test('an entry with every default', () => {
+  expect(checkSettings(ENTRY)._unsafeUnwrap()).toLooseEqual({
+    ...ENTRY,
+    rack: '',
+    store: { endpoints: ['http://127.0.0.1:2379'], prefix: '/amaranthmast/', timeoutMilliseconds: 1000 },
+    status: { host: '127.0.0.1', port: 9101 },
+    timings: {},
+    log: { level: 'info' },
+    callers: { host: '127.0.0.1', port: 8101 },
+    peers: { host: '127.0.0.1', port: 7101, address: 'http://127.0.0.1:7101' },
+    scheduler: {}
+  })
+})
+
+test('an agent with every default', () => {
+  const settings = checkSettings(AGENT)._unsafeUnwrap()
+  expect(settings).toLooseEqual(expect.subset({ role: 'agent', target: { ...AGENT.target, slots: 8, accelerators: 0, memoryMegabytes: 0 } }))
+})
+
+const EVERY_FIELD = 'role, id, dataCentre, rack, store, status, timings, log, callers, peers, scheduler'
+
+interface FaultCase {
+  story: string
+  settings: unknown
+  lines: string[]
+}
+
+const FAULTS: FaultCase[] = [
+  { story: 'not an object', settings: 7, lines: [`(document): must be an object, not 7; example: an object with ${EVERY_FIELD}`] },
+  { story: 'no role', settings: { ...ENTRY, role: undefined }, lines: ['role: is missing; example: "entry"'] },
+  { story: 'an unknown role', settings: { ...ENTRY, role: 'both' }, lines: ['role: must be one of entry, agent; example: "entry"'] },
+  { story: 'no id', settings: { ...ENTRY, id: undefined }, lines: ['id: is missing; example: "entry-1"'] },
+  {
+    story: 'an id that would break an instance name',
+    settings: { ...ENTRY, id: 'entry#1' },
+    lines: ['id: must be 1 to 64 letters, digits, dots, underscores and hyphens, the first a letter or digit, not "entry#1"; example: "entry-1"']
+  },
+  { story: 'an unknown field', settings: { ...ENTRY, target: {} }, lines: [`target: is an unknown field; example: one of the known fields ${EVERY_FIELD}`] },
+  {
+    story: 'an unknown timing',
+    settings: { ...ENTRY, timings: { hartbeat: 1 } },
+    lines: ['timings.hartbeat: is an unknown field; example: one of the known fields heartbeat, suspect, contact, agentLost, viewRead, retention, answerGrace, clockMargin']
+  },
+  { story: 'a timing of nothing', settings: { ...ENTRY, timings: { heartbeat: 0 } }, lines: ['timings.heartbeat: must be at least 1; example: 400'] },
+  { story: 'no endpoint', settings: { ...ENTRY, store: { endpoints: [] } }, lines: ['store.endpoints: must have at least 1 item; example: ["http://127.0.0.1:2379"]'] },
+  {
+    story: 'an endpoint without scheme',
+    settings: { ...ENTRY, store: { endpoints: ['127.0.0.1:2379'] } },
+    lines: ['store.endpoints[0]: must be a http or https address, not "127.0.0.1:2379"; example: "http://127.0.0.1:2379"']
+  },
+  {
+    story: 'a prefix without slash',
+    settings: { ...ENTRY, store: { ...ENTRY.store, prefix: 'a' } },
+    lines: ['store.prefix: must begin and end with a slash, not "a"; example: "/amaranthmast/"']
+  },
+  { story: 'a port in quotes', settings: { ...ENTRY, status: { port: '9101' } }, lines: ['status.port: must be a number, not a text; example: 9101'] },
+  { story: 'a port out of range', settings: { ...ENTRY, status: { port: 65536 } }, lines: ['status.port: must be at most 65535; example: 9101'] },
+  {
+    story: 'an address that nobody can connect to',
+    settings: { ...ENTRY, peers: { host: '0.0.0.0' } },
+    lines: ['peers.address: must be given when peers.host is 0.0.0.0, since nobody can connect to that; example: "http://10.0.0.7:7101"']
+  },
+  {
+    story: 'an unknown policy',
+    settings: { ...ENTRY, scheduler: { policy: 'best' } },
+    lines: ['scheduler.policy: must be one of random, powerOfTwo, leastExpectedWait, slotCredits, evenSpread; example: "evenSpread"']
+  },
+  { story: 'an agent without target', settings: { ...AGENT, target: undefined }, lines: ['target: is missing; example: {"url":"http://127.0.0.1:6101","provider":"provider-a","services":["label-check"]}'] },
+  { story: 'a target without slots', settings: { ...AGENT, target: { ...AGENT.target, slots: 0 } }, lines: ['target.slots: must be at least 1; example: 8'] },
+  { story: 'half a slot', settings: { ...AGENT, target: { ...AGENT.target, slots: 1.5 } }, lines: ['target.slots: must be a whole number, not 1.5; example: 8'] },
+  {
+    story: 'several faults at once',
+    settings: { ...AGENT, id: '', log: { level: 'loud' }, target: { ...AGENT.target, provider: 3 } },
+    lines: [
+      'id: must be 1 to 64 letters, digits, dots, underscores and hyphens, the first a letter or digit, not ""; example: "entry-1"',
+      'log.level: must be one of fatal, error, warn, info, debug, trace, silent; example: "info"',
+      'target.provider: must be a text, not 3; example: "provider-a"'
+    ]
+  }
+]
+
+for (const { story, settings, lines } of FAULTS) {
+  test(`settings refused: ${story}`, () => {
+    expect(linesOf(checkSettings(settings))).toEqual(lines)
+  })
+}
+
+test('a file that is not there', () => {
+  const error = readSettings('/nowhere/settings.json')._unsafeUnwrapErr()
+  expect(error.code).toEqual('FILE_UNREADABLE')
+  expect(error.message).toEqual('cannot read /nowhere/settings.json (ENOENT): give the path of a file that this user may read')
+})
+
+test('an entry that listens everywhere publishes an address that can be reached', () => {
+  const peers = { host: '0.0.0.0', address: 'http://10.0.0.7:7101' }
+  const settings = checkSettings({ ...ENTRY, peers, status: { host: '0.0.0.0' } })._unsafeUnwrap() as EntrySettings
+  expect(publishedEntry(settings, 'entry-1#2', 9101)).toEqual({
+    key: '/amaranthmast/instances/entry-1',
+    value: '{"instance":"entry-1#2","status":"http://10.0.0.7:9101"}'
+  })
+})
--- /dev/null
+++ b/packages/standins/src/audit.ts
@@ -0,0 +1,167 @@
+/**
+ * Judges a run from the targets' own records against the callers' answers. Both are taken from the
+ * same machine, so that their clock readings can be compared.
+ */
+import type { AnswerBody, JobRecord, StartRecord, StandInResult, TargetRecords } from './records.ts'
+import { AnswerWord, StartOutcome, taskKey } from './records.ts'
+
+/** Counts of one run. Each job is counted once among the first six after `jobs`. */
+export interface AuditCounts {
+  jobs: number
+  /** Complete answers whose every result is its own task's and has a finished start. */
+  complete: number
+  failed: number
+  refused: number
+  mayHaveRun: number
+  /** Jobs without a final answer, or with a complete answer that the records do not bear out. */
+  lost: number
+  /** Tasks that started more than once over all targets. */
+  doubled: number
+  /** Jobs that were told "not run" although a task of theirs had started. */
+  refusedButRan: number
+}
+
+/** What an audit found. */
+export interface AuditReport {
+  counts: AuditCounts
+  /** One line for each fault, for a person. */
+  faults: string[]
+  /** Tasks that started at all. */
+  starts: number
+  /** How often a target was asked for a run while all its slots were held. */
+  askedAboveSlots: number
+}
+
+enum Verdict {
+  Complete = 'complete',
+  Failed = 'failed',
+  Refused = 'refused',
+  MayHaveRun = 'mayHaveRun',
+  Lost = 'lost'
+}
+
+type StartsByTask = Map<string, StartRecord[]>
+
+/** A target dropped records, so that nothing can be said about its starts. */
+export class IncompleteRecordsError extends Error {
+  readonly code = 'INCOMPLETE_RECORDS'
+
+  constructor (target: string, dropped: number) {
+    super(`target ${target} dropped ${dropped} start records: raise its record limit or run fewer tasks`)
+    this.name = 'IncompleteRecordsError'
+  }
+}
+
+/** Compares what callers were told with what targets ran. Throws when records are incomplete. */
+export function audit (jobs: readonly JobRecord[], targets: readonly TargetRecords[]): AuditReport {
+  const starts = startsByTask(targets)
+  const report: AuditReport = {
+    counts: { jobs: jobs.length, complete: 0, failed: 0, refused: 0, mayHaveRun: 0, lost: 0, doubled: 0, refusedButRan: 0 },
+    faults: [],
+    starts: starts.size,
+    askedAboveSlots: targets.reduce((sum, target) => sum + target.askedAboveSlots, 0)
+  }
+  for (const job of jobs) judgeJob(job, starts, report)
+  judgeDoubles(starts, report)
+  return report
+}
+
+/** Whether the run kept the promises. */
+export function isClean (report: AuditReport): boolean {
+  const { lost, doubled, refusedButRan } = report.counts
+  return lost === 0 && doubled === 0 && refusedButRan === 0
+}
+
+function startsByTask (targets: readonly TargetRecords[]): StartsByTask {
+  const starts: StartsByTask = new Map()
+  for (const target of targets) {
+    if (target.dropped > 0) throw new IncompleteRecordsError(target.target, target.dropped)
+    for (const record of target.records) {
+      const key = taskKey(record.tenant, record.job, record.task)
+      const known = starts.get(key)
+      if (known === undefined) starts.set(key, [record])
+      else known.push(record)
+    }
+  }
+  return starts
+}
+
+function judgeJob (job: JobRecord, starts: StartsByTask, report: AuditReport): void {
+  const name = `${job.submission.tenant}/${job.submission.job}`
+  const verdict = verdictOf(job, starts, fault => report.faults.push(`lost: ${name}: ${fault}`))
+  report.counts[verdict]++
+  const early = startDespiteRefusal(job, starts)
+  if (early === undefined) return
+  report.counts.refusedButRan++
+  report.faults.push(`refused but ran: ${name}: task ${early.task} started at ${early.target}`)
+}
+
+function verdictOf (job: JobRecord, starts: StartsByTask, note: (fault: string) => void): Verdict {
+  if (job.final === undefined) {
+    note(`no final answer after ${job.attempts.length} submissions`)
+    return Verdict.Lost
+  }
+  if (job.final.kind !== AnswerWord.Complete) return VERDICT_BY_ANSWER[job.final.kind]
+  const fault = faultOfComplete(job, job.final, starts)
+  if (fault === undefined) return Verdict.Complete
+  note(fault)
+  return Verdict.Lost
+}
+
+const VERDICT_BY_ANSWER: Readonly<Record<Exclude<AnswerWord, AnswerWord.Complete>, Verdict>> = {
+  [AnswerWord.Failed]: Verdict.Failed,
+  [AnswerWord.Refused]: Verdict.Refused,
+  [AnswerWord.MayHaveRun]: Verdict.MayHaveRun
+}
+
+function faultOfComplete (job: JobRecord, answer: AnswerBody, starts: StartsByTask): string | undefined {
+  const { tenant, job: id, tasks } = job.submission
+  if (answer.job !== id) return `answer of job ${answer.job}`
+  const results = answer.results ?? []
+  if (results.length !== tasks.length) return `${results.length} results for ${tasks.length} tasks`
+  for (let task = 0; task < tasks.length; task++) {
+    const result = results[task] as Partial<StandInResult> | null
+    if (result?.tenant !== tenant || result.job !== id || result.task !== task) {
+      return `result ${task} is not its own: ${JSON.stringify(result)}`
+    }
+    const finished = starts.get(taskKey(tenant, id, task))?.some(start => isFinishedAt(start, result.target))
+    if (finished !== true) return `task ${task} has no finished start at ${result.target}`
+  }
+  return undefined
+}
+
+function isFinishedAt (start: StartRecord, target: string | undefined): boolean {
+  return start.target === target && start.outcome === StartOutcome.Finished
+}
+
+/**
+ * A refusal says that no task of the job was started and none will be from what was submitted so
+ * far. Only a later submission may start one, so a start before the next submission, or any start
+ * when there is none, gives the refusal the lie.
+ */
+function startDespiteRefusal (job: JobRecord, starts: StartsByTask): StartRecord | undefined {
+  const boundary = notRunUntil(job)
+  if (boundary === undefined) return undefined
+  const { tenant, job: id, tasks } = job.submission
+  for (let task = 0; task < tasks.length; task++) {
+    const early = starts.get(taskKey(tenant, id, task))?.find(start => start.startedAt < boundary)
+    if (early !== undefined) return early
+  }
+  return undefined
+}
+
+/** Time before which the job's last refusal allows no start; undefined when it was never refused. */
+function notRunUntil (job: JobRecord): number | undefined {
+  const last = job.attempts.findLastIndex(attempt => attempt.answer?.kind === AnswerWord.Refused)
+  if (last < 0) return undefined
+  return job.attempts[last + 1]?.submittedAt ?? Infinity
+}
+
+function judgeDoubles (starts: StartsByTask, report: AuditReport): void {
+  for (const [key, records] of starts) {
+    if (records.length < 2) continue
+    report.counts.doubled++
+    const places = records.map(record => record.target).join(', ')
+    report.faults.push(`doubled: ${key} started ${records.length} times: ${places}`)
+  }
+}
--- /dev/null
+++ b/packages/standins/src/balancer.ts
@@ -0,0 +1,77 @@
+/** Stand-in for the platform's balancer: a round robin over the entries that say they are ready. */
+import { request } from 'undici'
+import type { Dispatcher } from 'undici'
+
+import { READINESS_INTERVAL, READINESS_TIMEOUT } from './defaults.ts'
+
+/** Round robin over entries that answer `/readyz`; one that refuses a connection is left out at once. */
+export class Balancer {
+  readonly #entries: readonly string[]
+  readonly #dispatcher: Dispatcher
+  readonly #ready = new Set<string>()
+  readonly #checking = new Set<string>()
+  #timer: NodeJS.Timeout | undefined
+  #turn = 0
+
+  /** `entries` are base URLs without a final slash. */
+  constructor (entries: readonly string[], dispatcher: Dispatcher) {
+    this.#entries = entries
+    this.#dispatcher = dispatcher
+  }
+
+  /** Starts the readiness checks. Resolves after the first round. */
+  async start (): Promise<void> {
+    this.#timer = setInterval(() => { this.#checkAll() }, READINESS_INTERVAL)
+    this.#timer.unref()
+    await this.#checkAll()
+  }
+
+  /** Stops the readiness checks. */
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  /** Entries that are ready now. */
+  ready (): string[] {
+    return this.#entries.filter(entry => this.#ready.has(entry))
+  }
+
+  /** The next ready entry, another than `previous` when there is one; undefined when none is ready. */
+  next (previous?: string): string | undefined {
+    const ready = this.ready()
+    const others = ready.filter(entry => entry !== previous)
+    const candidates = others.length > 0 ? others : ready
+    return candidates[this.#turn++ % candidates.length]
+  }
+
+  /** Leaves an entry out until a check finds it ready again. */
+  drop (entry: string): void {
+    this.#ready.delete(entry)
+  }
+
+  async #checkAll (): Promise<void> {
+    await Promise.all(this.#entries.map(entry => this.#check(entry)))
+  }
+
+  async #check (entry: string): Promise<void> {
+    if (this.#checking.has(entry)) return
+    this.#checking.add(entry)
+    const ready = await this.#answersReady(entry)
+    this.#checking.delete(entry)
+    if (ready) this.#ready.add(entry)
+    else this.#ready.delete(entry)
+  }
+
+  async #answersReady (entry: string): Promise<boolean> {
+    try {
+      const response = await request(`${entry}/readyz`, {
+        dispatcher: this.#dispatcher,
+        signal: AbortSignal.timeout(READINESS_TIMEOUT)
+      })
+      await response.body.dump()
+      return response.statusCode === 200
+    } catch {
+      return false
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/caller.ts
@@ -0,0 +1,142 @@
+/**
+ * A caller as the platform has them: sends jobs through the balancer, and when it believes one lost
+ * sends the same job again through another entry, unchanged. It keeps every answer it received.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+
+import { Agent, request } from 'undici'
+
+import { Balancer } from './balancer.ts'
+import {
+  CALLER_CONNECTIONS, GIVE_UP, LONGEST_RETRY_AFTER, REFUSAL_TRIES, RESUBMIT_PAUSE, SUBMISSION_TIMEOUT
+} from './defaults.ts'
+import type { AnswerBody, Attempt, JobRecord, JobSubmission } from './records.ts'
+import { AnswerWord } from './records.ts'
+
+/** Options of a {@link Caller}. Times are in milliseconds. */
+export interface CallerOptions {
+  /** Base URLs of the entries, without a final slash. */
+  entries: readonly string[]
+  /** Time after which a submission without an answer counts as lost. @default 10000 */
+  submissionTimeout?: number
+  /** Time from the first submission after which a job is given up. @default 40000 */
+  giveUp?: number
+  /** Submissions of one job that may be answered by a refusal with a time to come back. @default 8 */
+  refusalTries?: number
+}
+
+const ANSWER_WORDS: ReadonlySet<unknown> = new Set(Object.values(AnswerWord))
+
+/** Sends jobs and records what came of each. */
+export class Caller {
+  readonly #options: Required<CallerOptions>
+  readonly #dispatcher = new Agent({ connections: CALLER_CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 })
+  readonly #balancer: Balancer
+  readonly #records: JobRecord[] = []
+
+  constructor (options: CallerOptions) {
+    this.#options = {
+      submissionTimeout: SUBMISSION_TIMEOUT,
+      giveUp: GIVE_UP,
+      refusalTries: REFUSAL_TRIES,
+      ...options
+    }
+    this.#balancer = new Balancer(options.entries, this.#dispatcher)
+  }
+
+  /** Starts the balancer. Resolves after its first round of readiness checks. */
+  start (): Promise<void> {
+    return this.#balancer.start()
+  }
+
+  /** Stops the balancer and breaks open connections. */
+  async close (): Promise<void> {
+    this.#balancer.stop()
+    await this.#dispatcher.destroy()
+  }
+
+  /** Entries that are ready now. */
+  readyEntries (): string[] {
+    return this.#balancer.ready()
+  }
+
+  /** Every job so far, in order of submission. */
+  records (): readonly JobRecord[] {
+    return this.#records
+  }
+
+  /** Submits a job until it has a final answer or is given up. Never rejects. */
+  async submit (submission: JobSubmission): Promise<JobRecord> {
+    const record: JobRecord = { submission, submittedAt: Date.now(), attempts: [] }
+    this.#records.push(record)
+    const body = JSON.stringify(submission)
+    const giveUpAt = record.submittedAt + this.#options.giveUp
+    while (Date.now() < giveUpAt) {
+      const attempt = await this.#attempt(record, body, giveUpAt)
+      const pause = attempt === undefined ? RESUBMIT_PAUSE : this.#pauseAfter(record, attempt)
+      if (pause === undefined) break
+      await delay(pause)
+    }
+    return record
+  }
+
+  /** One submission through the next ready entry; undefined when none is ready. */
+  async #attempt (record: JobRecord, body: string, giveUpAt: number): Promise<Attempt | undefined> {
+    const entry = this.#balancer.next(record.attempts.at(-1)?.entry)
+    if (entry === undefined) return undefined
+    const attempt: Attempt = { entry, submittedAt: Date.now(), endedAt: 0 }
+    record.attempts.push(attempt)
+    const timeout = Math.min(this.#options.submissionTimeout, Math.max(1, giveUpAt - attempt.submittedAt))
+    try {
+      await this.#post(attempt, body, timeout)
+    } catch (error) {
+      attempt.failure = failureOf(error)
+      if (attempt.failure === 'ECONNREFUSED') this.#balancer.drop(entry)
+    }
+    attempt.endedAt = Date.now()
+    return attempt
+  }
+
+  async #post (attempt: Attempt, body: string, timeout: number): Promise<void> {
+    const response = await request(`${attempt.entry}/v1/jobs`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body,
+      dispatcher: this.#dispatcher,
+      signal: AbortSignal.timeout(timeout)
+    })
+    const answer = await response.body.json() as Partial<AnswerBody> | null
+    attempt.status = response.statusCode
+    if (!ANSWER_WORDS.has(answer?.kind)) {
+      attempt.failure = `status ${response.statusCode} with a body that is no answer`
+      return
+    }
+    attempt.answer = withRetryAfter(answer as AnswerBody, response.headers['retry-after'])
+  }
+
+  /** Time to wait before the job is sent again; undefined when the answer is final. */
+  #pauseAfter (record: JobRecord, attempt: Attempt): number | undefined {
+    const { answer } = attempt
+    if (answer === undefined) return RESUBMIT_PAUSE
+    const comeBack = answer.retryAfterMilliseconds ?? 0
+    const refusals = record.attempts.filter(earlier => earlier.answer?.kind === AnswerWord.Refused).length
+    if (answer.kind === AnswerWord.Refused && comeBack > 0 && refusals < this.#options.refusalTries) {
+      return Math.min(comeBack, LONGEST_RETRY_AFTER)
+    }
+    record.final = answer
+    record.finishedAt = attempt.endedAt
+    return undefined
+  }
+}
+
+/** The answer's own figure goes first: the header counts in whole seconds. */
+function withRetryAfter (answer: AnswerBody, header: string | string[] | undefined): AnswerBody {
+  if (answer.retryAfterMilliseconds !== undefined || typeof header !== 'string') return answer
+  return { ...answer, retryAfterMilliseconds: Number(header) * 1000 }
+}
+
+function failureOf (error: unknown): string {
+  const { code, name, message } = error as { code?: unknown, name?: string, message?: string }
+  if (typeof code === 'string') return code
+  return name ?? message ?? 'unknown failure'
+}
--- /dev/null
+++ b/packages/standins/src/cutter.ts
@@ -0,0 +1,155 @@
+/**
+ * A loopback TCP relay between two processes, to cut, silence and restore the link between them.
+ * A silence shorter than TCP's own patience loses nothing: bytes and closings are held and go on
+ * afterwards, as retransmission would bring them.
+ */
+import { createServer, connect } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+
+import { LOOPBACK } from './defaults.ts'
+
+/** What a link does with traffic. */
+export enum LinkState {
+  Open = 'open',
+  /** Connections are reset, new ones too. */
+  Cut = 'cut',
+  /** Nothing that the dialling side sends arrives. */
+  SilentToServer = 'silentToServer',
+  /** Nothing that the listening side sends arrives. */
+  SilentToClient = 'silentToClient',
+  /** Nothing arrives either way. */
+  Silent = 'silent'
+}
+
+/** One of the two directions of a relayed connection. */
+interface Pipe {
+  from: Socket
+  to: Socket
+  /** States in which this direction is silent. */
+  silentIn: ReadonlySet<LinkState>
+  /** How `from` closed while the direction was silent; passed on when it is no more. */
+  heldClosing?: () => void
+}
+
+const SILENT_TO_SERVER: ReadonlySet<LinkState> = new Set([LinkState.Silent, LinkState.SilentToServer])
+const SILENT_TO_CLIENT: ReadonlySet<LinkState> = new Set([LinkState.Silent, LinkState.SilentToClient])
+
+/** A relay from a port of its own to a port on the loopback. */
+export class LinkCutter {
+  readonly #upstreamPort: number
+  readonly #server: Server
+  readonly #pipes = new Set<Pipe>()
+  #state = LinkState.Open
+  #accepted = 0
+
+  constructor (upstreamPort: number) {
+    this.#upstreamPort = upstreamPort
+    this.#server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, client => this.#accept(client))
+  }
+
+  get state (): LinkState {
+    return this.#state
+  }
+
+  get isListening (): boolean {
+    return this.#server.listening
+  }
+
+  /** Connections accepted so far, those that were reset at once included. */
+  get accepted (): number {
+    return this.#accepted
+  }
+
+  /** Starts listening, again after {@link close}; port 0 lets the system pick one. Resolves to the port. */
+  listen (port = 0): Promise<number> {
+    this.#state = LinkState.Open
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, LOOPBACK, () => {
+        this.#server.off('error', reject)
+        resolve((this.#server.address() as AddressInfo).port)
+      })
+    })
+  }
+
+  /** Resets every connection, and each new one until {@link restore}. */
+  cut (): void {
+    this.#state = LinkState.Cut
+    for (const pipe of this.#pipes) pipe.from.resetAndDestroy()
+    this.#pipes.clear()
+  }
+
+  /** Lets nothing through in the given directions; connections stay open. */
+  freeze (state: LinkState.Silent | LinkState.SilentToServer | LinkState.SilentToClient = LinkState.Silent): void {
+    this.#state = state
+    for (const pipe of this.#pipes) this.#apply(pipe)
+  }
+
+  /** Lets everything through again, what was held first. */
+  restore (): void {
+    this.#state = LinkState.Open
+    for (const pipe of this.#pipes) this.#apply(pipe)
+  }
+
+  /** Stops listening, so that connections are refused, and resets every open one. */
+  close (): Promise<void> {
+    this.cut()
+    if (!this.#server.listening) return Promise.resolve()
+    return new Promise(resolve => this.#server.close(() => resolve()))
+  }
+
+  #accept (client: Socket): void {
+    this.#accepted++
+    if (this.#state === LinkState.Cut) {
+      client.on('error', ignore)
+      client.resetAndDestroy()
+      return
+    }
+    const server = connect({ host: LOOPBACK, port: this.#upstreamPort, allowHalfOpen: true, noDelay: true })
+    client.setNoDelay(true)
+    this.#relay({ from: client, to: server, silentIn: SILENT_TO_SERVER })
+    this.#relay({ from: server, to: client, silentIn: SILENT_TO_CLIENT })
+  }
+
+  #relay (pipe: Pipe): void {
+    const { from, to } = pipe
+    this.#pipes.add(pipe)
+    from.on('data', bytes => { if (!to.write(bytes)) from.pause() })
+    to.on('drain', () => this.#apply(pipe))
+    from.on('end', () => this.#pass(pipe, () => to.end()))
+    from.on('error', () => this.#pass(pipe, () => to.resetAndDestroy()))
+    from.on('close', () => this.#pass(pipe, () => this.#finish(pipe)))
+    this.#apply(pipe)
+  }
+
+  /** Carries a closing out, or holds it while the direction is silent. */
+  #pass (pipe: Pipe, closing: () => void): void {
+    if (!this.#isSilent(pipe)) return closing()
+    const earlier = pipe.heldClosing
+    pipe.heldClosing = () => {
+      earlier?.()
+      closing()
+    }
+  }
+
+  #finish (pipe: Pipe): void {
+    this.#pipes.delete(pipe)
+    if (pipe.from.destroyed && !pipe.to.writableEnded) pipe.to.destroySoon()
+  }
+
+  #apply (pipe: Pipe): void {
+    if (this.#isSilent(pipe)) {
+      pipe.from.pause()
+      return
+    }
+    pipe.heldClosing?.()
+    delete pipe.heldClosing
+    pipe.from.resume()
+  }
+
+  #isSilent (pipe: Pipe): boolean {
+    return pipe.silentIn.has(this.#state)
+  }
+}
+
+function ignore (): void {}
--- /dev/null
+++ b/packages/standins/src/keyvalue.ts
@@ -0,0 +1,322 @@
+/**
+ * Stand-in for the platform's key-value service, for tests: the calls of the published JSON gateway
+ * that the system uses, in memory, with faults that can be switched on and off.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { CallReport, KeyValueFaults } from './keyvaluefaults.ts'
+import type { WatchRequest } from './keyvaluewatch.ts'
+import { createServer } from 'node:http'
+import { CallCounter, CallKind, LostAnswer, noFaults, Outage, parseFaults } from './keyvaluefaults.ts'
+import { GatewayRefusal, KeyValueGateway } from './keyvaluegateway.ts'
+import { KeyValueState } from './keyvaluestate.ts'
+import { KeyValueWatch } from './keyvaluewatch.ts'
+
+/** Options of `KeyValueStandIn`. */
+export interface KeyValueStandInOptions {
+  /**
+   * Past revisions that can still be read and watched.
+   * @default 1000
+   */
+  keptRevisions?: number
+}
+
+/** One call of the gateway. */
+interface Call {
+  kind: CallKind
+  run: (body: never) => object
+}
+
+const KEPT_REVISIONS = 1000
+const LEASE_CHECK_MILLISECONDS = 100
+const MAXIMUM_BODY_BYTES = 16_777_216
+const STALE_CONNECTION_MILLISECONDS = 60_000
+
+/** The service, on one port for calls and, if wanted, another for control that outlives outages. */
+export class KeyValueStandIn {
+  readonly #state: KeyValueState
+  readonly #gateway: KeyValueGateway
+  readonly #counter = new CallCounter(Date.now)
+  readonly #watches = new Set<KeyValueWatch>()
+  readonly #calls: Record<string, Call>
+  #faults = noFaults()
+  #server: Server | undefined
+  #control: Server | undefined
+  #leaseTimer: NodeJS.Timeout | undefined
+  #port = 0
+  #host = '127.0.0.1'
+
+  constructor (options: KeyValueStandInOptions = {}) {
+    this.#state = new KeyValueState(options.keptRevisions ?? KEPT_REVISIONS, Date.now)
+    this.#gateway = new KeyValueGateway(this.#state)
+    const gateway = this.#gateway
+    this.#calls = {
+      '/v3/kv/range': { kind: CallKind.Read, run: (body) => gateway.range(body, this.#faults.staleRevisions) },
+      '/v3/kv/put': { kind: CallKind.Write, run: (body) => gateway.put(body) },
+      '/v3/kv/deleterange': { kind: CallKind.Write, run: (body) => gateway.delete(body) },
+      '/v3/kv/txn': { kind: CallKind.Write, run: (body) => gateway.transact(body) },
+      '/v3/lease/grant': { kind: CallKind.Lease, run: (body) => gateway.grant(body) },
+      '/v3/lease/keepalive': { kind: CallKind.Lease, run: (body) => gateway.keepAlive(body) },
+      '/v3/lease/revoke': { kind: CallKind.Lease, run: (body) => gateway.revoke(body) }
+    }
+  }
+
+  /** Port of the calls. */
+  get port (): number {
+    return this.#port
+  }
+
+  /** Origin of the calls, as clients take it. */
+  get endpoint (): string {
+    return `http://${this.#host}:${this.#port}`
+  }
+
+  /** Faults in force. */
+  get faults (): KeyValueFaults {
+    return { ...this.#faults }
+  }
+
+  /** Revision of the last change. */
+  get revision (): number {
+    return this.#state.revision
+  }
+
+  /** Counts of calls, all and by second. */
+  get calls (): CallReport {
+    return this.#counter.report()
+  }
+
+  /** Listens on `port` (0: any free one) and gives the port. */
+  async start (port = 0, host = '127.0.0.1'): Promise<number> {
+    this.#host = host
+    this.#port = await this.#listen(port)
+    this.#leaseTimer = setInterval(() => { this.#state.expireLeases() }, LEASE_CHECK_MILLISECONDS)
+    return this.#port
+  }
+
+  /** Listens on a second port for `/standin/` alone, which goes on during an outage; gives the port. */
+  async startControl (port = 0): Promise<number> {
+    this.#control = createServer((request, response) => { this.#serveControl(request, response).catch(() => {}) })
+    return await listen(this.#control, port, this.#host)
+  }
+
+  /** Ends both ports and cuts every connection. */
+  async stop (): Promise<void> {
+    clearInterval(this.#leaseTimer)
+    await Promise.all([this.#server, this.#control].map(closeServer))
+    this.#server = undefined
+    this.#control = undefined
+  }
+
+  /** Changes the faults that are named, and leaves the others. */
+  async setFaults (faults: Partial<KeyValueFaults>): Promise<void> {
+    const before = this.#faults.outage
+    this.#faults = { ...this.#faults, ...faults }
+    const now = this.#faults.outage
+    if (now === Outage.Refuse && before !== now) {
+      const server = this.#server
+      this.#server = undefined
+      await closeServer(server)
+    }
+    if (before === Outage.Refuse && now !== before) {
+      await this.#listen(this.#port)
+    }
+  }
+
+  /** Ends all faults. */
+  async clearFaults (): Promise<void> {
+    await this.setFaults(noFaults())
+  }
+
+  /** Cuts every open watch. */
+  cutWatches (): void {
+    this.#watches.forEach((watch) => { watch.cut() })
+  }
+
+  /** Forgets the changes up to `revision`. */
+  compact (revision = this.#state.revision): void {
+    this.#state.compact(revision)
+  }
+
+  async #listen (port: number): Promise<number> {
+    this.#server = createServer((request, response) => { this.#serve(request, response).catch(() => {}) })
+    this.#server.keepAliveTimeout = STALE_CONNECTION_MILLISECONDS
+    return await listen(this.#server, port, this.#host)
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? ''
+    if (path.startsWith('/standin/')) {
+      await this.#serveControl(request, response)
+      return
+    }
+    const body = await readBody(request)
+    if (path === '/v3/watch') {
+      this.#openWatch(body, response)
+      return
+    }
+    const call = this.#calls[path]
+    if (call === undefined) {
+      answer(response, 404, { code: 5, message: 'Not Found' })
+      return
+    }
+    this.#counter.count(call.kind)
+    if (this.#isOut(response)) {
+      return
+    }
+    this.#runCall(call, body, response)
+  }
+
+  #runCall (call: Call, body: string, response: ServerResponse): void {
+    const isRead = call.kind === CallKind.Read
+    const delay = isRead ? this.#faults.readDelayMilliseconds : this.#faults.writeDelayMilliseconds
+    if (this.#isOverRate(call.kind)) {
+      this.#counter.countRefusedWrite()
+      answer(response, 429, { code: 8, message: 'etcdserver: too many requests' })
+      return
+    }
+    if (delay > 0) {
+      setTimeout(() => { this.#answerCall(call, body, response) }, delay)
+      return
+    }
+    this.#answerCall(call, body, response)
+  }
+
+  #answerCall (call: Call, body: string, response: ServerResponse): void {
+    try {
+      const result = call.run(JSON.parse(body) as never)
+      if (call.kind === CallKind.Write && this.#loseAnswer(response)) {
+        return
+      }
+      answer(response, 200, result)
+    } catch (error) {
+      refuse(response, error)
+    }
+  }
+
+  /** Whether the answer of this write is lost; the write has taken effect. */
+  #loseAnswer (response: ServerResponse): boolean {
+    if (this.#faults.loseAnswers === 0) {
+      return false
+    }
+    this.#faults.loseAnswers -= 1
+    if (this.#faults.loseAnswersBy === LostAnswer.Cut) {
+      response.socket?.destroy()
+    }
+    return true
+  }
+
+  #isOverRate (kind: CallKind): boolean {
+    const limit = this.#faults.maximumWritesPerSecond
+    return kind === CallKind.Write && limit > 0 && this.#counter.writesThisSecond > limit
+  }
+
+  /** Whether an outage keeps this call from any effect. */
+  #isOut (response: ServerResponse): boolean {
+    if (this.#faults.outage === Outage.None) {
+      return false
+    }
+    if (this.#faults.outage === Outage.NoLeader) {
+      answer(response, 503, { code: 14, message: 'etcdserver: no leader' })
+    }
+    return true
+  }
+
+  #openWatch (body: string, response: ServerResponse): void {
+    this.#counter.count(CallKind.Watch)
+    if (this.#isOut(response)) {
+      return
+    }
+    try {
+      const request = JSON.parse(body) as WatchRequest
+      const watch = new KeyValueWatch(this.#state, () => this.#faults, request, response)
+      this.#watches.add(watch)
+      this.#counter.changeOpenWatches(1)
+      watch.open(() => {
+        this.#watches.delete(watch)
+        this.#counter.changeOpenWatches(-1)
+      })
+    } catch (error) {
+      refuse(response, error)
+    }
+  }
+
+  async #serveControl (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    const handlers: Record<string, () => object | Promise<object>> = {
+      'GET /standin/calls': () => this.calls,
+      'GET /standin/faults': () => this.faults,
+      'POST /standin/faults': async () => {
+        const faults = parseFaults(JSON.parse(body))
+        if (faults.outage === Outage.Refuse && request.socket.localPort === this.#port) {
+          throw new TypeError('outage refuse closes this port; ask for it on the control port')
+        }
+        await this.setFaults(faults)
+        return this.faults
+      },
+      'POST /standin/cutwatches': () => {
+        this.cutWatches()
+        return {}
+      },
+      'POST /standin/compact': () => {
+        this.compact()
+        return { compactRevision: this.#state.compactRevision }
+      }
+    }
+    const handler = handlers[`${request.method ?? ''} ${request.url ?? ''}`]
+    if (handler === undefined) {
+      answer(response, 404, { message: `known are ${Object.keys(handlers).join(', ')}` })
+      return
+    }
+    try {
+      answer(response, 200, await handler())
+    } catch (error) {
+      refuse(response, error)
+    }
+  }
+}
+
+async function listen (server: Server, port: number, host: string): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return (server.address() as AddressInfo).port
+}
+
+async function closeServer (server: Server | undefined): Promise<void> {
+  if (server === undefined) {
+    return
+  }
+  await new Promise<void>((resolve) => {
+    server.close(() => { resolve() })
+    server.closeAllConnections()
+  })
+}
+
+async function readBody (request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length
+    if (bytes > MAXIMUM_BODY_BYTES) {
+      request.destroy()
+    }
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+function answer (response: ServerResponse, status: number, body: object): void {
+  const text = JSON.stringify(body)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  response.end(text)
+}
+
+function refuse (response: ServerResponse, error: unknown): void {
+  if (error instanceof GatewayRefusal) {
+    answer(response, error.status, { error: error.message, code: error.code, message: error.message })
+    return
+  }
+  answer(response, 400, { code: 3, message: error instanceof Error ? error.message : String(error) })
+}
--- /dev/null
+++ b/packages/standins/src/keyvaluefaults.ts
@@ -0,0 +1,176 @@
+/** Faults of the key-value stand-in and the count of its calls. */
+
+/** How the stand-in is out of order. */
+export enum Outage {
+  None = 'none',
+  /** Nothing listens: connections are refused, and open ones are cut. */
+  Refuse = 'refuse',
+  /** Calls are taken and never answered, and have no effect. */
+  Hang = 'hang',
+  /** Calls are answered with status 503 and have no effect. */
+  NoLeader = 'noLeader'
+}
+
+/** How the answer of a write that took effect is lost. */
+export enum LostAnswer {
+  /** The connection is cut. */
+  Cut = 'cut',
+  /** The connection stays open and silent. */
+  Hang = 'hang'
+}
+
+/** Faults in force. */
+export interface KeyValueFaults {
+  outage: Outage
+  readDelayMilliseconds: number
+  writeDelayMilliseconds: number
+  /** Delay of each event of a watch. */
+  watchDelayMilliseconds: number
+  /** The answers of this many writes to come are lost, after the write took effect. */
+  loseAnswers: number
+  loseAnswersBy: LostAnswer
+  /** Reads give the state as of this many revisions ago. */
+  staleRevisions: number
+  /** Watches stay open and report nothing. */
+  dropWatchEvents: boolean
+  /** Writes above this rate are refused with status 429; 0 for no limit. */
+  maximumWritesPerSecond: number
+}
+
+/** Calls that the service counts; a waiting watch is one. */
+export enum CallKind {
+  Read = 'reads',
+  Write = 'writes',
+  Lease = 'leases',
+  Watch = 'watchesOpened'
+}
+
+/** Counts of one second, or of the whole time. */
+export interface CallTotals {
+  reads: number
+  writes: number
+  leases: number
+  watchesOpened: number
+}
+
+/** Counts of one second. */
+export interface CallSecond extends CallTotals {
+  /** Seconds since 1970. */
+  second: number
+  watchesOpen: number
+}
+
+/** Answer to `GET /standin/calls`. */
+export interface CallReport extends CallTotals {
+  watchesOpen: number
+  /** Writes refused because of their rate. */
+  refusedWrites: number
+  /** The last seconds in which there was a call, oldest first. */
+  perSecond: CallSecond[]
+}
+
+const KEPT_SECONDS = 300
+const MILLISECONDS_PER_SECOND = 1000
+
+/** A stand-in without faults. */
+export function noFaults (): KeyValueFaults {
+  return {
+    outage: Outage.None,
+    readDelayMilliseconds: 0,
+    writeDelayMilliseconds: 0,
+    watchDelayMilliseconds: 0,
+    loseAnswers: 0,
+    loseAnswersBy: LostAnswer.Cut,
+    staleRevisions: 0,
+    dropWatchEvents: false,
+    maximumWritesPerSecond: 0
+  }
+}
+
+/** Checks faults that came as JSON; throws a `TypeError` that names what is wrong. */
+export function parseFaults (input: unknown): Partial<KeyValueFaults> {
+  if (typeof input !== 'object' || input === null || Array.isArray(input)) {
+    throw new TypeError('faults must be a JSON object')
+  }
+  const known = noFaults()
+  for (const [name, value] of Object.entries(input)) {
+    if (!(name in known)) {
+      throw new TypeError(`unknown fault ${name}; known are ${Object.keys(known).join(', ')}`)
+    }
+    checkFault(name as keyof KeyValueFaults, value, known)
+  }
+  return input as Partial<KeyValueFaults>
+}
+
+function checkFault (name: keyof KeyValueFaults, value: unknown, known: KeyValueFaults): void {
+  if (typeof value !== typeof known[name]) {
+    throw new TypeError(`fault ${name} must be a ${typeof known[name]}`)
+  }
+  if (typeof value === 'number' && !(value >= 0)) {
+    throw new TypeError(`fault ${name} must be 0 or more`)
+  }
+  const choices: Partial<Record<keyof KeyValueFaults, string[]>> = {
+    outage: Object.values(Outage),
+    loseAnswersBy: Object.values(LostAnswer)
+  }
+  if (choices[name]?.includes(String(value)) === false) {
+    throw new TypeError(`fault ${name} must be one of ${choices[name].join(', ')}`)
+  }
+}
+
+/** Counts calls by kind, in all and for each of the last seconds. */
+export class CallCounter {
+  readonly #now: () => number
+  readonly #totals: CallTotals = { reads: 0, writes: 0, leases: 0, watchesOpened: 0 }
+  #seconds: CallSecond[] = []
+  #watchesOpen = 0
+  #refusedWrites = 0
+
+  /** @param now clock in milliseconds since 1970 */
+  constructor (now: () => number) {
+    this.#now = now
+  }
+
+  /** Counts one call. */
+  count (kind: CallKind): void {
+    this.#totals[kind] += 1
+    this.#current()[kind] += 1
+  }
+
+  /** Counts a watch that opened (1) or ended (-1). */
+  changeOpenWatches (change: 1 | -1): void {
+    this.#watchesOpen += change
+    this.#current().watchesOpen = this.#watchesOpen
+  }
+
+  /** Counts a write refused because of its rate. */
+  countRefusedWrite (): void {
+    this.#refusedWrites += 1
+  }
+
+  /** Writes of the current second so far. */
+  get writesThisSecond (): number {
+    return this.#current().writes
+  }
+
+  /** All counts. */
+  report (): CallReport {
+    return {
+      ...this.#totals,
+      watchesOpen: this.#watchesOpen,
+      refusedWrites: this.#refusedWrites,
+      perSecond: this.#seconds.map((second) => ({ ...second }))
+    }
+  }
+
+  #current (): CallSecond {
+    const second = Math.floor(this.#now() / MILLISECONDS_PER_SECOND)
+    const last = this.#seconds.at(-1)
+    if (last?.second === second) {
+      return last
+    }
+    const added = { second, reads: 0, writes: 0, leases: 0, watchesOpened: 0, watchesOpen: this.#watchesOpen }
+    this.#seconds = [...this.#seconds.slice(1 - KEPT_SECONDS), added]
+    return added
+  }
+}
--- /dev/null
+++ b/packages/standins/src/loadsummary.ts
@@ -0,0 +1,100 @@
+/** Summary of what callers saw: answers by kind, submissions, and response times against the ideal. */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+
+import type { JobRecord } from './records.ts'
+
+/** Percentiles of one quantity. */
+export interface Percentiles {
+  count: number
+  mean: number
+  p50: number
+  p90: number
+  p99: number
+  max: number
+}
+
+/** Response times of some of the jobs that were answered completely. */
+export interface ResponseSummary {
+  /** Milliseconds from the first submission to the final answer. */
+  responseMilliseconds: Percentiles
+  /** Response time over the ideal one; 1 is perfect. */
+  ratio: Percentiles
+}
+
+/** Summary of a load as its callers saw it. */
+export interface LoadSummary extends ResponseSummary {
+  jobs: number
+  tasks: number
+  answers: Record<string, number>
+  /** Submissions beyond the first of each job. */
+  resubmissions: number
+  tenants: Record<string, ResponseSummary>
+}
+
+const HIGHEST_VALUE = 3_600_000_000
+const SIGNIFICANT_DIGITS = 3
+/** Histograms hold whole numbers: values are held in thousandths. */
+const THOUSANDTHS = 1_000
+
+/**
+ * The least response time of a job: its longest task, or all of its tasks over all slots when that
+ * is longer. Network legs on the loopback are not counted.
+ */
+export function idealMilliseconds (record: JobRecord, slots: number): number {
+  const runs = record.submission.tasks.map(task => task.payload.runMilliseconds ?? 0)
+  const total = runs.reduce((sum, run) => sum + run, 0)
+  return Math.max(1, total / slots, ...runs)
+}
+
+/** Summarises the jobs; `slots` is the number of slots of all targets together. */
+export function summarise (records: readonly JobRecord[], slots: number): LoadSummary {
+  const tenants = new Set(records.map(record => record.submission.tenant))
+  const ofTenant = (tenant: string): JobRecord[] => records.filter(record => record.submission.tenant === tenant)
+  return {
+    jobs: records.length,
+    tasks: records.reduce((sum, record) => sum + record.submission.tasks.length, 0),
+    answers: countAnswers(records),
+    resubmissions: records.reduce((sum, record) => sum + Math.max(0, record.attempts.length - 1), 0),
+    ...responses(records, slots),
+    tenants: Object.fromEntries([...tenants].sort().map(tenant => [tenant, responses(ofTenant(tenant), slots)]))
+  }
+}
+
+function countAnswers (records: readonly JobRecord[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const record of records) {
+    const kind = record.final?.kind ?? 'none'
+    counts[kind] = (counts[kind] ?? 0) + 1
+  }
+  return counts
+}
+
+function responses (records: readonly JobRecord[], slots: number): ResponseSummary {
+  const times = newHistogram()
+  const ratios = newHistogram()
+  for (const record of records) {
+    if (record.final?.kind !== 'complete' || record.finishedAt === undefined) continue
+    const response = record.finishedAt - record.submittedAt
+    times.recordValue(Math.round(response * THOUSANDTHS))
+    ratios.recordValue(Math.round(response / idealMilliseconds(record, slots) * THOUSANDTHS))
+  }
+  return { responseMilliseconds: percentiles(times), ratio: percentiles(ratios) }
+}
+
+function newHistogram (): Histogram {
+  return build({ highestTrackableValue: HIGHEST_VALUE, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS })
+}
+
+function percentiles (histogram: Histogram): Percentiles {
+  const value = (thousandths: number): number => Math.round(thousandths) / THOUSANDTHS
+  if (histogram.totalCount === 0) return { count: 0, mean: 0, p50: 0, p90: 0, p99: 0, max: 0 }
+  return {
+    count: histogram.totalCount,
+    mean: value(histogram.mean),
+    p50: value(histogram.getValueAtPercentile(50)),
+    p90: value(histogram.getValueAtPercentile(90)),
+    p99: value(histogram.getValueAtPercentile(99)),
+    max: value(histogram.maxValue)
+  }
+}
--- /dev/null
+++ b/packages/standins/test/caller.test.ts
@@ -0,0 +1,186 @@
+import type { TestContext } from 'node:test'
+import { test } from 'node:test'
+
+import { expect } from 'earl'
+
+import { audit } from '@amaranthmast/standins/audit'
+import type { CallerOptions } from '@amaranthmast/standins/caller'
+import { Caller } from '@amaranthmast/standins/caller'
+import { sendJson } from '@amaranthmast/standins/httpserver'
+import { planLoad, runLoad } from '@amaranthmast/standins/load'
+import type { JobSubmission } from '@amaranthmast/standins/records'
+import { AnswerWord } from '@amaranthmast/standins/records'
+import { TargetStandIn } from '@amaranthmast/standins/target'
+
+import type { Script } from './fakeentry.ts'
+import { FakeEntry } from './fakeentry.ts'
+
+const JOB: JobSubmission = {
+  job: 'j1',
+  tenant: 'magnolia',
+  service: 'label-check',
+  repeatable: false,
+  deadlineMilliseconds: 5000,
+  lodgedAt: 1796236112000,
+  tasks: [{ payload: { runMilliseconds: 1 } }]
+}
+
+const answerComplete: Script = (_request, response, job) => {
+  sendJson(response, 200, { kind: AnswerWord.Complete, job: job.job, results: [{}] })
+  return true
+}
+
+const breakConnection: Script = request => {
+  request.socket.resetAndDestroy()
+  return true
+}
+
+const staySilent: Script = () => true
+
+const answerGarbage: Script = (_request, response) => {
+  response.writeHead(500, { 'content-type': 'text/plain' })
+  response.end('oops')
+  return true
+}
+
+const answerNoKind: Script = (_request, response) => {
+  sendJson(response, 500, { error: 'oops' })
+  return true
+}
+
+async function newEntry (context: TestContext, script: Script, target = ''): Promise<FakeEntry> {
+  const entry = new FakeEntry(target, script)
+  await entry.listen()
+  context.after(() => entry.close())
+  return entry
+}
+
+async function newCaller (context: TestContext, options: CallerOptions): Promise<Caller> {
+  const caller = new Caller({ giveUp: 5000, ...options })
+  await caller.start()
+  context.after(() => caller.close())
+  return caller
+}
+
+const LOSSES: ReadonlyArray<{ name: string, script: Script }> = [
+  { name: 'the connection breaks', script: breakConnection },
+  { name: 'no answer comes in time', script: staySilent },
+  { name: 'the answer is no JSON', script: answerGarbage },
+  { name: 'the answer has no kind', script: answerNoKind }
+]
+
+for (const { name, script } of LOSSES) {
+  test(`a caller sends the same job through another entry when ${name}`, async context => {
+    const bad = await newEntry(context, script)
+    const good = await newEntry(context, answerComplete)
+    const caller = await newCaller(context, { entries: [bad.url, good.url], submissionTimeout: 100 })
+    const record = await caller.submit(JOB)
+    expect(record.attempts.map(attempt => attempt.entry)).toEqual([bad.url, good.url])
+    expect(good.bodies).toEqual(bad.bodies)
+    expect(good.bodies).toEqual([JSON.stringify(JOB)])
+    expect(record.final?.kind).toEqual(AnswerWord.Complete)
+  })
+}
+
+test('a caller does not send a job again through the same entry when its turn has come', async context => {
+  const bad = await newEntry(context, breakConnection)
+  const good = await newEntry(context, answerComplete)
+  const caller = await newCaller(context, { entries: [bad.url, good.url] })
+  const [first] = await Promise.all([caller.submit(JOB), caller.submit({ ...JOB, job: 'j2' })])
+  expect(first?.attempts.map(attempt => attempt.entry)).toEqual([bad.url, good.url])
+})
+
+test('a caller leaves out an entry that refuses the connection', async context => {
+  const gone = await newEntry(context, answerComplete)
+  const good = await newEntry(context, answerComplete)
+  const caller = await newCaller(context, { entries: [gone.url, good.url] })
+  await gone.close()
+  const first = await caller.submit(JOB)
+  const second = await caller.submit({ ...JOB, job: 'j2' })
+  expect(first.attempts.map(attempt => attempt.entry)).toEqual([gone.url, good.url])
+  expect(second.attempts.map(attempt => attempt.entry)).toEqual([good.url])
+  expect(caller.readyEntries()).toEqual([good.url])
+})
+
+test('a caller comes back after the time that a refusal states', async context => {
+  let refusals = 0
+  const entry = await newEntry(context, (request, response, job) => {
+    if (refusals++ > 0) return answerComplete(request, response, job)
+    sendJson(response, 503, { kind: AnswerWord.Refused, job: job.job, cause: 'overloaded', retryAfterMilliseconds: 120 })
+    return true
+  })
+  const caller = await newCaller(context, { entries: [entry.url] })
+  const record = await caller.submit(JOB)
+  const [refused, completed] = record.attempts
+  expect([refused?.answer?.kind, completed?.answer?.kind]).toEqual([AnswerWord.Refused, AnswerWord.Complete])
+  expect((completed?.submittedAt ?? 0) - (refused?.endedAt ?? 0) >= 119).toEqual(true)
+  expect(record.final?.kind).toEqual(AnswerWord.Complete)
+})
+
+test('a caller reads the time to come back from the header when the body states none', async context => {
+  const entry = await newEntry(context, (_request, response, job) => {
+    response.setHeader('retry-after', '1')
+    sendJson(response, 503, { kind: AnswerWord.Refused, job: job.job })
+    return true
+  })
+  const caller = await newCaller(context, { entries: [entry.url], refusalTries: 1 })
+  expect((await caller.submit(JOB)).final?.retryAfterMilliseconds).toEqual(1000)
+})
+
+test('a caller takes a refusal as final after its tries', async context => {
+  const entry = await newEntry(context, (_request, response, job) => {
+    sendJson(response, 503, { kind: AnswerWord.Refused, job: job.job, retryAfterMilliseconds: 1 })
+    return true
+  })
+  const caller = await newCaller(context, { entries: [entry.url], refusalTries: 3 })
+  const record = await caller.submit(JOB)
+  expect(record.attempts.length).toEqual(3)
+  expect(record.final?.kind).toEqual(AnswerWord.Refused)
+})
+
+test('a caller takes a refusal without a time to come back as final', async context => {
+  const entry = await newEntry(context, (_request, response, job) => {
+    sendJson(response, 404, { kind: AnswerWord.Refused, job: job.job, cause: 'unknownService' })
+    return true
+  })
+  const caller = await newCaller(context, { entries: [entry.url] })
+  expect((await caller.submit(JOB)).attempts.length).toEqual(1)
+})
+
+test('a caller gives a job up that is never answered', async context => {
+  const entry = await newEntry(context, breakConnection)
+  const caller = await newCaller(context, { entries: [entry.url], giveUp: 300 })
+  const record = await caller.submit(JOB)
+  expect(record.final).toEqual(undefined)
+  expect(audit([record], []).counts.lost).toEqual(1)
+})
+
+test('a load over an entry and a target is found clean', async context => {
+  const target = new TargetStandIn({ id: 't1', slots: 64 })
+  const targetUrl = `http://127.0.0.1:${await target.listen()}`
+  context.after(() => target.close())
+  const entry = await newEntry(context, () => false, targetUrl)
+  const caller = await newCaller(context, { entries: [entry.url] })
+  await runLoad(planLoad({ seed: 3, rate: 60, seconds: 0.5, scale: 0.01 }), caller)
+  const report = audit(caller.records(), [target.records()])
+  expect(report.faults).toEqual([])
+  expect(report.counts).toEqual({ jobs: 30, complete: 30, failed: 0, refused: 0, mayHaveRun: 0, lost: 0, doubled: 0, refusedButRan: 0 })
+})
+
+test('an entry without a guard is found to double a job that is sent again', async context => {
+  // A caller sees no answer in time and sends its job again through another entry. Both entries run
+  // it, since neither asks whether the job was seen before. The caller's answer is sound, and only
+  // the target's records show the second start.
+  const target = new TargetStandIn({ id: 't1' })
+  const targetUrl = `http://127.0.0.1:${await target.listen()}`
+  context.after(() => target.close())
+  const first = await newEntry(context, () => false, targetUrl)
+  const second = await newEntry(context, () => false, targetUrl)
+  const caller = await newCaller(context, { entries: [first.url, second.url], submissionTimeout: 400 })
+  target.setFaults({ hang: true })
+  const submitted = caller.submit(JOB)
+  while (first.bodies.length + second.bodies.length < 2) await new Promise(resolve => { setTimeout(resolve, 5) })
+  target.setFaults({})
+  await submitted
+  expect(audit(caller.records(), [target.records()]).counts.doubled).toEqual(1)
+})
--- /dev/null
+++ b/packages/standins/test/cutter.test.ts
@@ -0,0 +1,166 @@
+import { once } from 'node:events'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { TestContext } from 'node:test'
+import { test } from 'node:test'
+
+import { expect } from 'earl'
+
+import { LinkCutter, LinkState } from '@amaranthmast/standins/cutter'
+import { waitFor } from '@amaranthmast/standins/wait'
+
+/** Both ends of one relayed connection, and what each has received so far. */
+class Link {
+  readonly cutter: LinkCutter
+  readonly server: Server
+  port = 0
+  client!: Socket
+  accepted!: Socket
+  atClient = ''
+  atServer = ''
+  serverEnded = false
+
+  constructor (server: Server, cutter: LinkCutter) {
+    this.server = server
+    this.cutter = cutter
+  }
+
+  async dial (): Promise<void> {
+    const accepted = once(this.server, 'connection')
+    this.client = connect({ port: this.port, host: '127.0.0.1' })
+    this.client.on('error', () => {})
+    this.accepted = (await accepted)[0] as Socket
+    this.accepted.on('error', () => {})
+    this.accepted.on('end', () => { this.serverEnded = true })
+    this.client.on('data', bytes => { this.atClient += bytes.toString() })
+    this.accepted.on('data', bytes => { this.atServer += bytes.toString() })
+  }
+
+  /** Sends one word each way over a second connection, which shows that time has passed for the relay. */
+  async exchange (): Promise<void> {
+    this.client.write('ping')
+    this.accepted.write('pong')
+    await waitFor('both words', 5000, 5, () => this.atServer.endsWith('ping') && this.atClient.endsWith('pong'))
+  }
+}
+
+async function newLink (context: TestContext): Promise<Link> {
+  const server = createServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const cutter = new LinkCutter((server.address() as AddressInfo).port)
+  const link = new Link(server, cutter)
+  link.port = await cutter.listen()
+  await link.dial()
+  context.after(async () => {
+    link.client.destroy()
+    link.accepted.destroy()
+    await cutter.close()
+    server.close()
+  })
+  return link
+}
+
+/** Time in which bytes would arrive many times over on an open link. */
+function settle (): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, 60) })
+}
+
+async function errorOfDialling (port: number): Promise<string> {
+  const socket = connect({ port, host: '127.0.0.1' })
+  const [error] = await once(socket, 'error') as [NodeJS.ErrnoException]
+  return error.code ?? ''
+}
+
+test('an open link carries bytes both ways', async context => {
+  const link = await newLink(context)
+  await link.exchange()
+  expect([link.atServer, link.atClient]).toEqual(['ping', 'pong'])
+})
+
+test('a cut link resets both ends', async context => {
+  const link = await newLink(context)
+  await link.exchange()
+  const errors = Promise.all([once(link.client, 'error'), once(link.accepted, 'error')])
+  link.cutter.cut()
+  const codes = (await errors).map(([error]) => (error as NodeJS.ErrnoException).code)
+  expect(codes).toEqual(['ECONNRESET', 'ECONNRESET'])
+})
+
+test('a cut link resets new connections until it is restored', async context => {
+  const link = await newLink(context)
+  link.cutter.cut()
+  expect(await errorOfDialling(link.port)).toEqual('ECONNRESET')
+  link.cutter.restore()
+  await link.dial()
+  await link.exchange()
+})
+
+const SILENCES = [
+  { state: LinkState.Silent, atServer: '', atClient: '' },
+  { state: LinkState.SilentToServer, atServer: '', atClient: 'to client' },
+  { state: LinkState.SilentToClient, atServer: 'to server', atClient: '' }
+] as const
+
+for (const { state, atServer, atClient } of SILENCES) {
+  test(`a link that is ${state} holds bytes and brings them when it is restored`, async context => {
+    const link = await newLink(context)
+    link.cutter.freeze(state)
+    link.client.write('to server')
+    link.accepted.write('to client')
+    await settle()
+    expect([link.atServer, link.atClient]).toEqual([atServer, atClient])
+    link.cutter.restore()
+    await waitFor('the bytes', 5000, 5, () => link.atServer === 'to server' && link.atClient === 'to client')
+  })
+}
+
+test('a silent link hides a closing until it is restored', async context => {
+  const link = await newLink(context)
+  link.cutter.freeze()
+  link.client.end('last words')
+  await settle()
+  expect([link.atServer, link.serverEnded]).toEqual(['', false])
+  link.cutter.restore()
+  await waitFor('the end', 5000, 5, () => link.serverEnded)
+  expect(link.atServer).toEqual('last words')
+})
+
+test('a link silent one way hides a reset that way until it is restored', async context => {
+  const link = await newLink(context)
+  let closed = false
+  link.accepted.on('close', () => { closed = true })
+  link.cutter.freeze(LinkState.SilentToServer)
+  link.client.resetAndDestroy()
+  link.accepted.write('anyone there?')
+  await settle()
+  link.accepted.write('hello?')
+  await settle()
+  expect(closed).toEqual(false)
+  link.cutter.restore()
+  await waitFor('the reset', 5000, 5, () => closed)
+})
+
+test('a new connection over a silent link is accepted and stays silent', async context => {
+  const link = await newLink(context)
+  link.cutter.freeze()
+  const client = connect({ port: link.port, host: '127.0.0.1' })
+  context.after(() => client.destroy())
+  await once(client, 'connect')
+  let received = ''
+  link.server.on('connection', socket => socket.on('error', () => {}).on('data', bytes => { received += bytes.toString() }))
+  client.write('hello')
+  await settle()
+  expect(received).toEqual('')
+  link.cutter.restore()
+  await waitFor('the bytes', 5000, 5, () => received === 'hello')
+})
+
+test('a closed link refuses connections until it listens again', async context => {
+  const link = await newLink(context)
+  await link.cutter.close()
+  expect(await errorOfDialling(link.port)).toEqual('ECONNREFUSED')
+  await link.cutter.listen(link.port)
+  await link.dial()
+  await link.exchange()
+})
