--- a/packages/cli/src/applying.ts
+++ b/packages/cli/src/applying.ts
@@ -15,6 +15,9 @@
 import { BaseAhead, FileRefused, RaceLost } from './errors.ts'
 import { ExitCode } from './exitcodes.ts'
 
+/** Room for the version, the apply id and the time beside the document. */
+const RECORD_BYTES = 256
+
 /** An accepted configuration. */
 export interface Accepted {
   version: number
@@ -60,14 +63,11 @@
   return bytes > MAXIMUM_VALUE_BYTES ? err(new FileRefused(file, tooLarge(bytes))) : ok(undefined)
 }
 
-/** Room for the version, the apply id and the time beside the document. */
-const RECORD_BYTES = 256
-
 /** Reports an accepted configuration, after the wait if one was asked for. */
 export async function reportAccepted (context: Context, options: Arguments, accepted: Accepted): Promise<Report> {
   const lines = describeAccepted(accepted)
   if (!options.wait) return { exitCode: ExitCode.Done, lines, json: accepted }
-  context.progress(lines[0] ?? '')
+  lines.forEach((line) => context.progress(line))
   const confirmation = await waitForVersion({
     instances: context.instances,
     version: accepted.version,
@@ -78,7 +78,7 @@
   })
   return {
     exitCode: confirmation.confirmed ? ExitCode.Done : ExitCode.WaitTimedOut,
-    lines: [...lines, describe(confirmation, accepted.version), ...waitAdvice(confirmation.confirmed, options.waitSeconds)],
+    lines: [describe(confirmation, accepted.version), ...waitAdvice(confirmation.confirmed, options.waitSeconds)],
     json: { ...accepted, ...confirmation }
   }
 }
--- a/packages/cli/src/confirmation.ts
+++ b/packages/cli/src/confirmation.ts
@@ -28,7 +28,7 @@
   limitMilliseconds: number
   now: () => number
   sleep: (milliseconds: number) => Promise<void>
-  /** Told whenever the picture changes. */
+  /** Told whenever the picture changes, but for the last one. */
   progress: (line: string) => void
 }
 
@@ -42,9 +42,9 @@
     found.set(instance, { instance, version, reason: version === undefined ? reason : '' })
   }
   for (const page of pages) note(page.instance, page.configurationVersion, '')
-  for (const page of pages) for (const instance of connectedAgents(page)) note(instance, versionAt(page, instance), `is behind version ${page.configurationVersion}`)
-  for (const instance of unpublished) note(instance, undefined, 'its status address is not known')
-  for (const instance of liveMembers(pages)) note(instance, undefined, 'was not asked: name its status address')
+  for (const page of pages) for (const instance of connectedAgents(page)) note(instance, versionAt(page, instance), `behind version ${page.configurationVersion}`)
+  for (const instance of unpublished) note(instance, undefined, 'status address not known')
+  for (const instance of liveMembers(pages)) note(instance, undefined, 'not asked, name its status address')
   for (const each of asked) if (each.page === undefined) note(each.url, undefined, `does not answer (${each.reason})`)
   return [...found.values()]
 }
@@ -56,15 +56,16 @@
   for (let last = ''; ;) {
     const confirmation = await ask(options)
     const line = describe(confirmation, version)
+    if (confirmation.confirmed || now() >= limit) return confirmation
     if (line !== last) progress(line)
     last = line
-    if (confirmation.confirmed || now() >= limit) return confirmation
     await sleep(WAIT_PAUSE_MILLISECONDS)
   }
 }
 
 /** The picture in one line. */
 export function describe ({ instances, laggards }: Confirmation, version: number): string {
+  if (instances.length === 0) return 'no live instance is known'
   const confirmed = instances.length - laggards.length
   const head = `version ${version} is in force on ${confirmed} of ${counted(instances.length, 'instance')}`
   return laggards.length === 0 ? head : `${head}; behind: ${laggards.map(describeLaggard).join(', ')}`
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationFile, StoredConfiguration } from '@amaranthmast/settings/configurationfile'
 import type { Result } from 'neverthrow'
 import { ok, ResultAsync } from 'neverthrow'
-import type { Arguments, Command, Context, Report } from './command.ts'
+import type { Command, Context, Report } from './command.ts'
 import type { InstanceVersion } from './confirmation.ts'
 import { versionsOf } from './confirmation.ts'
 import type { ToolError } from './errors.ts'
@@ -39,15 +39,15 @@
 
 const NO_SURVEY: Survey = { asked: [], unpublished: [] }
 
-async function showStatus (context: Context, _options: Arguments): Promise<Result<Report, ToolError>> {
+async function showStatus (context: Context): Promise<Result<Report, ToolError>> {
   const current = await context.configurations.current()
   const survey = await context.instances.survey()
   const stored = current.isOk() ? current.value.stored : undefined
   const picture = pictureOf(stored, survey.unwrapOr(NO_SURVEY))
-  const failure = current.isErr() ? current.error : survey.isErr() ? survey.error : undefined
-  if (failure !== undefined) picture.problems.unshift(`the configuration cannot be read: ${failure.message}`)
-  const exitCode = failure?.exitCode ?? (picture.entries.length + picture.agents.length === 0 ? ExitCode.NoStatus : ExitCode.Done)
-  return ok({ exitCode, lines: describePicture(picture), json: picture })
+  const [failure] = [current, survey].flatMap((result) => result.isErr() ? [result.error] : [])
+  if (failure !== undefined) picture.problems.unshift(`the key-value service cannot be asked: ${failure.message}`)
+  const answer = picture.entries.length + picture.agents.length === 0 ? ExitCode.NoStatus : ExitCode.Done
+  return ok({ exitCode: failure?.exitCode ?? answer, lines: describePicture(picture), json: picture })
 }
 
 function pictureOf (stored: StoredConfiguration | undefined, survey: Survey): Picture {
@@ -104,9 +104,9 @@
   const behind = versions.filter(({ version }) => version !== undefined && version < wanted)
   const unknown = versions.filter(({ version }) => version === undefined)
   return [
-    ...behind.map(({ instance, version }) => `${instance} is behind: version ${version} in place of ${wanted}`),
-    ...unknown.map(({ instance, reason }) => `${instance} ${reason}`),
-    ...missingTargets(stored, agents),
+    ...behind.map(({ instance, version }) => `${instance}: version ${version} in place of ${wanted}`),
+    ...unknown.map(({ instance, reason }) => `${instance}: ${reason}`),
+    ...(entries.length === 0 ? [] : missingTargets(stored, agents)),
     ...ejectedTargets(entries)
   ]
 }
@@ -170,5 +170,5 @@
   options: [...STORE_OPTIONS, 'status'],
   positionals: {},
   examples: [['$0 status', 'the whole picture'], ['$0 status --status http://10.0.0.7:9101', 'during an outage of the key-value service']],
-  run: (context, options) => new ResultAsync(showStatus(context, options))
+  run: (context) => new ResultAsync(showStatus(context))
 }
