Stand-ins: demo takes a seed, the load tool waits until targets are done

Cause: the demo always ran the same load, so that a second run said little more than the first; the load tool read the targets' records while runs of jobs that were given up could still be going, and would have called such a start unfinished.

Ruled out: a random seed by default (a failing run could not be repeated).

The load tool and the demo read the records once no target runs anything.

--- a/packages/standins/src/demo.ts
+++ b/packages/standins/src/demo.ts
@@ -1,17 +1,19 @@
 /**
  * The demo: a whole system as separate processes serves several hundred jobs while an entry and an
  * agent are killed and a provider's share is changed. The targets' own records say what came of it.
- * Exits 0 when no job was lost, no task doubled and no "not run" was false.
+ * Exits 0 when no job was lost, no task doubled and no "not run" was false. `--seed` picks another
+ * load.
  */
 import { writeFile } from 'node:fs/promises'
 import { dirname, join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
+import { parseArgs } from 'node:util'
 
 import type { AuditReport } from './audit.ts'
 import { audit, isClean } from './audit.ts'
 import { Caller } from './caller.ts'
-import { fetchRecords, fetchSettledRecords } from './fetchrecords.ts'
+import { fetchSettledRecords } from './fetchrecords.ts'
 import type { Daemon } from './fleet.ts'
 import { Fleet } from './fleet.ts'
 import { planLoad, runLoad } from './load.ts'
@@ -22,12 +24,15 @@
 const ENTRIES = 3
 const AGENTS = 6
 const SLOTS = 8
-const LOAD = { seed: 1, rate: 20, seconds: 22, scale: 0.5 }
+const LOAD = { rate: 20, seconds: 22, scale: 0.5 }
 const PROGRESS_INTERVAL = 2_000
 const READY_TIMEOUT = 10_000
 const READY_POLL = 50
 const FAULT_LINES = 20
 
+/** Time within which an accepted configuration is in force everywhere, in milliseconds. */
+const SHARES_IN_FORCE = 4_000
+
 const FIRST_SHARES = { 'provider-a': 60, 'provider-b': 40 }
 const LATER_SHARES = { 'provider-a': 20, 'provider-b': 80 }
 
@@ -58,17 +63,20 @@
     slots: SLOTS
   })
 
-  #startedAt = performance.now()
-  #caller: Caller | undefined
+  readonly #seed: number
+  readonly #startedAt = performance.now()
   #sharesChangedAt = 0
 
+  constructor (seed: number) {
+    this.#seed = seed
+  }
+
   async run (): Promise<AuditReport> {
     this.say(`starting the store, ${AGENTS} targets, ${AGENTS} agents and ${ENTRIES} entries`)
     await this.fleet.start()
     await this.apply(0, FIRST_SHARES)
     await waitFor('all entries and agents to be ready', READY_TIMEOUT, READY_POLL, () => this.#allReady())
     const caller = new Caller({ entries: this.fleet.callersUrls })
-    this.#caller = caller
     try {
       await caller.start()
       await this.#load(caller)
@@ -126,7 +134,7 @@
   }
 
   async #load (caller: Caller): Promise<void> {
-    const plan = planLoad({ ...LOAD, prefix: 'demo' })
+    const plan = planLoad({ ...LOAD, seed: this.#seed, prefix: 'demo' })
     const tasks = plan.reduce((sum, { submission }) => sum + submission.tasks.length, 0)
     this.say(`lodging ${plan.length} jobs of 1 to 140 tasks, ${tasks} tasks in all, over ${LOAD.seconds} s`)
     const progress = setInterval(() => this.#sayProgress(caller), PROGRESS_INTERVAL)
@@ -156,8 +164,7 @@
   }
 
   async #judge (caller: Caller): Promise<AuditReport> {
-    await fetchSettledRecords(this.fleet.targetUrls)
-    const targets = await fetchRecords(this.fleet.targetUrls)
+    const targets = await fetchSettledRecords(this.fleet.targetUrls)
     this.#sayShares(targets)
     const { ratio, responseMilliseconds } = summarise(caller.records(), AGENTS * SLOTS)
     this.say(`response time p50 ${responseMilliseconds.p50} ms, p99 ${responseMilliseconds.p99} ms; ` +
@@ -180,9 +187,6 @@
   }
 }
 
-/** Time within which an accepted configuration is in force everywhere, in milliseconds. */
-const SHARES_IN_FORCE = 4_000
-
 function configurationDocument (editedFrom: number, shares: Readonly<Record<string, number>>): object {
   return {
     editedFrom,
@@ -215,7 +219,8 @@
 }
 
 async function main (): Promise<number> {
-  const demo = new Demo()
+  const { values } = parseArgs({ options: { seed: { type: 'string', default: '1' } } })
+  const demo = new Demo(Number(values.seed))
   let report: AuditReport | undefined
   try {
     report = await demo.run()
--- a/packages/standins/src/keyvaluewatch.ts
+++ b/packages/standins/src/keyvaluewatch.ts
@@ -32,7 +32,7 @@
   open (onClose: () => void): void {
     this.#response.writeHead(200, { 'content-type': 'application/json' })
     this.#write({ created: true })
-    if (this.#fromRevision <= this.#state.compactRevision) {
+    if (this.#fromRevision < this.#state.compactRevision) {
       this.#write({ canceled: true, compact_revision: String(this.#state.compactRevision) })
       this.#response.on('close', onClose)
       this.#response.end()
--- a/packages/standins/src/loadmain.ts
+++ b/packages/standins/src/loadmain.ts
@@ -7,7 +7,7 @@
 import { audit, isClean } from './audit.ts'
 import { Caller } from './caller.ts'
 import { TARGET_SLOTS } from './defaults.ts'
-import { fetchRecords } from './fetchrecords.ts'
+import { fetchSettledRecords } from './fetchrecords.ts'
 import { planLoad, runLoad } from './load.ts'
 import { summarise } from './loadsummary.ts'
 
@@ -37,6 +37,6 @@
 await caller.close()
 
 const targets = values.targets === '' ? [] : values.targets.split(',')
-const report = targets.length === 0 ? undefined : audit(caller.records(), await fetchRecords(targets))
+const report = targets.length === 0 ? undefined : audit(caller.records(), await fetchSettledRecords(targets))
 console.log(JSON.stringify({ ...load, ...summarise(caller.records(), Number(values.slots)), audit: report?.counts }))
 if (report !== undefined && !isClean(report)) process.exitCode = 1
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,7 +22,8 @@
   target: 'packages/standins/src/targetmain.ts',
   load: 'packages/standins/src/loadmain.ts',
   demo: 'packages/standins/src/demo.ts',
-  bench: 'packages/bench/src/main.ts'
+  bench: 'packages/bench/src/main.ts',
+  capacity: 'packages/bench/src/capacity.ts'
 }
 
 /** CommonJS dependencies (pino among them) use what an ES module does not define. */
