--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -7,6 +7,7 @@
 import { err, errAsync, ok, ResultAsync } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { CALL_TIMEOUT_MILLISECONDS, MAXIMUM_VALUE_BYTES } from './defaults.ts'
+import { WatchEndKind } from './entries.ts'
 import { Endpoints } from './endpoints.ts'
 import { exchange } from './exchange.ts'
 import { StoreRejected, StoreTimedOut } from './errors.ts'
@@ -159,7 +160,8 @@
 
   /**
    * Watches one key from `fromRevision` on. One attempt at one endpoint: whoever wants a watch that
-   * outlives faults takes a `Watcher`.
+   * outlives faults takes a `Watcher`. After a watch that broke off, or was cancelled because it
+   * brought nothing, another endpoint is asked first.
    * @param onEnd called once, also when the watch is cancelled
    */
   watch (
@@ -174,7 +176,9 @@
       onEnd: (end) => {
         this.#watches.delete(stream)
         this.#counts.watchesOpen -= 1
-        this.#endpoints.avoid(index)
+        if (end.kind === WatchEndKind.Cut) {
+          this.#endpoints.avoid(index)
+        }
         onEnd(end)
       }
     })
@@ -211,7 +215,6 @@
       const result = await exchange(this.#endpoints.pool(index), path, body, this.#timeoutMilliseconds)
       const verdict = judge<Body>(result, kind.isWrite)
       if (!(verdict instanceof Error)) {
-        this.#endpoints.prefer(index)
         this.#lastAnswerAt = this.#now()
         return ok(verdict)
       }
@@ -219,8 +222,8 @@
       if (verdict instanceof StoreRejected) {
         return err(withEarlierDoubt(verdict, mayHaveTakenEffect))
       }
+      this.#endpoints.avoid(index)
       index = this.#endpoints.after(index)
-      this.#endpoints.prefer(index)
       const safe = !verdict.mayHaveTakenEffect || kind.repeatable
       if (!safe || attempt >= this.#endpoints.size) {
         return err(withEarlierDoubt(verdict, mayHaveTakenEffect))
--- a/packages/platform/src/endpoints.ts
+++ b/packages/platform/src/endpoints.ts
@@ -3,7 +3,7 @@
 import { Client, Pool } from './connections.ts'
 import { CONNECTIONS_PER_ENDPOINT, KEEP_ALIVE_MILLISECONDS } from './defaults.ts'
 
-/** Endpoints in order of preference: the one that answered last, then the others in turn. */
+/** Endpoints in order of preference: one stays the first until it fails, then comes the next. */
 export class Endpoints {
   readonly #urls: readonly string[]
   readonly #pools: Array<Dispatcher | undefined>
@@ -36,12 +36,7 @@
     return (index + 1) % this.#urls.length
   }
 
-  /** Tries endpoint `index` first from now on. */
-  prefer (index: number): void {
-    this.#preferred = index
-  }
-
-  /** Tries another endpoint than `index` first. */
+  /** Notes a failure at endpoint `index`: the next one is tried first, if `index` was. */
   avoid (index: number): void {
     if (this.#preferred === index) {
       this.#preferred = this.after(index)
