--- a/packages/daemon/src/agentdaemon.ts
+++ b/packages/daemon/src/agentdaemon.ts
@@ -18,6 +18,7 @@
 import type { EffectHandlers } from './loop.ts'
 import { Loop, runLoop } from './loop.ts'
 import { Direction, ProcessMetrics } from './metrics.ts'
+import { silenceOf } from './silence.ts'
 import { StatusPort } from './status.ts'
 import { Target } from './targets.ts'
 import { ViewReader } from './viewreader.ts'
@@ -33,6 +34,7 @@
   readonly #target: Target
   readonly #status: StatusPort
   readonly #agent: Agent
+  readonly #silence: number
   #state = AgentState.Joining
 
   readonly #handlers: EffectHandlers<AgentEffect> = {
@@ -54,6 +56,8 @@
   constructor (settings: AgentSettings, environment: Environment) {
     const { instance, log, now, random } = environment
     const post = (event: AgentEvent) => this.#loop.post(event)
+    const timings = { ...DEFAULT_TIMINGS, ...settings.timings }
+    this.#silence = silenceOf(timings)
     this.#settings = settings
     this.#environment = environment
     this.#client = new KeyValueClient({ endpoints: settings.store.endpoints, timeoutMilliseconds: settings.store.timeoutMilliseconds, random, now })
@@ -65,7 +69,7 @@
     const health = { ready: () => this.#state === AgentState.Serving, state: () => this.#state }
     this.#status = new StatusPort({ ...health, metrics: () => this.#exposed(), status: () => this.#statusPage() })
     const target = describeTarget(settings)
-    this.#agent = new Agent({ instance, target, slots: new Slots({ ...target, queueLimit: target.slots * QUEUE_PER_SLOT }), timings: { ...DEFAULT_TIMINGS, ...settings.timings } })
+    this.#agent = new Agent({ instance, target, slots: new Slots({ ...target, queueLimit: target.slots * QUEUE_PER_SLOT }), timings })
   }
 
   async listen (): Promise<Result<void, ListenError>> {
@@ -74,7 +78,7 @@
   }
 
   async run (): Promise<void> {
-    const timer = setInterval(() => this.#loop.post({ type: 'tick' }), TICK_MILLISECONDS)
+    const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
     try {
       await runLoop(this.#loop, this.#agent, this.#handlers, this.#environment.now)
     } finally {
@@ -98,6 +102,11 @@
     await this.#client.close()
   }
 
+  #tick (): void {
+    this.#entries.sweep(this.#environment.now(), this.#silence)
+    this.#loop.post({ type: 'tick' })
+  }
+
   #received (event: AgentEvent): void {
     if (event.type === 'entryMessage') this.#metrics.message('entry', Direction.Received, event.message.case)
     this.#loop.post(event)
--- a/packages/daemon/src/agents.ts
+++ b/packages/daemon/src/agents.ts
@@ -36,6 +36,11 @@
     return this.#links.size
   }
 
+  /** Closes links that have been silent for longer than `silence`, in milliseconds. */
+  sweep (now: number, silence: number): void {
+    this.#links.sweep(now, silence)
+  }
+
   /** Lets what waits leave and ends the streams in order. */
   finish (): void {
     this.#links.finish()
--- a/packages/daemon/src/body.ts
+++ b/packages/daemon/src/body.ts
@@ -10,7 +10,10 @@
   Broken = 'broken'
 }
 
-/** Reads the whole body. A stated length above the limit is refused before anything is read. */
+/**
+ * Reads the whole body. One that is too large is reported at once; the rest of it is read and
+ * dropped, since closing the connection on a caller that still sends would lose it the response.
+ */
 export function readBody (request: IncomingMessage): Promise<Buffer | BodyFault> {
   if (Number(request.headers['content-length'] ?? 0) > BODY_LIMIT) return Promise.resolve(BodyFault.TooLarge)
   return new Promise(resolve => {
@@ -18,12 +21,12 @@
     let size = 0
     request.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size > BODY_LIMIT) {
-        request.pause()
-        resolve(BodyFault.TooLarge)
+      if (size <= BODY_LIMIT) {
+        chunks.push(chunk)
         return
       }
-      chunks.push(chunk)
+      chunks.length = 0
+      resolve(BodyFault.TooLarge)
     })
     request.on('end', () => resolve(Buffer.concat(chunks)))
     request.on('error', () => resolve(BodyFault.Broken))
--- a/packages/daemon/src/callers.ts
+++ b/packages/daemon/src/callers.ts
@@ -1,14 +1,14 @@
 /** The callers' interface: HTTP/1.1 and JSON. */
 import type { EntryEvent } from '@amaranthmast/coordination/entrytypes'
 import type { Answer, JobKey, JobState } from '@amaranthmast/coordination/messages'
-import { Cause } from '@amaranthmast/coordination/messages'
+import { AnswerKind, Cause } from '@amaranthmast/coordination/messages'
 import type { ResultAsync } from 'neverthrow'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer } from 'node:http'
 import type { CallerResponse } from './answers.ts'
 import { answerResponse, lookUpResponse, refusal } from './answers.ts'
 import { BodyFault, readBody } from './body.ts'
-import { BODY_LIMIT, CALLER_CONNECTIONS, ID_PATTERN, KEEP_ALIVE_MILLISECONDS, REQUEST_TIMEOUT_MILLISECONDS } from './defaults.ts'
+import { BODY_LIMIT, CALLER_CONNECTIONS, ID_PATTERN, KEEP_ALIVE_MILLISECONDS, REQUEST_TIMEOUT_MILLISECONDS, STOPPED_RETRY_MILLISECONDS } from './defaults.ts'
 import type { HealthCheck } from './health.ts'
 import { respondToHealth } from './health.ts'
 import { jobKey, parseJob } from './jobs.ts'
@@ -25,6 +25,16 @@
 
 const JOBS_PATH = '/v1/jobs'
 
+const STOPPED = refusal(Cause.NotReady, 'this entry has stopped: come back through the balancer', STOPPED_RETRY_MILLISECONDS)
+
+const CUT_SHORT: Answer = {
+  kind: AnswerKind.MayHaveRun,
+  cause: Cause.NotReady,
+  detail: 'this entry stopped before the answer was there: look the job up, or send it again under the same job id',
+  results: [],
+  retryAfterMilliseconds: 0
+}
+
 export class Callers {
   readonly #server: Server
   readonly #post: (event: EntryEvent) => void
@@ -32,6 +42,7 @@
   readonly #waiting = new Map<string, Waiting>()
   #requests = 0
   #stopping = false
+  #closed = false
 
   readonly #jobHandlers: Record<string, JobHandler> = {
     GET: (_request, response, job) => this.#lookUp(response, job),
@@ -78,9 +89,15 @@
     this.#server.closeIdleConnections()
   }
 
-  /** Stops listening; settles when every response has been written. */
+  /**
+   * Stops listening; settles when every response has been written. The decision logic answers
+   * nothing any more: a request that still arrives is refused, and one whose answer it did not
+   * give may have run.
+   */
   async close (): Promise<void> {
     this.drain()
+    this.#closed = true
+    for (const request of [...this.#waiting.keys()]) this.answer(request, CUT_SHORT)
     await new Promise<void>(resolve => {
       this.#server.close(() => resolve())
       this.#server.closeIdleConnections()
@@ -89,6 +106,7 @@
 
   #route (request: IncomingMessage, response: ServerResponse): void {
     const path = pathOf(request)
+    if (this.#closed && path.startsWith(JOBS_PATH)) return this.#respond(response, answerResponse(undefined, STOPPED))
     if (path === JOBS_PATH) return this.#submitRoute(request, response)
     if (path.startsWith(`${JOBS_PATH}/`)) return this.#jobRoute(request, response, path.slice(JOBS_PATH.length + 1))
     if (respondToHealth(path, this.#health, response)) return
@@ -121,7 +139,7 @@
     const body = await readBody(request)
     if (body === BodyFault.Broken) return
     if (body === BodyFault.TooLarge) {
-      this.#refuse(response, 413, Cause.TooLarge, `a job has at most ${BODY_LIMIT} bytes: split it`, { connection: 'close' })
+      this.#refuse(response, 413, Cause.TooLarge, `a job has at most ${BODY_LIMIT} bytes: split it`)
       return
     }
     const job = parseJob(body)
@@ -176,8 +194,17 @@
 }
 
 function readJobPath (rest: string): JobKey | undefined {
-  const [tenant, job, ...more] = rest.split('/')
+  const [tenant, job, ...more] = rest.split('/').map(decodePart)
   if (tenant === undefined || job === undefined || more.length > 0) return undefined
   if (!ID_PATTERN.test(tenant) || !ID_PATTERN.test(job)) return undefined
   return jobKey(tenant, job)
 }
+
+/** Undefined when the part is not valid percent-encoding. */
+function decodePart (part: string): string | undefined {
+  try {
+    return decodeURIComponent(part)
+  } catch {
+    return undefined
+  }
+}
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -42,11 +42,17 @@
 /** Messages that may wait for one peer: a link that holds more has a stuck reader and is closed. */
 export const OUTBOX_ITEMS = 65_536
 
-/** Silence on a link after which the dialling end asks whether the other end is still there. */
-export const PING_INTERVAL_MILLISECONDS = 5000
+/** Shortest silence after which a link counts as lost. */
+export const SILENCE_MILLISECONDS = 5000
 
-/** How long the answer to that question may take before the link counts as lost. */
-export const PING_TIMEOUT_MILLISECONDS = 5000
+/** Heartbeats that must be missing before a link counts as lost. */
+export const SILENCE_HEARTBEATS = 5
+
+/** Least time between two looks for silent links. */
+export const SWEEP_MILLISECONDS = 500
+
+/** Time between two looks above which this process itself was stopped. */
+export const OWN_PAUSE_MILLISECONDS = 1500
 
 /** How long a new connection to a peer may take. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 2000
@@ -85,7 +91,10 @@
 export const HISTOGRAM_LIMIT = 10 * 60 * 1000
 
 /** Pairs of tenant and service with histograms of their own; later ones share one. */
-export const HISTOGRAM_CLASSES = 1000
+export const HISTOGRAM_CLASSES = 500
+
+/** When a caller should come back that met an entry after its planned stop. */
+export const STOPPED_RETRY_MILLISECONDS = 1000
 
 /** How long the last messages and responses of a planned stop may take to leave. */
 export const FLUSH_MILLISECONDS = 200
--- a/packages/daemon/src/entrydaemon.ts
+++ b/packages/daemon/src/entrydaemon.ts
@@ -22,6 +22,7 @@
 import { Loop, runLoop } from './loop.ts'
 import { Direction, ProcessMetrics } from './metrics.ts'
 import { Peers } from './peers.ts'
+import { silenceOf } from './silence.ts'
 import { StatusPort } from './status.ts'
 import { EntryStore } from './store.ts'
 
@@ -39,6 +40,7 @@
   readonly #inner: InnerListener
   readonly #status: StatusPort
   readonly #entry: Entry
+  readonly #silence: number
   #state = EntryState.Joining
 
   readonly #handlers: EffectHandlers<EntryEffect> = {
@@ -70,6 +72,8 @@
   constructor (settings: EntrySettings, environment: Environment) {
     const { instance, log, now, random, wallClock } = environment
     const post = (event: EntryEvent) => this.#loop.post(event)
+    const timings = { ...DEFAULT_TIMINGS, ...settings.timings }
+    this.#silence = silenceOf(timings)
     this.#settings = settings
     this.#environment = environment
     this.#client = new KeyValueClient({ endpoints: settings.store.endpoints, timeoutMilliseconds: settings.store.timeoutMilliseconds, random, now })
@@ -89,7 +93,7 @@
       dataCentre: settings.dataCentre,
       scheduler: new TaskScheduler({ random, ...settings.scheduler }),
       parseConfiguration: (document, version) => parseConfiguration(document, version).unwrapOr(undefined),
-      timings: { ...DEFAULT_TIMINGS, ...settings.timings },
+      timings,
       random,
       wallClock
     })
@@ -108,7 +112,7 @@
   }
 
   async run (): Promise<void> {
-    const timer = setInterval(() => this.#loop.post({ type: 'tick' }), TICK_MILLISECONDS)
+    const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
     this.#store.start()
     try {
       await runLoop(this.#loop, this.#entry, this.#handlers, this.#environment.now)
@@ -137,6 +141,13 @@
     await this.#client.close()
   }
 
+  #tick (): void {
+    const now = this.#environment.now()
+    this.#agents.sweep(now, this.#silence)
+    this.#peers.sweep(now, this.#silence)
+    this.#loop.post({ type: 'tick' })
+  }
+
   #received (link: string, event: EntryEvent): void {
     if (event.type === 'agentMessage' || event.type === 'peerMessage') this.#metrics.message(link, Direction.Received, event.message.case)
     this.#loop.post(event)
--- a/packages/daemon/src/histograms.ts
+++ b/packages/daemon/src/histograms.ts
@@ -1,6 +1,6 @@
 /** Distributions for each tenant and service. */
 import type { Histogram } from 'hdr-histogram-js'
-import { build } from 'hdr-histogram-js'
+import Int32HistogramModule from 'hdr-histogram-js/dist/Int32Histogram.js'
 import { HISTOGRAM_CLASSES, HISTOGRAM_LIMIT } from './defaults.ts'
 import type { Summary } from './exposition.ts'
 
@@ -26,6 +26,15 @@
 const PARTS = 100
 
 const SIGNIFICANT_DIGITS = 2
+const LOWEST_VALUE = 1
+const FIRST_HIGHEST_VALUE = 2
+
+/**
+ * The one class of the library that is used. Its main module also loads a compression library and
+ * compiles a WebAssembly variant, which cost an idle entry megabytes. As the class comes from a
+ * CommonJS module, it may stand one level deeper than its types say.
+ */
+const Int32Histogram = (Int32HistogramModule as unknown as { default?: typeof Int32HistogramModule }).default ?? Int32HistogramModule
 
 interface Distribution {
   histogram: Histogram
@@ -103,10 +112,11 @@
   }
 }
 
+/** A histogram starts small and grows with the values that it gets. */
 function newHistogram (): Histogram {
-  return build({
-    bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS, useWebAssembly: false
-  })
+  const histogram = new Int32Histogram(LOWEST_VALUE, FIRST_HIGHEST_VALUE, SIGNIFICANT_DIGITS)
+  histogram.autoResize = true
+  return histogram
 }
 
 function valueAt ({ histogram }: Distribution, quantile: number): number {
--- a/packages/daemon/src/innerclient.ts
+++ b/packages/daemon/src/innerclient.ts
@@ -4,7 +4,7 @@
 import type { CallOptions, Client } from '@connectrpc/connect'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
-import { CONNECT_TIMEOUT_MILLISECONDS, PING_INTERVAL_MILLISECONDS, PING_TIMEOUT_MILLISECONDS, SESSION_MEMORY_MEGABYTES } from './defaults.ts'
+import { CONNECT_TIMEOUT_MILLISECONDS, SESSION_MEMORY_MEGABYTES } from './defaults.ts'
 import type { Destination } from './dialer.ts'
 import { EXPECTED_HEADER, INSTANCE_HEADER, PROBE_HEADER } from './innerlistener.ts'
 import type { Link, Links } from './links.ts'
@@ -93,17 +93,9 @@
   }))
 }
 
-/**
- * A session of its own for each stream: a connection that died unnoticed is never dialled over
- * again. The pings guard against a network that swallows packets, which leaves both ends silent
- * without an error; they are sent only when nothing has arrived for a while.
- */
+/** A session of its own for each stream: a connection that died unnoticed is never used again. */
 function sessionManager (address: string): Http2SessionManager {
-  return new Http2SessionManager(
-    address,
-    { pingIntervalMs: PING_INTERVAL_MILLISECONDS, pingTimeoutMs: PING_TIMEOUT_MILLISECONDS },
-    { maxSessionMemory: SESSION_MEMORY_MEGABYTES }
-  )
+  return new Http2SessionManager(address, {}, { maxSessionMemory: SESSION_MEMORY_MEGABYTES })
 }
 
 function isRefusal (error: unknown): boolean {
--- a/packages/daemon/src/links.ts
+++ b/packages/daemon/src/links.ts
@@ -1,5 +1,6 @@
 /** The live links to other processes, at most one for each instance. */
 import type { Instance } from '@amaranthmast/coordination/messages'
+import { OWN_PAUSE_MILLISECONDS, SWEEP_MILLISECONDS } from './defaults.ts'
 import { Outbox } from './outbox.ts'
 
 /** What the owner of the links is told. */
@@ -21,6 +22,9 @@
   readonly #forget: () => void
   #settle: () => void = () => {}
   #open = true
+  /** Whether anything arrived since the last look. */
+  #heard = true
+  #lastHeard = 0
 
   /** @internal */
   constructor (peer: Instance, outbox: Outbox<Out, Frame>, events: LinkEvents<In>, breakOff: () => void, forget: (link: Link<In, Out, Frame>) => void) {
@@ -35,9 +39,22 @@
   /** Hands received messages on, unless the link has been reported as disconnected. */
   receive (messages: readonly In[]): void {
     if (!this.#open) return
+    this.#heard = true
     for (const message of messages) this.#events.message(this.peer, message)
   }
 
+  /** Counts as heard: silence begins anew. */
+  touch (): void {
+    this.#heard = true
+  }
+
+  /** Instant since when nothing has arrived, as far as the looks tell; `now` when something has. */
+  look (now: number): number {
+    if (this.#heard) this.#lastHeard = now
+    this.#heard = false
+    return this.#lastHeard
+  }
+
   /** Closes the link and breaks its stream off. Further calls do nothing. */
   close (): void {
     if (!this.#open) return
@@ -55,6 +72,7 @@
   readonly #links = new Map<Instance, Link<In, Out, Frame>>()
   readonly #events: LinkEvents<In>
   readonly #toFrame: (messages: readonly Out[]) => Frame
+  #lastSweep = Number.NEGATIVE_INFINITY
 
   constructor (events: LinkEvents<In>, toFrame: (messages: readonly Out[]) => Frame) {
     this.#events = events
@@ -103,6 +121,24 @@
     }
   }
 
+  /**
+   * Closes links on which nothing has arrived for a while. A network that swallows packets leaves
+   * both ends silent without an error, and the operating system notices only after many minutes;
+   * every link carries heartbeats, so that silence means loss. After a pause of this process
+   * itself nothing is concluded, as what arrived meanwhile has not been read yet.
+   *
+   * @param silence longest silence in milliseconds
+   */
+  sweep (now: number, silence: number): void {
+    if (now - this.#lastSweep < SWEEP_MILLISECONDS) return
+    const paused = now - this.#lastSweep > OWN_PAUSE_MILLISECONDS
+    this.#lastSweep = now
+    for (const link of [...this.#links.values()]) {
+      if (paused) link.touch()
+      if (now - link.look(now) > silence) link.close()
+    }
+  }
+
   /** Lets what waits leave and ends the streams in order. */
   finish (): void {
     for (const link of this.#links.values()) link.outbox.end()
--- /dev/null
+++ b/packages/daemon/test/callers.test.ts
@@ -0,0 +1,197 @@
+/** The callers' interface over HTTP, with the decision logic played by the test. */
+import type { EntryEvent } from '@amaranthmast/coordination/entrytypes'
+import type { Answer } from '@amaranthmast/coordination/messages'
+import { AnswerKind, Cause, JobState } from '@amaranthmast/coordination/messages'
+import { expect } from 'earl'
+import { request } from 'node:http'
+import { test } from 'node:test'
+import { Callers } from '../src/callers.ts'
+
+interface Reply {
+  status: number
+  headers: NodeJS.Dict<string | string[]>
+  body: any
+}
+
+const job = { job: 'j1', tenant: 'magnolia', service: 'label-check', tasks: [{ payload: 1 }] }
+const complete: Answer = { kind: AnswerKind.Complete, cause: Cause.None, detail: '', results: [Buffer.from('{"ok":1}')], retryAfterMilliseconds: 0 }
+
+test('a job is submitted and its answer comes back', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'POST', '/v1/jobs', JSON.stringify(job))
+  const event = await next()
+  expect(event.type === 'submitted' && event.job.key).toEqual('magnolia/j1')
+  callers.answer(requestOf(event), complete)
+  expect(bare(await reply)).toEqual({ status: 200, body: { kind: 'complete', job: 'j1', results: [{ ok: 1 }] } })
+  await callers.close()
+})
+
+test('answers out of order reach their own callers', async () => {
+  const { callers, port, next } = await start()
+  const first = call(port, 'POST', '/v1/jobs', JSON.stringify({ ...job, job: 'a' }))
+  const firstEvent = await next()
+  const second = call(port, 'POST', '/v1/jobs', JSON.stringify({ ...job, job: 'b' }))
+  callers.answer(requestOf(await next()), complete)
+  callers.answer(requestOf(firstEvent), complete)
+  expect([(await first).body.job, (await second).body.job]).toEqual(['a', 'b'])
+  await callers.close()
+})
+
+test('a look-up asks for the state', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'GET', '/v1/jobs/magnolia/j1')
+  const event = await next()
+  expect({ ...event, request: '' }).toEqual({ type: 'lookUpRequested', request: '', job: 'magnolia/j1' })
+  callers.lookedUp(requestOf(event), JobState.Running, undefined)
+  expect(bare(await reply)).toEqual({ status: 200, body: { state: 'running' } })
+  await callers.close()
+})
+
+test('a cancellation is answered with the answer of the job', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'DELETE', '/v1/jobs/magnolia/a%3Ab')
+  const event = await next()
+  expect({ ...event, request: '' }).toEqual({ type: 'cancelRequested', request: '', job: 'magnolia/a:b' })
+  callers.answer(requestOf(event), { ...complete, kind: AnswerKind.Refused, cause: Cause.Cancelled, results: [] })
+  expect((await reply).status).toEqual(409)
+  await callers.close()
+})
+
+const refusals = [
+  { name: 'what is not JSON', method: 'POST', path: '/v1/jobs', body: '{', status: 400, cause: 'malformed' },
+  { name: 'an empty body', method: 'POST', path: '/v1/jobs', body: '', status: 400, cause: 'malformed' },
+  { name: 'a job without tasks', method: 'POST', path: '/v1/jobs', body: '{"job":"a","tenant":"b","service":"c"}', status: 400, cause: 'malformed' },
+  { name: 'a body above 4 MiB', method: 'POST', path: '/v1/jobs', body: ' '.repeat(4 * 1024 * 1024 + 1), status: 413, cause: 'tooLarge' },
+  { name: '141 tasks', method: 'POST', path: '/v1/jobs', body: JSON.stringify({ ...job, tasks: Array(141).fill({ payload: 1 }) }), status: 413, cause: 'tooLarge' },
+  { name: 'another method on the jobs', method: 'PUT', path: '/v1/jobs', body: '', status: 405, cause: 'malformed' },
+  { name: 'another method on a job', method: 'POST', path: '/v1/jobs/a/b', body: '', status: 405, cause: 'malformed' },
+  { name: 'a job without tenant', method: 'GET', path: '/v1/jobs/a', body: '', status: 400, cause: 'malformed' },
+  { name: 'a job path that is too long', method: 'GET', path: '/v1/jobs/a/b/c', body: '', status: 400, cause: 'malformed' },
+  { name: 'a job path with a space', method: 'GET', path: '/v1/jobs/a/b%20c', body: '', status: 400, cause: 'malformed' },
+  { name: 'a broken percent-encoding', method: 'GET', path: '/v1/jobs/a/%zz', body: '', status: 400, cause: 'malformed' },
+  { name: 'another path', method: 'GET', path: '/v2', body: '', status: 404, cause: 'malformed' }
+]
+
+for (const { name, method, path, body, status, cause } of refusals) {
+  test(`${name} is refused at once with ${status}`, async () => {
+    const { callers, port, events } = await start()
+    const reply = await call(port, method, path, body)
+    expect([reply.status, reply.body.kind, reply.body.cause]).toEqual([status, 'refused', cause])
+    expect(events).toEqual([])
+    await callers.close()
+  })
+}
+
+test('a body above the limit without a stated length is refused', async () => {
+  const { callers, port, events } = await start()
+  const reply = await call(port, 'POST', '/v1/jobs', ' '.repeat(5 * 1024 * 1024), { 'transfer-encoding': 'chunked' })
+  expect([reply.status, reply.body.cause]).toEqual([413, 'tooLarge'])
+  expect(events).toEqual([])
+  await callers.close()
+})
+
+test('a caller that goes away is reported once and gets nothing', async () => {
+  // A driver closes the app while the check runs. The connection ends before the answer is there,
+  // and the answer must go nowhere, above all not to the next caller of that connection.
+  const { callers, port, next, events } = await start()
+  const abandoned = request({ port, method: 'POST', path: '/v1/jobs' })
+  abandoned.on('error', () => {})
+  abandoned.end(JSON.stringify(job))
+  const submitted = await next()
+  abandoned.destroy()
+  expect(await next()).toEqual({ type: 'callerGone', request: requestOf(submitted) })
+  callers.answer(requestOf(submitted), complete)
+  await callers.close()
+  expect(events.length).toEqual(2)
+})
+
+test('a caller that breaks off its body submits nothing', async () => {
+  const { callers, port, events } = await start()
+  const broken = request({ port, method: 'POST', path: '/v1/jobs', headers: { 'content-length': 1000 } })
+  broken.on('error', () => {})
+  broken.write('{"job":')
+  await new Promise(resolve => broken.on('socket', socket => socket.on('connect', resolve)))
+  broken.destroy()
+  expect((await call(port, 'GET', '/healthz')).status).toEqual(200)
+  expect(events).toEqual([])
+  await callers.close()
+})
+
+test('a refusal tells when to come back', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'POST', '/v1/jobs', JSON.stringify(job))
+  callers.answer(requestOf(await next()), { ...complete, kind: AnswerKind.Refused, cause: Cause.Overloaded, results: [], retryAfterMilliseconds: 1500 })
+  const { status, headers, body } = await reply
+  expect([status, headers['retry-after'], body.retryAfterMilliseconds]).toEqual([503, '2', 1500])
+  await callers.close()
+})
+
+test('readiness follows the state and health does not', async () => {
+  const { callers, port, setReady } = await start()
+  const before = await call(port, 'GET', '/readyz')
+  setReady(false)
+  const after = await call(port, 'GET', '/readyz')
+  expect([before.status, after.status, (await call(port, 'GET', '/healthz')).status]).toEqual([200, 503, 200])
+  await callers.close()
+})
+
+test('a draining entry asks its callers to connect anew', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'POST', '/v1/jobs', JSON.stringify(job))
+  const event = await next()
+  callers.drain()
+  callers.answer(requestOf(event), complete)
+  expect((await reply).headers.connection).toEqual('close')
+  await callers.close()
+})
+
+test('a caller whose answer an ending entry does not have is told that the job may have run', async () => {
+  const { callers, port, next } = await start()
+  const reply = call(port, 'POST', '/v1/jobs', JSON.stringify(job))
+  await next()
+  await callers.close()
+  expect(bare(await reply).status).toEqual(504)
+})
+
+async function start () {
+  const events: EntryEvent[] = []
+  const waiting: Array<(event: EntryEvent) => void> = []
+  let taken = 0
+  let ready = true
+  const post = (event: EntryEvent): void => {
+    events.push(event)
+    const taker = waiting.shift()
+    if (taker !== undefined) taker(event)
+  }
+  const callers = new Callers(post, { ready: () => ready, state: () => 'serving' })
+  const port = (await callers.listen('127.0.0.1', 0))._unsafeUnwrap()
+  const next = async (): Promise<EntryEvent> => {
+    const event = events[taken] ?? await new Promise<EntryEvent>(resolve => waiting.push(resolve))
+    taken += 1
+    return event
+  }
+  return { callers, port, events, next, setReady: (value: boolean) => { ready = value } }
+}
+
+function requestOf (event: EntryEvent): string {
+  return 'request' in event ? event.request : ''
+}
+
+function bare ({ status, body }: Reply) {
+  return { status, body }
+}
+
+function call (port: number, method: string, path: string, body = '', headers: Record<string, string> = {}): Promise<Reply> {
+  const length = 'transfer-encoding' in headers ? {} : { 'content-length': Buffer.byteLength(body) }
+  return new Promise((resolve, reject) => {
+    const sent = request({ port, method, path, headers: { ...length, ...headers } }, response => {
+      const chunks: Buffer[] = []
+      response.on('data', chunk => chunks.push(chunk))
+      response.on('end', () => resolve({
+        status: response.statusCode ?? 0, headers: response.headers, body: JSON.parse(Buffer.concat(chunks).toString())
+      }))
+    })
+    sent.on('error', reject)
+    sent.end(body)
+  })
+}
--- /dev/null
+++ b/packages/daemon/test/metrics.test.ts
@@ -0,0 +1,54 @@
+/** Metrics, as monitoring systems read them. */
+import { AnswerKind, Cause } from '@amaranthmast/coordination/messages'
+import { expect } from 'earl'
+import { test } from 'node:test'
+import { EntryMetrics } from '../src/entrymetrics.ts'
+import { Exposition } from '../src/exposition.ts'
+import { ClassHistograms, Measure } from '../src/histograms.ts'
+
+const task = { type: 'taskFinished', tenant: 'magnolia', service: 'label-check', waitMilliseconds: 2, runMilliseconds: 100 } as const
+
+test('labels are escaped', () => {
+  const exposition = new Exposition()
+  exposition.gauge('size', 'Size', [{ labels: { name: 'a"b\\c\nd' }, value: 1 }])
+  expect(exposition.text()).toEqual('# HELP size Size\n# TYPE size gauge\nsize{name="a\\"b\\\\c\\nd"} 1\n')
+})
+
+test('a task is counted and its times are shown for its class in seconds', () => {
+  const metrics = new EntryMetrics()
+  metrics.taskFinished(task)
+  const lines = linesOf(metrics)
+  expect(lines).toInclude('amaranthmast_tasks_total{tenant="magnolia",service="label-check"} 1')
+  expect(lines).toInclude('amaranthmast_task_run_seconds_sum{tenant="magnolia",service="label-check"} 0.1')
+  expect(lines).toInclude('amaranthmast_task_run_seconds_count{tenant="magnolia",service="label-check"} 1')
+})
+
+test('a job is counted by kind and cause', () => {
+  const metrics = new EntryMetrics()
+  const answer = { kind: AnswerKind.Failed, cause: Cause.TaskFailed, detail: '', results: [], retryAfterMilliseconds: 0 }
+  metrics.jobFinished({ type: 'jobFinished', tenant: 'magnolia', service: 'label-check', answer, tasks: 1, wholeMilliseconds: 5 })
+  expect(linesOf(metrics)).toInclude('amaranthmast_jobs_total{tenant="magnolia",service="label-check",kind="failed",cause="taskFailed"} 1')
+})
+
+test('quantiles are those of what was recorded', () => {
+  const histograms = new ClassHistograms()
+  for (let value = 1; value <= 100; value++) histograms.record('magnolia', 'label-check', Measure.Wait, value)
+  const [figures] = histograms.figures()
+  const wait = figures?.measures.wait
+  expect(wait?.count).toEqual(100)
+  expect(Math.round(wait?.p50 ?? 0)).toEqual(50)
+  expect(Math.round(wait?.p99 ?? 0)).toEqual(99)
+})
+
+test('names without end do not fill the memory', () => {
+  const histograms = new ClassHistograms()
+  for (let number = 0; number < 600; number++) histograms.record(`tenant-${number}`, 's', Measure.Wait, 1)
+  const figures = histograms.figures()
+  expect([figures.length, figures.at(-1)?.tenant, figures.at(-1)?.measures.wait?.count]).toEqual([501, 'others', 100])
+})
+
+function linesOf (metrics: EntryMetrics): string[] {
+  const exposition = new Exposition()
+  metrics.expose(exposition)
+  return exposition.text().split('\n')
+}
--- /dev/null
+++ b/packages/daemon/test/store.test.ts
@@ -0,0 +1,94 @@
+/** The view in the key-value service: reads, writes, and writes whose answer was lost. */
+import type { EntryEvent } from '@amaranthmast/coordination/entrytypes'
+import type { View } from '@amaranthmast/coordination/messages'
+import type { KeyValueClient } from '@amaranthmast/platform/client'
+import type { SwapResult } from '@amaranthmast/platform/entries'
+import type { StoreError } from '@amaranthmast/platform/errors'
+import { StoreTimedOut, StoreUnavailable } from '@amaranthmast/platform/errors'
+import { expect } from 'earl'
+import { errAsync, okAsync } from 'neverthrow'
+import { pino } from 'pino'
+import { test } from 'node:test'
+import { EntryStore } from '../src/store.ts'
+import { decodeView, encodeView } from '../src/viewcodec.ts'
+import { ViewReader } from '../src/viewreader.ts'
+
+const mine: View = { version: 2, members: [{ instance: 'entry-1#a', address: 'http://10.0.0.1:7101', dataCentre: 'gulf-1', leaving: false }], fenced: ['entry-2#b'] }
+const other: View = { ...mine, version: 3 }
+const lost = new StoreTimedOut('no answer', true)
+const down = new StoreUnavailable('down')
+
+test('a read tells view, revision and when it was sent', async () => {
+  const { events, reader } = start({ stored: { view: mine, revision: 9 } })
+  await reader.read()
+  expect(events).toEqual([{ type: 'viewRead', view: mine, revision: 9, readStarted: 100 }])
+})
+
+test('no stored value is the view before the first entry', async () => {
+  const { events, reader } = start({})
+  await reader.read()
+  expect(events).toEqual([{ type: 'viewRead', view: { version: 0, members: [], fenced: [] }, revision: 0, readStarted: 100 }])
+})
+
+test('a read that fails is reported', async () => {
+  const { events, reader } = start({ read: down })
+  await reader.read()
+  expect(events).toEqual([{ type: 'viewReadFailed' }])
+})
+
+test('reads that are asked for while one is under way are one read', async () => {
+  const { events, reader } = start({})
+  await Promise.all([reader.read(), reader.read()])
+  expect(events.length).toEqual(1)
+})
+
+// An entry writes the view and the answer is lost. Taken for a failure, the entry would write
+// again on a wrong basis; taken for a success, it would act as a member that nobody knows.
+const writes: Array<{ name: string, swap: SwapResult | StoreError, stored?: { view: View, revision: number }, read?: StoreError, outcome: string }> = [
+  { name: 'a write that was applied', swap: { applied: true, revision: 10 }, outcome: 'applied' },
+  { name: 'a write that met another revision', swap: { applied: false, revision: 10, entry: undefined }, outcome: 'conflict' },
+  { name: 'a write that provably did nothing', swap: down, outcome: 'conflict' },
+  { name: 'a lost answer with the own value read back', swap: lost, stored: { view: mine, revision: 10 }, outcome: 'applied' },
+  { name: 'a lost answer with another value read back', swap: lost, stored: { view: other, revision: 10 }, outcome: 'conflict' },
+  { name: 'a lost answer with the old revision read back', swap: lost, stored: { view: other, revision: 9 }, outcome: 'unknown' },
+  { name: 'a lost answer and a failed read', swap: lost, read: down, outcome: 'unknown' }
+]
+
+for (const { name, swap, stored, read, outcome } of writes) {
+  test(`${name} is "${outcome}"`, async () => {
+    const { events, store } = start({ swap, stored, read })
+    await store.writeView(mine, 9)
+    expect(events).toEqual([{ type: 'viewWritten', outcome: outcome as 'applied' }])
+  })
+}
+
+test('a view is stored and read without the marks of the inner protocol', () => {
+  const received = { $typeName: 'amaranthmast.inner.v1.View', ...mine, members: mine.members.map(member => ({ $typeName: 'amaranthmast.inner.v1.Member', ...member })) }
+  expect(decodeView('k', encodeView(received))._unsafeUnwrap()).toEqual(mine)
+})
+
+const unreadable = ['', '[]', 'null', '{"version":1}', '{"version":1,"members":[{}],"fenced":[]}', '{"version":"1","members":[],"fenced":[]}', '{"version":1,"members":[],"fenced":[7]}']
+
+for (const value of unreadable) {
+  test(`the stored value ${value === '' ? '(empty)' : value} is not a view`, () => {
+    expect(decodeView('k', value)._unsafeUnwrapErr().code).toEqual('viewUnreadable')
+  })
+}
+
+function start ({ stored, read, swap }: { stored?: { view: View, revision: number } | undefined, read?: StoreError | undefined, swap?: SwapResult | StoreError }) {
+  const entry = stored === undefined ? undefined : { key: '/test/view', value: encodeView(stored.view), modRevision: stored.revision, version: 1 }
+  const client = {
+    read: () => read === undefined ? okAsync({ entry, revision: 1 }) : errAsync(read),
+    compareAndSwap: () => swap instanceof Error ? errAsync(swap) : okAsync(swap)
+  }
+  const events: EntryEvent[] = []
+  const post = (event: EntryEvent): void => { events.push(event) }
+  const options = {
+    client: client as unknown as KeyValueClient,
+    settings: { endpoints: [], prefix: '/test/', timeoutMilliseconds: 1000 },
+    log: pino({ level: 'silent' }),
+    now: () => 100,
+    random: () => 0.5
+  }
+  return { events, reader: new ViewReader(options, post), store: new EntryStore(options, post) }
+}
