--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,84 @@
+/**
+ * The bench: `npm run bench -- --json`. Prints a table for each section, and with `--json` one
+ * object with all figures as its last line.
+ */
+import type { Row, SectionOptions } from './sections.ts'
+import { sections } from './sections.ts'
+
+interface BenchOptions extends SectionOptions {
+  json: boolean
+  section: string | undefined
+}
+
+/** Reads one option's value into the options. */
+type OptionHandler = (options: BenchOptions, value: string) => void
+
+const optionHandlers: Readonly<Record<string, OptionHandler>> = {
+  '--seed': (options, value) => { options.seed = readNumber(value) },
+  '--seconds': (options, value) => { options.seconds = readNumber(value) },
+  '--section': (options, value) => { options.section = readSection(value) }
+}
+
+/** The command line asks for something that the bench does not have. */
+class UsageError extends Error {
+  readonly code = 'USAGE'
+}
+
+function readNumber (value: string): number {
+  const number = Number(value)
+  if (Number.isInteger(number) && number > 0) return number
+  throw new UsageError(`${value} is not a positive whole number`)
+}
+
+function readSection (value: string): string {
+  if (sections[value] !== undefined) return value
+  throw new UsageError(`no section ${value}: choose one of ${Object.keys(sections).join(', ')}`)
+}
+
+function readOptions (words: readonly string[]): BenchOptions {
+  const options: BenchOptions = { json: false, section: undefined, seed: 1, seconds: 300 }
+  const left = [...words]
+  while (left.length > 0) {
+    const word = left.shift() as string
+    if (word === '--json') {
+      options.json = true
+      continue
+    }
+    const handler = optionHandlers[word]
+    const value = left.shift()
+    if (handler === undefined || value === undefined) {
+      throw new UsageError(`cannot read ${word}: use --json, --seed N, --seconds N, --section NAME`)
+    }
+    handler(options, value)
+  }
+  return options
+}
+
+function printTable (name: string, rows: readonly Row[]): void {
+  const columns = [...new Set(rows.flatMap(row => Object.keys(row)))]
+  const cells = [columns, ...rows.map(row => columns.map(column => String(row[column] ?? '')))]
+  const widths = columns.map((_, column) => Math.max(...cells.map(line => (line[column] as string).length)))
+  console.log(`\n${name}`)
+  for (const line of cells) {
+    console.log(line.map((cell, column) => cell.padEnd(widths[column] as number)).join('  ').trimEnd())
+  }
+}
+
+function run (options: BenchOptions): void {
+  const results: Record<string, Row[]> = {}
+  for (const [name, section] of Object.entries(sections)) {
+    if (options.section !== undefined && options.section !== name) continue
+    const rows = section(options)
+    results[name] = rows
+    printTable(name, rows)
+  }
+  if (options.json) console.log(JSON.stringify({ seed: options.seed, seconds: options.seconds, sections: results }))
+}
+
+try {
+  run(readOptions(process.argv.slice(2)))
+} catch (error) {
+  if (!(error instanceof UsageError)) throw error
+  console.error(error.message)
+  process.exitCode = 2
+}
--- /dev/null
+++ b/packages/bench/src/sections.ts
@@ -0,0 +1,43 @@
+/** The sections of the bench by name. A further section is a further line of the table. */
+import { measureCores } from './convergencecores.ts'
+import { measureReports } from './convergencereports.ts'
+import { measureConvergence } from './convergencesection.ts'
+import { measureStoreCalls } from './convergencestore.ts'
+import { measureAgentLoss, measureDetection, measureFalseRemovals } from './detectionsection.ts'
+import { measureCancellation, measureDecisions } from './processortime.ts'
+import { measureFaults } from './faultsection.ts'
+import { measureOverload } from './overloadsection.ts'
+import { measurePolicies } from './policysection.ts'
+import { measureShares } from './sharesection.ts'
+import { measureTenants } from './tenantsection.ts'
+
+/** What every section is given. */
+export interface SectionOptions {
+  seed: number
+  /** Virtual time that a run covers. */
+  seconds: number
+}
+
+/** Figures for one row of a table. */
+export type Row = Record<string, string | number>
+
+/** One section: measures, and returns the rows of its table. */
+export type Section = (options: SectionOptions) => Row[]
+
+/** The sections in the order in which they run. */
+export const sections: Readonly<Record<string, Section>> = {
+  policies: measurePolicies,
+  shares: measureShares,
+  overload: measureOverload,
+  faults: measureFaults,
+  tenants: measureTenants,
+  decisions: measureDecisions,
+  cancellation: measureCancellation,
+  convergence: measureConvergence,
+  convergenceCores: measureCores,
+  storeCalls: measureStoreCalls,
+  detection: measureDetection,
+  falseRemovals: measureFalseRemovals,
+  agentLoss: measureAgentLoss,
+  reports: measureReports
+}
