--- a/packages/coordination/explore/guards.ts
+++ b/packages/coordination/explore/guards.ts
@@ -3,6 +3,7 @@
 import type { EntryGuards } from '../src/entrycontext.ts'
 import type { Guards } from './world.ts'
 import { ALL_ENTRY_GUARDS } from '../src/entrycontext.ts'
+import { Action } from './schedule.ts'
 
 const ALL_AGENT_GUARDS: AgentGuards = { fence: true, incarnation: true, ledger: true, isolation: true, rooted: true }
 
@@ -16,3 +17,25 @@
   if (name !== undefined && name in agent) agent[name as keyof AgentGuards] = false
   return { entry, agent }
 }
+
+/** The traps that a guard is for, made likelier in the search without it. */
+const FOCUS: Record<string, readonly Action[]> = {
+  rooted: [Action.HideNewAgent],
+  isolation: [Action.SplitAndSubmitBoth],
+  acquaintance: [Action.JoinBehindCut],
+  view: [Action.CutOneWay, Action.PauseRunnerAndResubmit],
+  refusal: [Action.CutRunnerWithAgent, Action.CrashRunnerAndResubmit],
+  inForce: [Action.PauseRunnerAndResubmit, Action.Resubmit],
+  release: [Action.CrashRunnerAndResubmit, Action.JoinEntry, Action.Resubmit],
+  fence: [Action.PauseRunnerAndResubmit, Action.CutRunnerWithAgent],
+  takeover: [Action.CrashRunnerAndResubmit],
+  secondMemory: [Action.CrashBothAndResubmit],
+  attempt: [Action.Repeat],
+  incarnation: [Action.Repeat, Action.ReplaceAgent],
+  submission: [Action.Repeat]
+}
+
+/** Steps to look for when this guard is switched off. */
+export function focusOf (name: string | undefined): readonly Action[] {
+  return name === undefined ? [] : FOCUS[name] ?? []
+}
--- a/packages/coordination/explore/network.ts
+++ b/packages/coordination/explore/network.ts
@@ -128,6 +128,15 @@
     return link !== undefined && link.ends.every(end => end.open)
   }
 
+  /** Whether nobody holds a link for open that the other end has lost. */
+  settled (): boolean {
+    for (const { ends: [left, right] } of this.#links.values()) {
+      if (left.open === right.open) continue
+      if (this.#host.alive(left.open ? left.instance : right.instance)) return false
+    }
+    return [...this.#links.values()].every(({ ends }) => !ends[0].open || ends.every(end => this.#host.alive(end.instance)))
+  }
+
   connect (left: Instance, right: Instance): void {
     const old = this.#links.get(pairOf(left, right))
     if (old !== undefined) for (const end of old.ends) this.#closeEnd(old, end)
--- a/packages/coordination/explore/schedule.ts
+++ b/packages/coordination/explore/schedule.ts
@@ -43,6 +43,8 @@
   SplitAndSubmitBoth = 'splitAndSubmitBoth',
   /** The trap: an agent starts while only one entry can be reached, and that entry is lost. */
   HideNewAgent = 'hideNewAgent',
+  /** The trap: an entry joins by the store while every older one is cut off from it and from the store. */
+  JoinBehindCut = 'joinBehindCut',
   Wait = 'wait'
 }
 
@@ -101,23 +103,34 @@
   [Action.JoinAndSubmit]: 2,
   [Action.SplitAndSubmitBoth]: 2,
   [Action.HideNewAgent]: 2,
+  [Action.JoinBehindCut]: 1,
   [Action.Wait]: 6
 }
 
+/** How much likelier the steps that a search looks for are made. */
+const FOCUS_FACTOR = 20
+
 const SELECTOR = fc.integer({ min: 0, max: 63 })
 const DURATION = fc.oneof(fc.integer({ min: 50, max: 1500 }), fc.integer({ min: 1500, max: 6000 }))
 const PAUSE = fc.oneof({ weight: 5, arbitrary: fc.integer({ min: 0, max: 60 }) }, { weight: 3, arbitrary: fc.integer({ min: 60, max: 800 }) }, { weight: 1, arbitrary: fc.integer({ min: 800, max: 4000 }) })
 
-const ACTION = fc.oneof(...Object.entries(WEIGHTS).map(([action, weight]) => ({ weight, arbitrary: fc.constant(action as Action) })))
-
-const STEP: fc.Arbitrary<Step> = fc.record({ action: ACTION, first: SELECTOR, second: SELECTOR, duration: DURATION, wait: PAUSE })
+function actions (focus: readonly Action[]): fc.Arbitrary<Action> {
+  const weighted = Object.values(Action).map(action => {
+    const weight = WEIGHTS[action] * (focus.includes(action) ? FOCUS_FACTOR : 1)
+    return { weight, arbitrary: fc.constant(action) }
+  })
+  return fc.oneof(...weighted)
+}
 
-/** Any schedule. */
-export const SCHEDULE: fc.Arbitrary<Schedule> = fc.record({
-  seed: fc.integer({ min: 0, max: 0x7fffffff }),
-  entries: fc.integer({ min: 2, max: 4 }),
-  agents: fc.integer({ min: 2, max: 4 }),
-  shortRetention: fc.oneof({ weight: 6, arbitrary: fc.constant(false) }, { weight: 1, arbitrary: fc.constant(true) }),
-  realScheduler: fc.oneof({ weight: 6, arbitrary: fc.constant(false) }, { weight: 1, arbitrary: fc.constant(true) }),
-  steps: fc.array(STEP, { minLength: 4, maxLength: 28, size: 'max' })
-})
+/** Any schedule; `focus` names steps that are to come up more often. */
+export function schedules (focus: readonly Action[] = []): fc.Arbitrary<Schedule> {
+  const step = fc.record({ action: actions(focus), first: SELECTOR, second: SELECTOR, duration: DURATION, wait: PAUSE })
+  return fc.record({
+    seed: fc.integer({ min: 0, max: 0x7fffffff }),
+    entries: fc.integer({ min: 2, max: 4 }),
+    agents: fc.integer({ min: 2, max: 4 }),
+    shortRetention: fc.oneof({ weight: 6, arbitrary: fc.constant(false) }, { weight: 1, arbitrary: fc.constant(true) }),
+    realScheduler: fc.oneof({ weight: 6, arbitrary: fc.constant(false) }, { weight: 1, arbitrary: fc.constant(true) }),
+    steps: fc.array(step, { minLength: 4, maxLength: 28, size: 'max' })
+  })
+}
--- a/packages/coordination/explore/search.ts
+++ b/packages/coordination/explore/search.ts
@@ -2,8 +2,8 @@
 import fc from 'fast-check'
 import type { Violation } from './invariants.ts'
 import type { Schedule } from './schedule.ts'
-import { guardsWithout } from './guards.ts'
-import { SCHEDULE } from './schedule.ts'
+import { focusOf, guardsWithout } from './guards.ts'
+import { schedules } from './schedule.ts'
 import { runSchedule } from './steps.ts'
 
 export interface SearchOptions {
@@ -28,7 +28,7 @@
   const guards = guardsWithout(broken)
   const answers = new Map<string, number>()
   let failed = false
-  const property = fc.property(SCHEDULE, schedule => {
+  const property = fc.property(schedules(focusOf(broken)), schedule => {
     const { violation, world } = runSchedule(schedule, guards)
     if (!failed) for (const [label, count] of world.judge.answers) answers.set(label, (answers.get(label) ?? 0) + count)
     failed ||= violation !== undefined
--- a/packages/coordination/src/agent.ts
+++ b/packages/coordination/src/agent.ts
@@ -38,6 +38,9 @@
   rooted: boolean
 }
 
+/** How long a planned stop waits for entries to learn of it. */
+const RELIEF_PATIENCE_MILLISECONDS = 3000
+
 const ALL_AGENT_GUARDS: AgentGuards = { fence: true, incarnation: true, ledger: true, isolation: true, rooted: true }
 
 /** Figures for status pages. */
@@ -72,6 +75,9 @@
   #configurationVersion = 0
   #rooted = false
   #leaving = false
+  #leavingSince: number | undefined
+  /** Entries that have answered a heartbeat sent after the planned stop was ordered. */
+  readonly #relievedBy = new Set<Instance>()
   #stopped = false
   #state = AgentState.Joining
   #lastHeartbeat = Number.NEGATIVE_INFINITY
@@ -100,6 +106,7 @@
       this.#recall(entry, recall, now)
     },
     heartbeatReply: (entry, reply, now) => {
+      if (this.#leavingSince !== undefined && reply.sent > this.#leavingSince) this.#relievedBy.add(entry)
       this.#confirmation.replied(entry, reply, this.#view.version)
       this.#refreshState(now)
     },
@@ -129,10 +136,10 @@
       case 'viewRead': this.#adopt(event.view, now); break
       case 'taskEnded': this.#taskEnded(event, now); break
       case 'tick': this.#tick(now); break
-      case 'stopOrdered': this.#leaving = true; this.#refreshState(now); this.#reportAll(); break
+      case 'stopOrdered': this.#stopOrdered(now); break
     }
     this.#sendChangedReports()
-    this.#stopWhenDone()
+    this.#stopWhenDone(now)
     return this.#effects
   }
 
@@ -360,9 +367,28 @@
     }
   }
 
+  #stopOrdered (now: number): void {
+    if (this.#leavingSince !== undefined) return
+    this.#leaving = true
+    this.#leavingSince = now
+    this.#lastHeartbeat = Number.NEGATIVE_INFINITY
+    this.#refreshState(now)
+    this.#reportAll()
+  }
+
+  /**
+   * Whether every entry knows that this agent leaves. A dispatch that was on its way when the stop was
+   * ordered would find nobody: its task, which never started, would be answered "may have run". What an
+   * entry sends before it answers a heartbeat arrives before the answer, so that it is refused in time.
+   */
+  #relieved (now: number): boolean {
+    if (now - (this.#leavingSince ?? now) >= RELIEF_PATIENCE_MILLISECONDS) return true
+    return [...this.#connected].every(entry => !isMember(this.#view, entry) || this.#relievedBy.has(entry))
+  }
+
   /** A planned stop ends when nothing runs and every live entry has the outcomes it waits for. */
-  #stopWhenDone (): void {
-    if (!this.#leaving || this.#dispatches.size > 0) return
+  #stopWhenDone (now: number): void {
+    if (!this.#leaving || this.#dispatches.size > 0 || !this.#relieved(now)) return
     if (!this.#ledger.allAcknowledged(holder => isMember(this.#view, holder))) return
     this.#stopped = true
     this.#effects.push({ type: 'stopped' })
--- a/packages/coordination/src/health.ts
+++ b/packages/coordination/src/health.ts
@@ -36,13 +36,14 @@
   #measuredAt = 0
   #ejections = 0
   #closures = 0
+  #silent = false
   #successes = 0
   #flaps = 0
   #returnedAt = -Infinity
 
   constructor (slots: number) {
     this.#slots = slots
-    this.allowed = Math.max(1, Math.ceil(slots / 4))
+    this.allowed = this.#quarter()
   }
 
   /** Tasks that the target may have at one time. */
@@ -72,6 +73,7 @@
     this.#successes += 1
     this.#closures = 0
     if (this.#successes >= FORGIVING_SUCCESSES) this.#ejections = 0
+    this.#noteLife()
     if (this.trust !== Trust.Probing) return
     this.allowed *= 2
     if (this.allowed >= this.#slots) this.trust = Trust.Full
@@ -81,6 +83,7 @@
     this.failureRate += (1 - this.failureRate) * FAILURE_RATE
     this.#successes = 0
     this.#closures = 0
+    this.#noteLife()
     if (this.trust === Trust.Probing) this.allowed = Math.max(1, Math.floor(this.allowed / 2))
   }
 
@@ -103,7 +106,14 @@
     this.probeAt = now + Math.min(LONGEST_EJECTION_MILLISECONDS, duration)
   }
 
+  /** It is busy and gave no sign of life for long: out until it gives one, or until its next probe. */
+  noteSilence (now: number): void {
+    this.eject(now)
+    this.#silent = true
+  }
+
   probe (): void {
+    this.#silent = false
     this.trust = Trust.Probing
     this.allowed = 1
   }
@@ -124,7 +134,18 @@
     this.#returnedAt = now
     if (this.#flaps > FLAPS_TOLERATED) this.eject(now)
     else if (this.trust !== Trust.Ejected) this.trust = Trust.Probing
-    this.allowed = Math.max(1, Math.ceil(this.#slots / 4))
+    this.allowed = this.#quarter()
+  }
+
+  #noteLife (): void {
+    if (!this.#silent) return
+    this.#silent = false
+    this.trust = Trust.Probing
+    this.allowed = this.#quarter()
+  }
+
+  #quarter (): number {
+    return Math.max(1, Math.ceil(this.#slots / 4))
   }
 
   /** A slow target gets little and so shows little: without ageing it would never be tried again. */
--- a/packages/coordination/src/policies.ts
+++ b/packages/coordination/src/policies.ts
@@ -52,7 +52,7 @@
 }
 
 function ownLoad (target: Target, now: number): number {
-  const slowness = target.slowness(now)
+  const slowness = target.health.slowness(now)
   return ((target.outstanding + target.tie) / target.description.slots) * slowness * slowness + slowness - 1
 }
 
@@ -61,7 +61,7 @@
   const { slots } = target.description
   const held = target.outstanding + target.othersLoad(now)
   const wait = Math.max(0, held + 1 - slots) / slots
-  return wait + target.slowness(now) - 1 + held * 1e-3 + target.tie * 1e-4
+  return wait + target.health.slowness(now) - 1 + held * 1e-3 + target.tie * 1e-4
 }
 
 /** The policies by name. */
--- a/packages/coordination/src/router.ts
+++ b/packages/coordination/src/router.ts
@@ -458,7 +458,7 @@
 
   #deliver (waiting: Waiting, from: Instance, answer: Answer): void {
     this.#waiting.delete(waiting.job.key)
-    const refused = answer.kind === AnswerKind.Refused
+    const refused = answer.kind === AnswerKind.Refused && answer.cause !== Cause.IdReused
     if (isForgotten(answer)) this.#receipts.drop(waiting.job.key, from)
     const doubtful = refused && !this.#provablyNotRun(waiting)
     this.#answerAll(waiting, doubtful ? unproved(answer, 'an entry that had the job before may have run it') : answer)
--- a/packages/coordination/src/schedulingdefaults.ts
+++ b/packages/coordination/src/schedulingdefaults.ts
@@ -81,13 +81,6 @@
 /** Silence of a busy target from which it gets nothing more, in mean run times. */
 export const HANG_RUNS = 4
 
-/** Silence of a busy target from which others are preferred, in mean times between its outcomes, and at least. */
-export const SUSPECT_GAPS = 4
-export const SUSPECT_MILLISECONDS = 200
-
-/** Slowness that a suspected target is ranked with. */
-export const SUSPECT_SLOWNESS = 4
-
 /** Order of the queue: how long a job may be overtaken, in multiples of its shortest possible duration. */
 export const ORDER_FACTOR = 4
 
--- a/packages/coordination/src/targets.ts
+++ b/packages/coordination/src/targets.ts
@@ -6,7 +6,7 @@
 import type { Policy } from './policies.ts'
 import {
   CANDIDATES_FOR_NEEDS, FULL_MILLISECONDS, HANG_MILLISECONDS, HANG_RUNS, QUEUE_PER_SLOT, REPORT_HALF_LIFE_MILLISECONDS,
-  SLOWNESS_REVIEW_MILLISECONDS, SUSPECT_GAPS, SUSPECT_MILLISECONDS, SUSPECT_SLOWNESS
+  SLOWNESS_REVIEW_MILLISECONDS
 } from './schedulingdefaults.ts'
 
 /** One target, reached through one run of its agent. */
@@ -101,13 +101,7 @@
    * for a hang; the next outcome ends it.
    */
   silent (now: number): boolean {
-    return this.outstanding > (this.health.trust === Trust.Full ? 1 : 0) && now >= this.#silentAt()
-  }
-
-  /** Slowness by which it is ranked: a target that is silent for long is ranked down well before it counts as hanging. */
-  slowness (now: number): number {
-    const slowness = this.health.slowness(now)
-    return this.outstanding > 1 && now >= this.#suspectAt() ? Math.max(SUSPECT_SLOWNESS, slowness) : slowness
+    return this.outstanding > (this.health.onProbation ? 0 : 1) && now >= this.#silentAt()
   }
 
   hasRoom (limit: number, now: number): boolean {
@@ -128,23 +122,13 @@
     if (this.health.trust === Trust.Ejected) return this.health.probeAt
     if (this.#fullUntil > now) return this.#fullUntil
     const silentAt = this.outstanding > 0 && this.#silentAt() > now ? this.#silentAt() : Infinity
-    const suspectAt = this.outstanding > 1 && this.#suspectAt() > now ? this.#suspectAt() : Infinity
     const reviewAt = this.health.slowness(now) > 1 ? now + SLOWNESS_REVIEW_MILLISECONDS : Infinity
-    const next = Math.min(silentAt, suspectAt, reviewAt)
+    const next = Math.min(silentAt, reviewAt)
     return next === Infinity ? undefined : next
   }
 
   #silentAt (): number {
-    return this.#activeAt + Math.max(HANG_MILLISECONDS, HANG_RUNS * this.#meanRun())
-  }
-
-  #suspectAt (): number {
-    const gap = this.#meanRun() / Math.max(1, Math.min(this.outstanding, this.description.slots))
-    return this.#activeAt + Math.max(SUSPECT_MILLISECONDS, SUSPECT_GAPS * gap)
-  }
-
-  #meanRun (): number {
-    return this.#work / Math.max(1, this.outstanding)
+    return this.#activeAt + Math.max(HANG_MILLISECONDS, HANG_RUNS * this.#work / Math.max(1, this.outstanding))
   }
 }
 
@@ -338,7 +322,7 @@
   #ejectSilent (target: Target, now: number): void {
     if (!this.#fleetHealth.canSpare(target.health)) return
     this.#fleetHealth.remove(target.health)
-    target.health.eject(now)
+    target.health.noteSilence(now)
     this.#fleetHealth.add(target.health)
   }
 
--- a/packages/coordination/test/scheduler.test.ts
+++ b/packages/coordination/test/scheduler.test.ts
@@ -367,3 +367,20 @@
   }
   expect(scheduler.status().health).toEqual({ a1: 0, a2: 1, a3: 1 })
 })
+
+// A target hangs until the deadlines of its tasks pass and they are broken off. It then held
+// nothing, seemed idle, and was given as much as the others until it was found silent once more.
+test('a target that hung is probed with one task when its old ones have been broken off', () => {
+  const scheduler = schedulerWith(['a1', 'a2', 'a3'].map(target => describe(target)))
+  warmUp(scheduler)
+  scheduler.enqueue(tasks('job', 9, { service: 'record' }), 0)
+  const stuck = scheduler.decide(0).filter(assignment => assignment.agent === 'a1#1')
+  scheduler.decide(2000)
+  expect(scheduler.status().health['a1']).toEqual(0)
+  for (const assignment of stuck) scheduler.settled(assignment, TaskOutcome.Unspecified, 0, 10_000)
+  scheduler.enqueue(tasks('later', 24, { service: 'record', deadline: 20_000 }), 10_000)
+  const probes = scheduler.decide(10_000).filter(assignment => assignment.agent === 'a1#1')
+  expect([stuck.length, probes.length]).toEqual([3, 1])
+  scheduler.decide(12_000)
+  expect(scheduler.status().health['a1']).toEqual(0)
+})
