Scheduler: a tenant held by its slots and then by its rate goes on in time

Cause: a tenant at its slots quota was held without a time. When its last task ended, a slot was free but the rate had no start left; the hold stayed without a time and nothing looked again. Seen on real processes: three jobs of 100 tasks ended `failed deadlinePassed` after 30 s with every target idle.

Ruled out: the retry budget and admission (the tasks were queued and never decided on); a missed tick (nextDecision was undefined).

Change: on release the hold takes the time of the next start that the rate allows.

Conclusion: a hold by quota always has a time or an event that ends it.

--- a/packages/coordination/src/scheduler.ts
+++ b/packages/coordination/src/scheduler.ts
@@ -271,7 +271,13 @@
   }
 
   #releaseTenant (tenant: string, now: number): void {
-    if (!this.#heldTenants.has(tenant) || !this.#quotas.mayStart(tenant, now)) return
+    if (!this.#heldTenants.has(tenant)) return
+    if (!this.#quotas.mayStart(tenant, now)) {
+      // A slot is free and the rate is what holds it back now: nothing but time releases it, and
+      // when its last task has ended no event would come to look again.
+      this.#heldTenants.set(tenant, this.#quotas.nextStart(tenant, now) ?? Infinity)
+      return
+    }
     this.#heldTenants.delete(tenant)
     this.#queue.hold(tenant, false, now)
   }
--- a/packages/coordination/test/scheduler.test.ts
+++ b/packages/coordination/test/scheduler.test.ts
@@ -384,3 +384,19 @@
   scheduler.decide(12_000)
   expect(scheduler.status().health['a1']).toEqual(0)
 })
+
+// A caller's job ends `failed deadlinePassed` though every target is idle. The tenant is held back by
+// its slots; when its last task ends a slot is free, but the rate has no start left. No further task
+// of the tenant will end, so only time can let it go on, and nothing had noted when.
+test('a tenant held by its slots and then by its rate goes on in time', () => {
+  const team = { tasksPerSecond: 1, burst: 2, slots: 1, weight: 1 }
+  const scheduler = schedulerWith([describe('a1')], { configuration: { ...configuration, tenants: { team } } })
+  scheduler.enqueue(tasks('job', 3, { service: 'record', deadline: 60_000 }), 0)
+  let started = 0
+  for (const now of [0, 10, 20, 500, 1100, 2100]) {
+    const assignments = scheduler.decide(now)
+    started += assignments.length
+    settleAll(scheduler, assignments, now + 5)
+  }
+  expect(started).toEqual(3)
+})
