Settings: timings are checked against each other, port 0 needs an address, suspect is 1.8 s

Cause: each timing was checked alone. A heartbeat as long as the suspect time has live entries removed, a contact below the interval of view reads makes agents refuse work, an agentLost of a heartbeat gives up agents at every reset, and a retention below a takeover forgets what ran. An entry with peers.port 0 and no address told the others of port 0.

Change: relations between timings, refused with path, bound, and what goes wrong below it; peers.address is asked for with port 0; the default of suspect is 1800.

--- a/packages/settings/src/defaults.ts
+++ b/packages/settings/src/defaults.ts
@@ -27,6 +27,9 @@
 /** Memory that a target offers to tasks which declare a need for it, in megabytes. */
 export const DEFAULT_MEMORY_MEGABYTES = 0
 
+/** Most entries that an agent's settings name to be asked for the view. */
+export const MAXIMUM_SEEDS = 16
+
 /** Least severity that is logged. */
 export const DEFAULT_LOG_LEVEL = 'info'
 
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -11,17 +11,21 @@
 import * as z from 'zod/mini'
 import {
   DEFAULT_ACCELERATORS, DEFAULT_CALLERS_PORT, DEFAULT_HOST, DEFAULT_LOG_LEVEL, DEFAULT_MEMORY_MEGABYTES,
-  DEFAULT_PEERS_PORT, DEFAULT_SLOTS, DEFAULT_STATUS_PORT, DEFAULT_STORE_PREFIX, DEFAULT_STORE_TIMEOUT_MILLISECONDS
+  DEFAULT_PEERS_PORT, DEFAULT_SLOTS, DEFAULT_STATUS_PORT, DEFAULT_STORE_PREFIX, DEFAULT_STORE_TIMEOUT_MILLISECONDS,
+  MAXIMUM_SEEDS
 } from './defaults.ts'
 import type { SettingsError } from './errors.ts'
 import { DocumentRefused, FileUnreadable } from './errors.ts'
 import { countSchema, described, millisecondsSchema, nameSchema, optionalNameSchema, portSchema, prefixSchema, urlSchema } from './fields.ts'
 import type { AgentSettings, EntrySettings, Settings } from './settingstypes.ts'
 import { LogLevel, Role } from './settingstypes.ts'
+import { faultsOfTimings } from './timingrelations.ts'
 import { parseJson, validate } from './validation.ts'
 
 export type { AgentSettings, EntrySettings, Settings } from './settingstypes.ts'
 
+const ADDRESS_EXAMPLE = '"http://10.0.0.7:7101"'
+
 /** Addresses that name every interface: nobody can connect to them. */
 const WILDCARD_HOSTS = new Set(['0.0.0.0', '::'])
 
@@ -88,7 +92,9 @@
 const agentSchema = z.strictObject({
   role: described(z.literal(Role.Agent), 'What this daemon does', Role.Agent),
   ...commonFields,
-  target: described(targetSchema, 'The target beside this agent', { url: 'http://127.0.0.1:6101', provider: 'provider-a', services: ['label-check'] })
+  target: described(targetSchema, 'The target beside this agent', { url: 'http://127.0.0.1:6101', provider: 'provider-a', services: ['label-check'] }),
+  seeds: z._default(described(z.array(described(urlSchema, 'URL of the inner listener of an entry', 'http://10.0.0.7:7101')).check(z.maxLength(MAXIMUM_SEEDS)),
+    'Entries that are asked for the view while the key-value service cannot be reached', ['http://10.0.0.7:7101', 'http://10.0.1.7:7101']), [])
 })
 
 /** Schema of the daemon's settings file. */
@@ -98,6 +104,8 @@
 /** Checks a value read from a settings file and fills in every default. */
 export function checkSettings (value: unknown): Result<Settings, DocumentRefused> {
   return validate(settingsSchema, value).andThen((checked) => {
+    const faults = faultsOfTimings(checked.timings)
+    if (faults.length > 0) return err(new DocumentRefused(faults))
     if (checked.role === Role.Agent) return ok<AgentSettings>(checked)
     return fillAddress(checked)
   })
@@ -118,15 +126,19 @@
 }
 
 /**
- * An entry that listens on every interface and advertises that address is unreachable: it would
- * join the view and every peer would connect to itself. Such settings must name the address.
+ * An entry that advertises every interface, or the port 0, is unreachable: it would join the view
+ * and every peer would connect to itself, or to nothing. Such settings must name the address.
  */
 function fillAddress (checked: z.output<typeof entrySchema>): Result<EntrySettings, DocumentRefused> {
   const { host, port, address } = checked.peers
   if (address !== undefined) return ok({ ...checked, peers: { host, port, address } })
   if (WILDCARD_HOSTS.has(host)) {
     const reason = `must be given when peers.host is ${host}, since nobody can connect to that`
-    return err(new DocumentRefused([{ path: 'peers.address', reason, example: '"http://10.0.0.7:7101"' }]))
+    return err(new DocumentRefused([{ path: 'peers.address', reason, example: ADDRESS_EXAMPLE }]))
+  }
+  if (port === 0) {
+    const reason = 'must be given when peers.port is 0, since the port is not known before the others are told of it'
+    return err(new DocumentRefused([{ path: 'peers.address', reason, example: ADDRESS_EXAMPLE }]))
   }
   return ok({ ...checked, peers: { host, port, address: `http://${host.includes(':') ? `[${host}]` : host}:${port}` } })
 }
--- a/packages/settings/src/settingstypes.ts
+++ b/packages/settings/src/settingstypes.ts
@@ -88,6 +88,8 @@
 export interface AgentSettings extends CommonSettings {
   role: Role.Agent
   target: TargetSettings
+  /** URLs of inner listeners of a few entries, asked for the view while the key-value service cannot be. @default [] */
+  seeds: string[]
 }
 
 /** Settings of one daemon. */
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -36,7 +36,7 @@
 
 test('an agent with every default', () => {
   const settings = checkSettings(AGENT)._unsafeUnwrap()
-  expect(settings).toLooseEqual(expect.subset({ role: 'agent', target: { ...AGENT.target, slots: 8, accelerators: 0, memoryMegabytes: 0 } }))
+  expect(settings).toLooseEqual(expect.subset({ role: 'agent', seeds: [], target: { ...AGENT.target, slots: 8, accelerators: 0, memoryMegabytes: 0 } }))
 })
 
 const EVERY_FIELD = 'role, id, dataCentre, rack, store, status, timings, log, callers, peers, scheduler'
@@ -82,6 +82,34 @@
     settings: { ...ENTRY, peers: { host: '0.0.0.0' } },
     lines: ['peers.address: must be given when peers.host is 0.0.0.0, since nobody can connect to that; example: "http://10.0.0.7:7101"']
   },
+  {
+    story: 'a port that nobody can know',
+    settings: { ...ENTRY, peers: { port: 0 } },
+    lines: ['peers.address: must be given when peers.port is 0, since the port is not known before the others are told of it; example: "http://10.0.0.7:7101"']
+  },
+  {
+    story: 'heartbeats as rare as the suspicion',
+    settings: { ...ENTRY, timings: { heartbeat: 650 } },
+    lines: ['timings.suspect: is 1800 when absent and must be at least 1950 (3 times heartbeat), else one heartbeat that is late has a live entry removed; example: 1950']
+  },
+  {
+    story: 'a contact that one read of the view outlasts',
+    settings: { ...AGENT, timings: { contact: 1799 } },
+    lines: ['timings.contact: is 1799 and must be at least 1800 (viewRead and 2 times heartbeat), else agents take themselves for cut off between two confirmations of the view, and refuse work; example: 1800']
+  },
+  {
+    story: 'agents that are given up at once',
+    settings: { ...ENTRY, timings: { agentLost: 1000 } },
+    lines: ['timings.agentLost: is 1000 and must be at least 1200 (3 times heartbeat), else an agent whose connection is reset is given up before it is back, and its tasks are answered "may have run"; example: 1200']
+  },
+  {
+    story: 'a memory shorter than a takeover and the clocks\' margin',
+    settings: { ...ENTRY, timings: { retention: 11_699, clockMargin: 11_699 } },
+    lines: [
+      'timings.retention: is 11699 and must be at least 11700 (4 times suspect, contact and agentLost), else what a lost entry ran is forgotten before another has taken its jobs over; example: 11700',
+      'timings.retention: is 11699 and must be at least 11700 (more than clockMargin), else a job that was lodged just now may count as forgotten; example: 11700'
+    ]
+  },
   {
     story: 'an unknown policy',
     settings: { ...ENTRY, scheduler: { policy: 'best' } },
@@ -89,6 +117,11 @@
   },
   { story: 'an agent without target', settings: { ...AGENT, target: undefined }, lines: ['target: is missing; example: {"url":"http://127.0.0.1:6101","provider":"provider-a","services":["label-check"]}'] },
   { story: 'a target without slots', settings: { ...AGENT, target: { ...AGENT.target, slots: 0 } }, lines: ['target.slots: must be at least 1; example: 8'] },
+  {
+    story: 'a seed that is an instance and no address',
+    settings: { ...AGENT, seeds: ['entry-1'] },
+    lines: ['seeds[0]: must be a http or https address, not "entry-1"; example: "http://10.0.0.7:7101"']
+  },
   { story: 'half a slot', settings: { ...AGENT, target: { ...AGENT.target, slots: 1.5 } }, lines: ['target.slots: must be a whole number, not 1.5; example: 8'] },
   {
     story: 'several faults at once',
@@ -101,6 +134,11 @@
   }
 ]
 
+test('timings at their bounds', () => {
+  const timings = { heartbeat: 600, suspect: 1800, viewRead: 1000, contact: 2200, agentLost: 1800, retention: 11_200, clockMargin: 11_199 }
+  expect(checkSettings({ ...ENTRY, timings }).isOk()).toEqual(true)
+})
+
 for (const { story, settings, lines } of FAULTS) {
   test(`settings refused: ${story}`, () => {
     expect(linesOf(checkSettings(settings))).toEqual(lines)
