--- a/packages/daemon/src/agentdaemon.ts
+++ b/packages/daemon/src/agentdaemon.ts
@@ -18,9 +18,11 @@
 import type { EffectHandlers } from './loop.ts'
 import { Loop, runLoop } from './loop.ts'
 import { Direction, ProcessMetrics } from './metrics.ts'
+import { Seeds } from './seeds.ts'
 import { silenceOf } from './silence.ts'
 import { StatusPort } from './status.ts'
 import { Target } from './targets.ts'
+import { plainView } from './viewcodec.ts'
 import { ViewReader } from './viewreader.ts'
 
 export class AgentDaemon implements Daemon {
@@ -30,6 +32,7 @@
   readonly #metrics = new ProcessMetrics()
   readonly #client: KeyValueClient
   readonly #viewReader: ViewReader
+  readonly #seeds: Seeds
   readonly #entries: Entries
   readonly #target: Target
   readonly #status: StatusPort
@@ -63,7 +66,9 @@
     this.#client = new KeyValueClient({ endpoints: settings.store.endpoints, timeoutMilliseconds: settings.store.timeoutMilliseconds, random, now })
     this.#viewReader = new ViewReader({ client: this.#client, settings: settings.store, log, now, random }, event => {
       if (event.type === 'viewRead') post({ type: 'viewRead', view: event.view })
+      else this.#askSeeds()
     })
+    this.#seeds = new Seeds(environment, settings.seeds)
     this.#entries = new Entries(environment, event => this.#received(event))
     this.#target = new Target(settings.target.url, settings.target.slots, post, now)
     const health = { ready: () => this.#state === AgentState.Serving, state: () => this.#state }
@@ -95,6 +100,7 @@
   }
 
   async close (): Promise<void> {
+    this.#seeds.stop()
     this.#entries.finish()
     await pause(FLUSH_MILLISECONDS)
     this.#status.close()
@@ -102,6 +108,11 @@
     await this.#client.close()
   }
 
+  async #askSeeds (): Promise<void> {
+    const view = await this.#seeds.view()
+    if (view !== undefined) this.#loop.post({ type: 'viewRead', view })
+  }
+
   #tick (): void {
     this.#entries.sweep(this.#environment.now(), this.#silence)
     this.#loop.post({ type: 'tick' })
@@ -123,6 +134,7 @@
   }
 
   #statusPage (): unknown {
+    const core = this.#agent.status()
     return {
       role: this.#settings.role,
       id: this.#settings.id,
@@ -132,7 +144,8 @@
       target: describeTarget(this.#settings),
       sizes: this.#sizes(),
       storeCalls: this.#client.calls,
-      ...this.#agent.status()
+      ...core,
+      view: plainView(core.view)
     }
   }
 }
--- a/packages/daemon/src/entrydaemon.ts
+++ b/packages/daemon/src/entrydaemon.ts
@@ -5,6 +5,7 @@
 import { EntryState } from '@amaranthmast/coordination/entrytypes'
 import { TaskScheduler } from '@amaranthmast/coordination/scheduler'
 import { KeyValueClient } from '@amaranthmast/platform/client'
+import type { EntryFrame } from '@amaranthmast/protocol/inner_pb'
 import { parseConfiguration } from '@amaranthmast/settings/configurationfile'
 import { publishedEntry } from '@amaranthmast/settings/publishedinstance'
 import type { EntrySettings } from '@amaranthmast/settings/settingstypes'
@@ -23,9 +24,11 @@
 import { Loop, runLoop } from './loop.ts'
 import { Direction, ProcessMetrics } from './metrics.ts'
 import { Peers } from './peers.ts'
+import { asksForView, tellView } from './seeds.ts'
 import { silenceOf } from './silence.ts'
 import { StatusPort } from './status.ts'
 import { EntryStore } from './store.ts'
+import { plainView } from './viewcodec.ts'
 
 export class EntryDaemon implements Daemon {
   readonly #environment: Environment
@@ -83,7 +86,7 @@
     this.#agents = new Agents(instance, event => this.#received('agent', event))
     this.#peers = new Peers(environment, event => this.#received('peer', event))
     this.#inner = new InnerListener({
-      agent: (frames, context) => this.#agents.serve(frames, context),
+      agent: (frames, context) => asksForView(context) ? this.#tellView() : this.#agents.serve(frames, context),
       peer: (frames, context) => this.#peers.serve(frames, context)
     })
     const health = { ready: () => this.#state === EntryState.Serving, state: () => this.#state }
@@ -157,6 +160,11 @@
     this.#loop.post({ type: 'tick' })
   }
 
+  #tellView (): AsyncGenerator<EntryFrame> {
+    const { view, configurationVersion } = this.#entry.status()
+    return tellView(this.#environment.instance, view, configurationVersion)
+  }
+
   #received (link: string, event: EntryEvent): void {
     if (event.type === 'agentMessage' || event.type === 'peerMessage') this.#metrics.message(link, Direction.Received, event.message.case)
     this.#loop.post(event)
@@ -174,6 +182,7 @@
   }
 
   #statusPage (): unknown {
+    const core = this.#entry.status()
     return {
       role: this.#settings.role,
       id: this.#settings.id,
@@ -182,7 +191,8 @@
       sizes: this.#sizes(),
       storeCalls: this.#client.calls,
       classes: this.#entryMetrics.figures(),
-      ...this.#entry.status()
+      ...core,
+      view: plainView(core.view)
     }
   }
 }
--- a/packages/daemon/src/innerclient.ts
+++ b/packages/daemon/src/innerclient.ts
@@ -60,8 +60,9 @@
   return await runStream(dial, destination, signal, outbox.frames(), { [PROBE_HEADER]: '1' }, () => {})
 }
 
-async function runStream<In, Out, InFrame, OutFrame> (
-  dial: LinkDial<In, Out, InFrame, OutFrame>, destination: Destination, signal: AbortSignal,
+/** Runs a stream until it ends. Never rejects. */
+export async function runStream<In, Out, InFrame, OutFrame> (
+  dial: Pick<LinkDial<In, Out, InFrame, OutFrame>, 'own' | 'open'>, destination: Destination, signal: AbortSignal,
   frames: AsyncIterable<OutFrame>, headers: Record<string, string>, received: (frame: InFrame) => void
 ): Promise<StreamEnd> {
   const slow = new AbortController()
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,5 @@
 /** The program `amaranthmastd`. */
+import './engine.ts'
 import type { Settings } from '@amaranthmast/settings/settingstypes'
 import { Role } from '@amaranthmast/settings/settingstypes'
 import type { Result } from 'neverthrow'
--- a/packages/daemon/src/viewcodec.ts
+++ b/packages/daemon/src/viewcodec.ts
@@ -18,7 +18,12 @@
 
 /** The value to store. Only the known fields are written, in a fixed order, so that values compare as text. */
 export function encodeView (view: View): string {
-  return JSON.stringify({ version: view.version, members: view.members.map(storedMember), fenced: view.fenced })
+  return JSON.stringify(plainView(view))
+}
+
+/** The view without what the inner protocol adds to received messages. */
+export function plainView ({ version, members, fenced }: View): View {
+  return { version, members: members.map(plainMember), fenced }
 }
 
 /** Reads a stored value. */
@@ -27,7 +32,7 @@
   return isView(parsed) ? ok(parsed) : err(new ViewUnreadable(key))
 }
 
-function storedMember ({ instance, address, dataCentre, leaving }: Member): Member {
+function plainMember ({ instance, address, dataCentre, leaving }: Member): Member {
   return { instance, address, dataCentre, leaving }
 }
 
