Tool: status shows drains and how to begin, waits name five laggards, help begins with examples

Cause, from using it on a fleet of 3 entries and 4 agents as a newcomer: `status` nowhere showed what drains, said "No problems." before the first apply, and listed entries in the order in which they were asked; a wait named every laggard in one line (1,100 names in a large fleet); in an outage `status` did not say that daemons can be asked all the same; the help of the tool had no example, and `top` did not say what RATIO is.

Ruled out: warning at the apply of a drain of a target that nobody knows: the target may be replaced at that moment.

Change: a section for drains, a line that tells how to begin, entries sorted in `status` and `top`, five laggards named and the others counted, texts of options and examples. Tests share their set-up; checks were added and none removed.

--- a/packages/cli/src/confirmation.ts
+++ b/packages/cli/src/confirmation.ts
@@ -1,6 +1,6 @@
 /** Which live instances have a version of the configuration in force, and waiting until all have. */
 import type { Instances, Survey } from './instances.ts'
-import { WAIT_PAUSE_MILLISECONDS } from './defaults.ts'
+import { LAGGARDS_NAMED, WAIT_PAUSE_MILLISECONDS } from './defaults.ts'
 import type { StatusPage } from './statuspage.ts'
 import { counted } from './table.ts'
 
@@ -68,7 +68,10 @@
   if (instances.length === 0) return 'no live instance is known'
   const confirmed = instances.length - laggards.length
   const head = `version ${version} is in force on ${confirmed} of ${counted(instances.length, 'instance')}`
-  return laggards.length === 0 ? head : `${head}; behind: ${laggards.map(describeLaggard).join(', ')}`
+  if (laggards.length === 0) return head
+  const more = laggards.length - LAGGARDS_NAMED
+  const named = laggards.slice(0, LAGGARDS_NAMED).map(describeLaggard).join(', ')
+  return `${head}; behind: ${named}${more > 0 ? ` and ${more} more` : ''}`
 }
 
 function describeLaggard ({ instance, version, reason }: InstanceVersion): string {
--- a/packages/cli/src/defaults.ts
+++ b/packages/cli/src/defaults.ts
@@ -38,3 +38,6 @@
 
 /** Status addresses read from the key-value service. */
 export const PUBLISHED_LIMIT = 1000
+
+/** Instances that a wait names as behind; of a large fleet the others are counted. */
+export const LAGGARDS_NAMED = 5
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -11,12 +11,12 @@
 
 /** Options by name. */
 export const OPTIONS = {
-  store: { type: 'string', array: true, default: [DEFAULT_STORE], requiresArg: true, describe: 'URL of the key-value service; repeat it for more' },
+  store: { type: 'string', array: true, default: [DEFAULT_STORE], requiresArg: true, describe: 'URL of the key-value service, once for each' },
   prefix: { type: 'string', default: DEFAULT_STORE_PREFIX, requiresArg: true, describe: 'Prefix of the keys in the key-value service' },
   json: { type: 'boolean', default: false, describe: 'Print one JSON object for scripts' },
-  status: { type: 'string', array: true, default: [], requiresArg: true, describe: 'URL of a status port to ask, in place of the published ones; repeat it for more' },
+  status: { type: 'string', array: true, default: [], requiresArg: true, describe: 'URL of a status port, once for each; the published ones when absent' },
   wait: { type: 'boolean', default: false, describe: 'Wait until every live instance has the version in force' },
-  'wait-seconds': { type: 'number', default: WAIT_SECONDS, requiresArg: true, describe: 'Longest wait' },
+  'wait-seconds': { type: 'number', default: WAIT_SECONDS, requiresArg: true, describe: 'Longest wait, in seconds' },
   limit: { type: 'number', default: HISTORY_LIMIT, requiresArg: true, describe: 'Versions to list' },
   undo: { type: 'boolean', default: false, describe: 'End the drain' },
   once: { type: 'boolean', default: false, describe: 'Print one picture and end' },
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -78,6 +78,10 @@
     .wrap(110)
     .version('0.1.0')
     .completion('completion', 'Print a script that completes commands and options in the shell')
+    .example('$0 get > configuration.json', 'begin with what is in force')
+    .example('$0 plan configuration.json', 'see what your changes would do')
+    .example('$0 apply configuration.json --wait', 'put them into force everywhere')
+    .example('$0 COMMAND --help', 'options and examples of one command')
     .epilogue(EXIT_CODES_HELP)
   for (const command of Object.values(COMMANDS)) addCommand(parser, command, environment, choose)
   return parser
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -44,15 +44,16 @@
   const survey = await context.instances.survey()
   const stored = current.isOk() ? current.value.stored : undefined
   const picture = pictureOf(stored, survey.unwrapOr(NO_SURVEY))
+  if (current.isOk() && stored === undefined) picture.problems.unshift('no configuration has been applied, so every job is refused: begin with amaranthmast get > FILE')
   const [failure] = [current, survey].flatMap((result) => result.isErr() ? [result.error] : [])
-  if (failure !== undefined) picture.problems.unshift(`the key-value service cannot be asked: ${failure.message}`)
+  if (failure !== undefined) picture.problems.unshift(`${failure.message}; the daemons themselves are asked with --status URL`)
   const answer = picture.entries.length + picture.agents.length === 0 ? ExitCode.NoStatus : ExitCode.Done
   return ok({ exitCode: failure?.exitCode ?? answer, lines: describePicture(picture), json: picture })
 }
 
 function pictureOf (stored: StoredConfiguration | undefined, survey: Survey): Picture {
   const pages = survey.asked.flatMap(({ page }) => page ?? [])
-  const entries = pages.filter(({ role }) => role === 'entry')
+  const entries = pages.filter(({ role }) => role === 'entry').sort((one, other) => one.instance.localeCompare(other.instance))
   const versions = versionsOf(survey)
   const agents = agentsOf(pages, versions)
   return {
@@ -128,18 +129,27 @@
 
 function describePicture (picture: Picture): string[] {
   const { stored, entries, agents, shares, problems } = picture
+  const drains = drainsOf(stored)
   const head = stored === undefined
-    ? 'No configuration is known.'
+    ? 'No configuration is known'
     : `Configuration version ${stored.version}, applied ${stored.appliedAt} (apply ${stored.applyId})`
   return [
     head,
     ...section(counted(entries.length, 'entry', 'entries'), entryTable(entries)),
     ...section(counted(agents.length, 'agent'), agentTable(agents)),
-    ...section('Shares of the tasks dispatched since each entry started', shareTable(shares)),
+    ...(shares.length === 0 ? [] : section('Shares of the tasks dispatched since each entry started', shareTable(shares))),
+    ...(drains.length === 0 ? [] : section('Draining: these receive no new work', drains)),
     ...section(problems.length === 0 ? 'No problems.' : 'Look at', problems.map((problem) => `! ${problem}`))
   ]
 }
 
+/** A drain stays until it is undone, and is easily forgotten. */
+function drainsOf (stored: StoredConfiguration | undefined): string[] {
+  if (stored === undefined) return []
+  const { targets, racks, providers } = stored.document.draining
+  return [...targets.map((name) => `target ${name}`), ...racks.map((name) => `rack ${name}`), ...providers.map((name) => `provider ${name}`)]
+}
+
 function section (title: string, lines: readonly string[]): string[] {
   return ['', title, ...lines.map((line) => `  ${line}`)]
 }
--- a/packages/cli/src/top.ts
+++ b/packages/cli/src/top.ts
@@ -42,6 +42,7 @@
   if (survey.isErr()) return err(survey.error)
   const at = context.now()
   const answering = survey.value.asked.flatMap(({ url, page }) => page?.role === 'entry' ? [{ url, page }] : [])
+  answering.sort((one, other) => one.page.instance.localeCompare(other.page.instance))
   const texts = await Promise.all(answering.map(({ url }) => context.instances.metrics(url)))
   const pages = answering.map(({ page }) => page)
   const silent = survey.value.asked.flatMap((asked) => asked.page === undefined ? [`${asked.url}: ${asked.reason}`] : [])
@@ -155,6 +156,6 @@
   summary: 'Watch the work of each tenant and service, and each entry',
   options: [...STORE_OPTIONS, 'status', 'once', 'interval'],
   positionals: {},
-  examples: [['$0 top', 'a picture every two seconds, until interrupted'], ['$0 top --once --json', 'one picture for a script']],
+  examples: [['$0 top', 'a picture every two seconds, until interrupted; RATIO is the whole time of a job in parts of its longest task'], ['$0 top --once --json', 'one picture for a script']],
   run: (context, options) => new ResultAsync(showTop(context, options))
 }
--- a/packages/cli/test/apply.test.ts
+++ b/packages/cli/test/apply.test.ts
@@ -1,7 +1,5 @@
 /** Applying a file: accepted once or refused whole, whatever happens to races, answers and the store. */
 import { test } from 'node:test'
-import type { TestContext } from 'node:test'
-import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
 import { LostAnswer, Outage } from '@amaranthmast/standins/keyvaluefaults'
 import { StoreTimedOut } from '@amaranthmast/platform/errors'
 import { expect } from 'earl'
@@ -9,26 +7,15 @@
 import type { Arguments, Report } from '../src/command.ts'
 import { RaceLost, ToolError } from '../src/errors.ts'
 import { ExitCode } from '../src/exitcodes.ts'
-import { fileWith, Tool } from './toolcontext.ts'
-
-/** A store of its own and a tool on it. */
-async function start (context: TestContext): Promise<{ store: KeyValueStandIn, tool: Tool }> {
-  const store = new KeyValueStandIn()
-  await store.start()
-  const tool = new Tool(store)
-  context.after(async () => {
-    await tool.client.close()
-    await store.stop()
-  })
-  return { store, tool }
-}
+import type { Tool } from './toolcontext.ts'
+import { fileWith, linesOf, startTool } from './toolcontext.ts'
 
 function textOf (outcome: Report | ToolError): string {
-  return outcome instanceof ToolError ? outcome.message : outcome.lines.join('\n')
+  return linesOf(outcome).join('\n')
 }
 
 test('an apply writes the version and its history together', async (context) => {
-  const { tool } = await start(context)
+  const { tool } = await startTool(context)
   const outcome = await tool.apply(fileWith(0, 60))
   expect(outcome.exitCode).toEqual(ExitCode.Done)
   expect(textOf(outcome)).toInclude('Version 1 is accepted (apply apply-1).\n  + service label-check: provider-a 60 %, provider-b 40 %')
@@ -38,7 +25,7 @@
 })
 
 test('a file that is in force already writes nothing', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   const { revision } = store
   const outcome = await tool.apply(fileWith(0, 60))
@@ -50,7 +37,7 @@
 // Two operators edit version 1 in the same minute. The second apply would undo what the first has
 // changed, and nobody would know until the shares are seen to be off.
 test('the loser of a race is told what changed since its base', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   await tool.apply(fileWith(1, 20))
   const { revision } = store
@@ -69,7 +56,7 @@
 // Both operators pass the check of the base before either has written. Only the comparison in the
 // store can tell them apart then.
 test('applies at the same instant: one wins', async (context) => {
-  const { tool } = await start(context)
+  const { tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   tool.files.one = fileWith(1, 20)
   tool.files.other = fileWith(1, 80)
@@ -83,7 +70,7 @@
 // again, and one who is told nothing does not know which shares are in force.
 for (const loseAnswersBy of Object.values(LostAnswer)) {
   test(`an answer that is lost once is settled, ${loseAnswersBy}`, async (context) => {
-    const { store, tool } = await start(context)
+    const { store, tool } = await startTool(context)
     await tool.apply(fileWith(0, 60))
     await store.setFaults({ loseAnswers: 1, loseAnswersBy })
     const { revision } = store
@@ -118,7 +105,7 @@
 // applied on top of it. The key no longer holds this apply, only the history does: without it the
 // tool would tell that the race was lost, though the apply was in force.
 test('an apply that a later one has replaced is known by its history', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   await store.setFaults({ loseAnswers: 1 })
   interceptWrite(tool, (send) => send().orElse((error) => meanwhileThen(() => tool.apply(fileWith(2, 80)), error)))
@@ -132,7 +119,7 @@
 // not claim one of theirs for its own.
 for (const others of [1, 2]) {
   test(`a write lost on the way loses the race to ${others} others`, async (context) => {
-    const { tool } = await start(context)
+    const { tool } = await startTool(context)
     await tool.apply(fileWith(0, 60))
     const applyOthers = async () => {
       for (let base = 1; base <= others; base++) await tool.apply(fileWith(base, 10 * base))
@@ -146,7 +133,7 @@
 
 for (const outage of [Outage.Refuse, Outage.Hang, Outage.NoLeader]) {
   test(`a store that is down changes nothing, ${outage}`, async (context) => {
-    const { store, tool } = await start(context)
+    const { store, tool } = await startTool(context)
     await tool.apply(fileWith(0, 60))
     await store.setFaults({ outage })
     const outcome = await tool.apply(fileWith(1, 20))
@@ -158,7 +145,7 @@
 }
 
 test('an outage between read and write changes nothing', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   interceptWrite(tool, (send) => ResultAsync.fromSafePromise(store.setFaults({ outage: Outage.NoLeader })).andThen(send))
   const outcome = await tool.apply(fileWith(1, 20))
@@ -170,7 +157,7 @@
 // The store goes down right after it took the write. Neither success nor failure can be told
 // truthfully: the tool must say so, and the same file applied later must not be written twice.
 test('an outage right after the write leaves the outcome open', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   await store.setFaults({ loseAnswers: 1 })
   interceptWrite(tool, (send) => send().orElse((error) => meanwhileThen(() => store.setFaults({ outage: Outage.Refuse }), error)))
@@ -184,7 +171,7 @@
 // A replica that lags answers the read of the base with an older version than the operator has
 // edited. Taking it for the truth tells the operator of a race that never was.
 test('a stale answer is not taken for a lost race', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   await tool.apply(fileWith(1, 20))
   await store.setFaults({ staleRevisions: 1 })
@@ -196,7 +183,7 @@
 // The base read is stale by one version and happens to be the one that the file was edited from.
 // The comparison in the store still refuses the write.
 test('a stale base is refused by the store', async (context) => {
-  const { store, tool } = await start(context)
+  const { store, tool } = await startTool(context)
   await tool.apply(fileWith(0, 60))
   await tool.apply(fileWith(1, 20))
   await store.setFaults({ staleRevisions: 1 })
@@ -216,7 +203,7 @@
 
 for (const { story, content, text, options } of BAD_FILES) {
   test(`refused before anything is sent: ${story}`, async (context) => {
-    const { store, tool } = await start(context)
+    const { store, tool } = await startTool(context)
     const outcome = await tool.apply(content, options)
     expect(outcome.exitCode).toEqual(ExitCode.BadInput)
     expect(textOf(outcome)).toInclude(text)
--- a/packages/cli/test/commands.test.ts
+++ b/packages/cli/test/commands.test.ts
@@ -3,30 +3,17 @@
 import type { TestContext } from 'node:test'
 import type { View } from '@amaranthmast/coordination/messages'
 import { DrainKind } from '@amaranthmast/settings/difference'
-import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
 import { Outage } from '@amaranthmast/standins/keyvaluefaults'
 import { expect } from 'earl'
-import type { Report } from '../src/command.ts'
-import { ToolError } from '../src/errors.ts'
 import { ExitCode } from '../src/exitcodes.ts'
 import type { StatusPage } from '../src/statuspage.ts'
-import { fileWith, pageOf, Tool } from './toolcontext.ts'
+import { fileWith, linesOf, pageOf, startTool } from './toolcontext.ts'
 
 /** A store with version 1 of a configuration, and a tool on it. */
-async function start (context: TestContext): Promise<{ store: KeyValueStandIn, tool: Tool }> {
-  const store = new KeyValueStandIn()
-  await store.start()
-  const tool = new Tool(store)
-  context.after(async () => {
-    await tool.client.close()
-    await store.stop()
-  })
-  await tool.apply(fileWith(0, 60))
-  return { store, tool }
-}
-
-function linesOf (outcome: Report | ToolError): string[] {
-  return outcome instanceof ToolError ? outcome.message.split('\n') : outcome.lines
+async function start (context: TestContext): ReturnType<typeof startTool> {
+  const started = await startTool(context)
+  await started.tool.apply(fileWith(0, 60))
+  return started
 }
 
 test('check names what a file holds', async (context) => {
@@ -169,6 +156,12 @@
     exitCode: ExitCode.Done,
     line: 'version 2 is in force on 3 of 3 instances'
   },
+  {
+    story: 'many lag',
+    pages: { 'http://a': pageOf('entry-1#1', 1, { agents: Array.from({ length: 6 }, (_, index) => ({ ...AGENT, instance: `agent-${index}#1` })) }) },
+    exitCode: ExitCode.WaitTimedOut,
+    line: 'version 2 is in force on 0 of 7 instances; behind: entry-1#1 (version 1), agent-0#1 (version 1), agent-1#1 (version 1), agent-2#1 (version 1), agent-3#1 (version 1) and 2 more'
+  },
   {
     story: 'a member was not asked',
     pages: { 'http://a': pageOf('entry-1#1', 2, { view: viewOf(['entry-1#1', 'entry-3#1', 'entry-4#1'], ['entry-4#1']) }) },
@@ -255,6 +248,21 @@
   expect(linesOf(outcome)).toInclude('  entry-1#1  gulf-1       serving     3              1       4        2       1')
 })
 
+test('status names drains and sorts entries', async (context) => {
+  const { tool } = await start(context)
+  await tool.run('drain', { kind: DrainKind.Rack, name: 'r1' })
+  for (const [url, instance] of [['http://a', 'entry-2#1'], ['http://b', 'entry-1#1']] as const) tool.pages[url] = () => pageOf(instance, 2)
+  const lines = linesOf(await tool.run('status', { status: ['http://a', 'http://b'] }))
+  expect(lines.filter((line) => line.includes('entry-')).map((line) => line.trim().split(' ')[0])).toEqual(['entry-1#1', 'entry-2#1'])
+  expect(lines.slice(lines.indexOf('Draining: these receive no new work'))[1]).toEqual('  rack r1')
+})
+
+test('status before the first apply says how to begin', async (context) => {
+  const { tool } = await startTool(context)
+  tool.pages['http://a'] = () => pageOf('entry-1#1', 0)
+  expect(linesOf(await tool.run('status', { status: ['http://a'] }))).toInclude('  ! no configuration has been applied, so every job is refused: begin with amaranthmast get > FILE')
+})
+
 test('status without any daemon', async (context) => {
   const { tool } = await start(context)
   const outcome = await tool.run('status', { status: ['http://a'] })
--- a/packages/cli/test/toolcontext.ts
+++ b/packages/cli/test/toolcontext.ts
@@ -1,13 +1,14 @@
 /** What the tests of the tool share: a context on the key-value stand-in, with everything else in memory. */
+import type { TestContext } from 'node:test'
 import { KeyValueClient } from '@amaranthmast/platform/client'
-import type { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
+import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
 import { err, ok } from 'neverthrow'
 import { FileUnreadable } from '@amaranthmast/settings/errors'
 import type { Arguments, Context, Report } from '../src/command.ts'
 import { COMMANDS } from '../src/commands.ts'
 import type { ConfigurationClient } from '../src/configurationstore.ts'
 import { ConfigurationStore } from '../src/configurationstore.ts'
-import type { ToolError } from '../src/errors.ts'
+import { ToolError } from '../src/errors.ts'
 import { Instances } from '../src/instances.ts'
 import type { StatusClient, StatusPage } from '../src/statuspage.ts'
 
@@ -17,6 +18,23 @@
   store: [], prefix: PREFIX, json: false, status: [], wait: false, waitSeconds: 1, limit: 20, undo: false, once: true, interval: 1, file: 'f', kind: 'rack' as Arguments['kind'], name: 'r1'
 }
 
+/** A store of its own that ends with the test, and a tool on it. */
+export async function startTool (context: TestContext): Promise<{ store: KeyValueStandIn, tool: Tool }> {
+  const store = new KeyValueStandIn()
+  await store.start()
+  const tool = new Tool(store)
+  context.after(async () => {
+    await tool.client.close()
+    await store.stop()
+  })
+  return { store, tool }
+}
+
+/** What a command prints: its report, or its error. */
+export function linesOf (outcome: Report | ToolError): string[] {
+  return outcome instanceof ToolError ? outcome.message.split('\n') : outcome.lines
+}
+
 /** A valid file with the share of one of two providers. */
 export function fileWith (editedFrom: number, share: number): Record<string, unknown> {
   return {
