--- a/packages/bench/src/convergencecores.ts
+++ b/packages/bench/src/convergencecores.ts
@@ -42,6 +42,7 @@
   { name: 'every watch misses it', act: fleet => fleet.store.apply(2, false) },
   { name: 'outage of 8 s, one entry has it', act: applyBeforeOutage },
   { name: 'the same, an agent starts after 1 s', act: fleet => startInOutage(fleet, () => fleet.startAgent('agent-late')) },
+  { name: 'the same, an agent with seeds starts after 1 s', act: fleet => startInOutage(fleet, () => fleet.startAgent('agent-late', true)) },
   { name: 'the same, an entry starts after 1 s', act: fleet => startInOutage(fleet, () => fleet.startEntry('entry-late')) },
   { name: 'no change, an agent starts', act: fleet => { fleet.startAgent('agent-late') } },
   { name: 'no change, an entry starts', act: fleet => { fleet.startEntry('entry-late') } },
--- a/packages/bench/src/detectionfleet.ts
+++ b/packages/bench/src/detectionfleet.ts
@@ -48,6 +48,8 @@
   /** Instances that it keeps a link to. */
   wanted: Set<Instance>
   reading: boolean
+  /** Whether its settings name entries to ask for the view when the store does not answer. */
+  seeds?: boolean
 }
 
 /** Messages by kind, and what the fleet saw. */
@@ -70,6 +72,7 @@
 const LEAST_WAIT = 0.75
 const WAIT_SPREAD = 0.5
 const SLOTS = 8
+const SEED_ROUND_TRIP = 4
 
 /**
  * The real scheduler, watched: an entry takes a target down when its link ends, and takes a target
@@ -154,8 +157,9 @@
     return process
   }
 
-  startAgent (id: string): FleetProcess {
+  startAgent (id: string, seeds = false): FleetProcess {
     const process = this.#newProcess(id)
+    process.seeds = seeds
     const target = { target: id, provider: 'provider-a', services: ['label-check'], slots: SLOTS, accelerators: 0, memoryMegabytes: 65_536, dataCentre: 'gulf-1', rack: 'r1' }
     process.agent = new Agent({ instance: process.instance, target, slots: new Slots({ ...target, queueLimit: SLOTS }), timings: this.#options.timings })
     this.#begin(process)
@@ -312,6 +316,7 @@
       process.reading = false
       if (result === undefined) {
         if (process.entry !== undefined) this.#handle(process, { type: 'viewReadFailed' })
+        else if (process.seeds === true) this.#askSeed(process)
         return
       }
       const { view, revision } = result
@@ -319,6 +324,13 @@
     }))
   }
 
+  /** One round trip to an entry, and one to open the connection. */
+  #askSeed (process: FleetProcess): void {
+    const [seed] = this.entries
+    if (seed === undefined) return
+    this.loop.after(2 * SEED_ROUND_TRIP, () => this.#deliver(process, () => this.#handle(process, { type: 'viewRead', view: this.#viewOf(seed) })))
+  }
+
   #writeView (process: FleetProcess, view: View, expectedRevision: number): void {
     this.store.write(process.instance, view, expectedRevision, outcome => this.#deliver(process, () => {
       this.#handle(process, { type: 'viewWritten', outcome })
