--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -23,6 +23,7 @@
   target: 'packages/standins/src/targetmain.ts',
   load: 'packages/standins/src/loadmain.ts',
   demo: 'packages/standins/src/demo.ts',
+  fleet: 'packages/standins/src/fleetmain.ts',
   bench: 'packages/bench/src/main.ts',
   capacity: 'packages/bench/src/capacity.ts',
   path: 'packages/bench/src/path.ts'
