--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,12 +1,13 @@
 /**
- * The bench: `npm run bench -- --json`. Prints a table for each section, and with `--json` one
- * object with all figures as its last line.
+ * The bench: `npm run bench -- --json`. Prints a table for each section, with `--json` one object
+ * with all figures as its last line, and with `--report` a page with plots in report/index.html.
  */
 import type { Row, SectionOptions } from './sections.ts'
-import { sections } from './sections.ts'
+import { processSections, sections } from './sections.ts'
 
 interface BenchOptions extends SectionOptions {
   json: boolean
+  report: boolean
   section: string | undefined
 }
 
@@ -36,18 +37,18 @@
 }
 
 function readOptions (words: readonly string[]): BenchOptions {
-  const options: BenchOptions = { json: false, section: undefined, seed: 1, seconds: 300 }
+  const options: BenchOptions = { json: false, report: false, section: undefined, seed: 1, seconds: 300 }
   const left = [...words]
   while (left.length > 0) {
     const word = left.shift() as string
-    if (word === '--json') {
-      options.json = true
+    if (word === '--json' || word === '--report') {
+      options[word === '--json' ? 'json' : 'report'] = true
       continue
     }
     const handler = optionHandlers[word]
     const value = left.shift()
     if (handler === undefined || value === undefined) {
-      throw new UsageError(`cannot read ${word}: use --json, --seed N, --seconds N, --section NAME`)
+      throw new UsageError(`cannot read ${word}: use --json, --report, --seed N, --seconds N, --section NAME`)
     }
     handler(options, value)
   }
@@ -64,19 +65,33 @@
   }
 }
 
-function run (options: BenchOptions): void {
+function isWanted (name: string, { section, json }: BenchOptions): boolean {
+  if (section !== undefined) return section === name
+  return json || !processSections.has(name)
+}
+
+async function run (options: BenchOptions): Promise<void> {
   const results: Record<string, Row[]> = {}
   for (const [name, section] of Object.entries(sections)) {
-    if (options.section !== undefined && options.section !== name) continue
-    const rows = section(options)
+    if (!isWanted(name, options)) continue
+    const rows = await section(options)
     results[name] = rows
     printTable(name, rows)
   }
+  if (options.report) await report(options, results)
   if (options.json) console.log(JSON.stringify({ seed: options.seed, seconds: options.seconds, sections: results }))
 }
 
+/** The plotting libraries are loaded only when they are needed. */
+async function report (options: BenchOptions, results: Readonly<Record<string, Row[]>>): Promise<void> {
+  const { writeReport } = await import('./reportpage.ts')
+  const { measureTimelines } = await import('./timelines.ts')
+  const file = await writeReport('report', { ...results, ...measureTimelines(options) })
+  console.log(`\nreport: ${file}`)
+}
+
 try {
-  run(readOptions(process.argv.slice(2)))
+  await run(readOptions(process.argv.slice(2)))
 } catch (error) {
   if (!(error instanceof UsageError)) throw error
   console.error(error.message)
--- a/packages/bench/src/sections.ts
+++ b/packages/bench/src/sections.ts
@@ -8,6 +8,7 @@
 import { measureFaults } from './faultsection.ts'
 import { measureOverload } from './overloadsection.ts'
 import { measurePolicies } from './policysection.ts'
+import { measureProcesses } from './processsection.ts'
 import { measureShares } from './sharesection.ts'
 import { measureTenants } from './tenantsection.ts'
 
@@ -22,7 +23,10 @@
 export type Row = Record<string, string | number>
 
 /** One section: measures, and returns the rows of its table. */
-export type Section = (options: SectionOptions) => Row[]
+export type Section = (options: SectionOptions) => Row[] | Promise<Row[]>
+
+/** Sections that start processes: they run when they are asked for by name, or all figures are. */
+export const processSections: ReadonlySet<string> = new Set(['processes'])
 
 /** The sections in the order in which they run. */
 export const sections: Readonly<Record<string, Section>> = {
@@ -39,5 +43,6 @@
   detection: measureDetection,
   falseRemovals: measureFalseRemovals,
   agentLoss: measureAgentLoss,
-  reports: measureReports
+  reports: measureReports,
+  processes: measureProcesses
 }
--- a/packages/bench/src/sharesection.ts
+++ b/packages/bench/src/sharesection.ts
@@ -1,6 +1,7 @@
 /** Error of the provider shares over windows of 200 tasks, at several shares and numbers of entries. */
 import { largestShareError, rounded } from './measures.ts'
 import { Model } from './model.ts'
+import type { StartRecord } from './model.ts'
 import type { Row, SectionOptions } from './sections.ts'
 import { configurationFor, makeJobs, profiles, User } from './workload.ts'
 
@@ -24,8 +25,9 @@
   const user = User.Magnolia
   const jobs = makeJobs({ user, load: LOAD, milliseconds: seconds * 1000, seed })
   const result = new Model({ user, jobs, configuration: configurationFor(user, sharesOf(share)), seed, entries }).run()
-  const errors = profiles[user].services.map(service => largestShareError(result.dispatches, service, 'provider-a', share, WINDOW))
-  return { share, entries, tasks: result.dispatches.length, errorPoints: Math.max(...errors) }
+  const errorOf = (records: readonly StartRecord[]): number =>
+    Math.max(...profiles[user].services.map(service => largestShareError(records, service, 'provider-a', share, WINDOW)))
+  return { share, entries, tasks: result.dispatches.length, errorPoints: errorOf(result.dispatches), errorPointsByStart: errorOf(result.starts) }
 }
 
 /** From 70 to 20 percent at half time: error of the windows before, and of those wholly after. */
