Entry, router, jobs, agent and the model checker's world in modules with one job each; one guard less

Cause: entry.ts had grown to 677 lines, router.ts to 535, jobs.ts to 493, explore/world.ts to 481, explore/steps.ts to 435 and agent.ts to 401, each with several jobs in it. The guard `view` of the entry could be switched off although no schedule is known that needs it, so that its switch proved nothing.

Ruled out: inheritance and shared mutable bags of fields (a part could then reach everything); passing the whole entry to its parts (each gets the parts and the questions that it uses); taking the check behind the guard `view` away (it costs nothing and is a second line of defence: the check stays and says so, the switch and its search focus are gone). Kept although they look alike: field lists and constructors of the parts, and the set-up of agent and ledger tests, which each test shows whole.

Change, behaviour the same: - entry: entryparts (what each part is handed), entrylinks, rangememory (transfers known, losses, horizon), transfers, agentexchange, peerexchange, configurationexchange, plannedstop. - router: taking (taking up and parking), questions (cancel and look-up), holders, waiting, unproved. - jobs: dispatching, secondmemory, answeredjobs and refusals (remembered with their bounds). - agent: agenttasks, agentstop, agentguards; messagehandlers serves both roles in place of a type and a look-up in each. - explore: steps into deeds, traps, joblot, picks, recovery; world into processes, effects, dialling, callers, trace. - The same logic written more than once is one now: whether a held job waits to be resumed (5 places), whether an answer says "not run" (2), dropping a request that nobody waits for (3), who else holds a job (5), picking by number (5).

Conclusion: a newcomer finds one job in each module, and the switches that are left each have a search that finds them.

--- a/packages/coordination/explore/guards.ts
+++ b/packages/coordination/explore/guards.ts
@@ -1,12 +1,11 @@
 /** The guards that can be switched off, by name. */
-import type { AgentGuards } from '../src/agent.ts'
+import type { AgentGuards } from '../src/agentguards.ts'
 import type { EntryGuards } from '../src/entrycontext.ts'
-import type { Guards } from './world.ts'
+import type { Guards } from './processes.ts'
+import { ALL_AGENT_GUARDS } from '../src/agentguards.ts'
 import { ALL_ENTRY_GUARDS } from '../src/entrycontext.ts'
 import { Action } from './schedule.ts'
 
-const ALL_AGENT_GUARDS: AgentGuards = { fence: true, incarnation: true, ledger: true, isolation: true, rooted: true }
-
 export const GUARD_NAMES: string[] = [...Object.keys(ALL_ENTRY_GUARDS), ...Object.keys(ALL_AGENT_GUARDS)]
 
 /** Every guard on but one. */
@@ -23,7 +22,6 @@
   rooted: [Action.HideNewAgent],
   isolation: [Action.SplitAndSubmitBoth],
   acquaintance: [Action.JoinBehindCut],
-  view: [Action.CutOneWay, Action.PauseRunnerAndResubmit],
   refusal: [Action.CutRunnerWithAgent, Action.CrashRunnerAndResubmit],
   inForce: [Action.PauseRunnerAndResubmit, Action.Resubmit],
   release: [Action.CrashRunnerAndResubmit, Action.JoinEntry, Action.Resubmit],
--- a/packages/coordination/explore/invariants.ts
+++ b/packages/coordination/explore/invariants.ts
@@ -86,8 +86,9 @@
     return this.#violation
   }
 
-  get requests (): IterableIterator<CallerRequest> {
-    return this.#requests.values()
+  /** Requests whose callers still wait. */
+  open (): CallerRequest[] {
+    return [...this.#requests.values()].filter(request => request.answer === undefined && !request.abandoned)
   }
 
   report (invariant: Invariant, detail: string): void {
--- a/packages/coordination/explore/world.ts
+++ b/packages/coordination/explore/world.ts
@@ -3,28 +3,31 @@
  * a store, targets and a network that fail. Each process has its own clocks, which start anywhere
  * and run a little fast or slow.
  */
-import type { AgentEffect, AgentEvent } from '../src/agenttypes.ts'
-import type { AgentGuards } from '../src/agent.ts'
+import type { AgentEvent } from '../src/agenttypes.ts'
 import type { Configuration } from '../src/configuration.ts'
 import type { Timings } from '../src/defaults.ts'
-import type { EntryGuards } from '../src/entrycontext.ts'
-import type { EntryEffect, EntryEvent } from '../src/entrytypes.ts'
-import type { EntryToAgent, AgentToEntry, Instance, Job, PeerMessage } from '../src/messages.ts'
+import type { EntryEvent } from '../src/entrytypes.ts'
+import type { AgentToEntry, EntryToAgent, Instance, PeerMessage } from '../src/messages.ts'
 import type { AnyMessage } from './network.ts'
+import type { AgentProcess, EntryProcess, Guards, Process } from './processes.ts'
 import type { Schedule } from './schedule.ts'
 import { Agent } from '../src/agent.ts'
 import { DEFAULT_TIMINGS } from '../src/defaults.ts'
 import { Entry } from '../src/entry.ts'
 import { TaskScheduler } from '../src/scheduler.ts'
 import { Slots } from '../src/slots.ts'
-import { idOf } from '../src/view.ts'
+import { Callers } from './callers.ts'
 import { Chance } from './chance.ts'
+import { Dialling } from './dialling.ts'
+import { Effects } from './effects.ts'
 import { FakeScheduler } from './fakescheduler.ts'
 import { FakeStore } from './fakestore.ts'
 import { FakeTargets } from './faketarget.ts'
 import { Judge } from './invariants.ts'
+import { SERVICE, TENANT } from './names.ts'
 import { Network } from './network.ts'
 import { Timeline } from './timeline.ts'
+import { Trace } from './trace.ts'
 
 const TICK = 200
 const DIAL_PAUSE = 250
@@ -33,10 +36,6 @@
 const CLOCK_MARGIN = 300
 const CLOCK_RATE = 0.04
 const SHORT_RETENTION = 8000
-const STORE = 'store'
-
-export const SERVICE = 'service'
-export const TENANT = 'tenant'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -46,35 +45,6 @@
   draining: { targets: [], racks: [], providers: [] }
 }
 
-/** Guards to be switched off. */
-export interface Guards {
-  entry: EntryGuards
-  agent: AgentGuards
-}
-
-interface Process {
-  instance: Instance
-  id: string
-  alive: boolean
-  frozen: boolean
-  /** What has arrived while it was frozen. */
-  inbox: Array<() => void>
-  /** Instances to which it keeps a link, each with an instance's own address. */
-  wanted: Set<Instance>
-  clock: () => number
-  wallClock: () => number
-}
-
-export interface EntryProcess extends Process {
-  core: Entry
-  stopping: boolean
-}
-
-export interface AgentProcess extends Process {
-  core: Agent
-  target: string
-}
-
 export class World {
   readonly timeline = new Timeline()
   readonly chance: Chance
@@ -82,25 +52,28 @@
   readonly targets: FakeTargets
   readonly network: Network
   readonly judge: Judge
+  readonly callers: Callers
   readonly entries = new Map<Instance, EntryProcess>()
   readonly agents = new Map<Instance, AgentProcess>()
   readonly #schedule: Schedule
   readonly #guards: Guards
   readonly #timings: Timings
   readonly #incarnations = new Map<string, number>()
-  readonly #trace: ((line: string) => void) | undefined
-  #nextRequest = 1
+  readonly #ticks = new Map<Instance, () => void>()
+  readonly #trace: Trace
+  readonly #dialling: Dialling
+  readonly #effects: Effects
 
-  constructor (schedule: Schedule, guards: Guards, trace?: (line: string) => void) {
+  constructor (schedule: Schedule, guards: Guards, print?: (line: string) => void) {
     this.#schedule = schedule
     this.#guards = guards
-    this.#trace = trace
+    this.#trace = new Trace(this.timeline, print)
     this.#timings = { ...DEFAULT_TIMINGS, clockMargin: CLOCK_MARGIN, ...(schedule.shortRetention && { retention: SHORT_RETENTION }) }
     this.chance = new Chance(schedule.seed)
     this.judge = new Judge(() => this.timeline.now, this.#timings.retention, entry => this.store.removedAt(entry))
     this.store = new FakeStore(this.timeline, this.chance)
     this.targets = new FakeTargets(this.timeline, this.chance, (job, index, agent, earlier) => {
-      this.#note(agent, `START ${job}/${index}`)
+      this.#trace.note(agent, `START ${job}/${index}`)
       this.judge.taskStarted(job, index, agent, earlier, earlier.length > 0 && this.#forgotten())
     })
     this.network = new Network(this.timeline, this.chance, {
@@ -110,6 +83,9 @@
       linkUp: (at, other) => this.#linkUp(at, other),
       linkDown: (at, other) => this.#linkDown(at, other)
     })
+    this.#dialling = this.#newDialling()
+    this.#effects = this.#newEffects()
+    this.callers = this.#newCallers()
   }
 
   /** Lets time pass; true when an invariant is broken. */
@@ -130,6 +106,11 @@
     return [...this.agents.values()].filter(agent => agent.alive)
   }
 
+  /** Milliseconds since 1970, by the callers' clock. */
+  wallNow (): number {
+    return WALL_EPOCH + this.timeline.now
+  }
+
   // Processes
 
   startEntry (id: string): void {
@@ -149,7 +130,7 @@
     })
     const entry: EntryProcess = { ...base, core, stopping: false }
     this.entries.set(instance, entry)
-    this.#note(instance, 'started')
+    this.#trace.note(instance, 'started')
     this.#entryEvent(entry, { type: 'configurationRead', configuration: CONFIGURATION, document: new Uint8Array() })
     this.#beginTicks(entry, () => this.#handleEntry(entry, { type: 'tick' }))
   }
@@ -168,19 +149,19 @@
     })
     const agent: AgentProcess = { ...this.#newProcess(instance, id), core, target }
     this.agents.set(instance, agent)
-    this.#note(instance, 'started')
+    this.#trace.note(instance, 'started')
     this.#beginTicks(agent, () => this.#handleAgent(agent, { type: 'tick' }))
   }
 
   crash (process: Process): void {
     if (!process.alive) return
-    this.#note(process.instance, 'CRASH')
+    this.#trace.note(process.instance, 'CRASH')
     this.#end(process)
   }
 
   freeze (process: Process, duration: number): void {
     if (!process.alive || process.frozen) return
-    this.#note(process.instance, `PAUSE ${duration}`)
+    this.#trace.note(process.instance, `PAUSE ${duration}`)
     process.frozen = true
     this.timeline.after(duration, () => this.wake(process))
   }
@@ -194,7 +175,7 @@
 
   /** What arrives while the queue is worked off stands behind what has waited. */
   #drain (process: Process): void {
-    this.#note(process.instance, 'WAKE')
+    this.#trace.note(process.instance, 'WAKE')
     const tick = this.#ticks.get(process.instance)
     if (tick !== undefined && this.chance.happens(0.5)) process.inbox.unshift(tick)
     for (let next = process.inbox.shift(); next !== undefined && process.alive; next = process.inbox.shift()) next()
@@ -202,53 +183,15 @@
 
   stopEntry (entry: EntryProcess): void {
     entry.stopping = true
-    this.#note(entry.instance, 'STOP')
+    this.#trace.note(entry.instance, 'STOP')
     this.#entryEvent(entry, { type: 'stopOrdered' })
   }
 
   stopAgent (agent: AgentProcess): void {
-    this.#note(agent.instance, 'STOP')
+    this.#trace.note(agent.instance, 'STOP')
     this.#agentEvent(agent, { type: 'stopOrdered' })
   }
 
-  // Callers
-
-  wallNow (): number {
-    return WALL_EPOCH + this.timeline.now
-  }
-
-  submit (entry: EntryProcess, job: Job): string {
-    return this.#ask(entry, job, true, request => ({ type: 'submitted', request, job }))
-  }
-
-  cancel (entry: EntryProcess, job: Job): void {
-    this.#ask(entry, job, false, request => ({ type: 'cancelRequested', request, job: job.key }))
-  }
-
-  lookUp (entry: EntryProcess, job: Job): void {
-    const request = `look-up-${this.#nextRequest++}`
-    this.#entryEvent(entry, { type: 'lookUpRequested', request, job: job.key })
-  }
-
-  callerGone (request: string): void {
-    const asked = this.judge.request(request)
-    const entry = asked === undefined ? undefined : this.entries.get(asked.entry)
-    if (asked === undefined || entry === undefined || asked.answer !== undefined) return
-    asked.abandoned = true
-    this.#note(entry.instance, `caller of ${request} gone`)
-    this.#entryEvent(entry, { type: 'callerGone', request })
-  }
-
-  #ask (entry: EntryProcess, job: Job, isSubmission: boolean, event: (request: string) => EntryEvent): string {
-    const name = `request-${this.#nextRequest++}`
-    const asked = { name, entry: entry.instance, job, submittedAt: this.timeline.now, isSubmission, answer: undefined, received: false, abandoned: !entry.alive }
-    this.judge.asked(asked)
-    this.#arrive(entry, () => { asked.received = true })
-    this.#note(entry.instance, `${isSubmission ? 'SUBMIT' : 'CANCEL'} ${job.key} ${name}`)
-    this.#entryEvent(entry, event(name))
-    return name
-  }
-
   // Events in
 
   #entryEvent (entry: EntryProcess, event: EntryEvent): void {
@@ -257,7 +200,7 @@
 
   #handleEntry (entry: EntryProcess, event: EntryEvent): void {
     const effects = entry.core.handle(event, entry.clock())
-    for (const effect of effects) this.#entryEffect(entry, effect)
+    for (const effect of effects) this.#effects.ofEntry(entry, effect)
   }
 
   #agentEvent (agent: AgentProcess, event: AgentEvent): void {
@@ -266,7 +209,7 @@
 
   #handleAgent (agent: AgentProcess, event: AgentEvent): void {
     const effects = agent.core.handle(event, agent.clock())
-    for (const effect of effects) this.#agentEffect(agent, effect)
+    for (const effect of effects) this.#effects.ofAgent(agent, effect)
   }
 
   #arrive (process: Process, handle: () => void): void {
@@ -276,7 +219,7 @@
   }
 
   #deliver (to: Instance, from: Instance, message: AnyMessage): void {
-    if (this.#trace !== undefined) this.#note(to, `<- ${from} ${message.case}${this.#brief(message)}`)
+    this.#trace.received(to, from, message)
     const entry = this.entries.get(to)
     if (entry !== undefined) {
       if (this.agents.has(from)) this.#entryEvent(entry, { type: 'agentMessage', agent: from, message: message as AgentToEntry })
@@ -288,7 +231,7 @@
   }
 
   #linkUp (at: Instance, other: Instance): void {
-    this.#note(at, `link to ${other} up`)
+    this.#trace.note(at, `link to ${other} up`)
     const entry = this.entries.get(at)
     if (entry !== undefined && this.entries.has(other)) this.#entryEvent(entry, { type: 'peerConnected', peer: other })
     const agent = this.agents.get(at)
@@ -296,7 +239,7 @@
   }
 
   #linkDown (at: Instance, other: Instance): void {
-    this.#note(at, `link to ${other} down`)
+    this.#trace.note(at, `link to ${other} down`)
     const entry = this.entries.get(at)
     if (entry === undefined) {
       const agent = this.agents.get(at)
@@ -307,105 +250,49 @@
     else this.#entryEvent(entry, { type: 'peerDisconnected', peer: other, refused: false })
   }
 
-  // Effects out
-
-  #entryEffect (entry: EntryProcess, effect: EntryEffect): void {
-    if (!entry.alive) return
-    switch (effect.type) {
-      case 'answer':
-        this.#note(entry.instance, `ANSWER ${effect.request} kind ${effect.answer.kind} cause ${effect.answer.cause} ${effect.answer.detail}`)
-        this.judge.decided(effect.answer)
-        this.judge.answered(effect.request, effect.answer)
-        break
-      case 'sendAgent': this.network.send(entry.instance, effect.agent, effect.message); break
-      case 'sendPeer':
-        if (effect.message.case === 'answer') this.judge.decided(effect.message.value.answer)
-        this.network.send(entry.instance, effect.peer, effect.message)
-        break
-      case 'connectPeers': this.#want(entry, effect.peers.map(peer => peer.instance)); break
-      case 'readView': this.#readView(entry); break
-      case 'writeView':
-        this.store.write(this.#pathOf(entry), effect.view, effect.expectedRevision, outcome => {
-          this.#note(entry.instance, `view ${effect.view.version} written: ${outcome} [${effect.view.members.map(member => member.instance).join(' ')}]`)
-          this.#entryEvent(entry, { type: 'viewWritten', outcome })
-        })
-        break
-      case 'stateChanged': this.#note(entry.instance, `state ${effect.state} ${effect.detail}`); break
-      case 'stopped': this.#stopped(entry); break
-    }
-  }
-
-  #agentEffect (agent: AgentProcess, effect: AgentEffect): void {
-    if (!agent.alive) return
-    switch (effect.type) {
-      case 'sendEntry': this.network.send(agent.instance, effect.entry, effect.message); break
-      case 'startTask':
-        this.targets.run(agent.instance, effect.task, effect.dispatch, ending => {
-          this.#agentEvent(agent, { type: 'taskEnded', task: effect.task, ...ending })
-        })
-        break
-      case 'abortTask': this.targets.abort(agent.instance, effect.task); break
-      case 'connectEntries': this.#want(agent, effect.entries.map(entry => entry.instance)); break
-      case 'readView':
-        this.store.read(this.#pathOf(agent), outcome => {
-          if (outcome !== undefined) this.#agentEvent(agent, { type: 'viewRead', view: outcome.view })
-        })
-        break
-      case 'stateChanged': this.#note(agent.instance, `state ${effect.state} ${effect.detail}`); break
-      case 'stopped': this.#note(agent.instance, 'stopped'); this.#end(agent); break
-    }
-  }
-
-  #stopped (entry: EntryProcess): void {
-    this.#note(entry.instance, 'stopped')
-    this.judge.stoppedWithout(entry.instance)
-    this.#end(entry)
-  }
+  // Parts
 
-  #readView (entry: EntryProcess): void {
-    const readStarted = entry.clock()
-    this.store.read(this.#pathOf(entry), outcome => {
-      if (outcome === undefined) this.#entryEvent(entry, { type: 'viewReadFailed' })
-      else this.#entryEvent(entry, { type: 'viewRead', ...outcome, readStarted })
+  #newDialling (): Dialling {
+    return new Dialling({
+      timeline: this.timeline,
+      chance: this.chance,
+      network: this.network,
+      process: instance => this.process(instance),
+      isEntry: instance => this.entries.has(instance),
+      current: id => this.#current(id),
+      refused: (instance, peer) => {
+        const entry = this.entries.get(instance)
+        if (entry !== undefined) this.#entryEvent(entry, { type: 'peerDisconnected', peer, refused: true })
+      }
     })
   }
 
-  #pathOf (process: Process): { there: () => boolean, back: () => boolean } {
-    return {
-      there: () => !this.network.isCut(process.id, STORE),
-      back: () => !this.network.isCut(STORE, process.id)
-    }
-  }
-
-  #want (process: Process, instances: Instance[]): void {
-    const dropped = [...process.wanted].filter(instance => !instances.includes(instance))
-    process.wanted = new Set(instances)
-    for (const instance of dropped) {
-      if (this.process(instance)?.wanted.has(process.instance) !== true) this.network.close(process.instance, instance)
-    }
-    this.#dial(process)
-  }
-
-  #dial (process: Process): void {
-    if (!process.alive || process.frozen) return
-    for (const instance of process.wanted) {
-      if (this.network.linked(process.instance, instance)) continue
-      if (!this.network.isolated(process.id, idOf(instance))) this.#call(process, instance)
-    }
+  #newEffects (): Effects {
+    return new Effects({
+      store: this.store,
+      targets: this.targets,
+      network: this.network,
+      judge: this.judge,
+      dialling: this.#dialling,
+      trace: this.#trace,
+      entryEvent: (entry, event) => this.#entryEvent(entry, event),
+      agentEvent: (agent, event) => this.#agentEvent(agent, event),
+      end: process => this.#end(process)
+    })
   }
 
-  #call (process: Process, instance: Instance): void {
-    const callee = this.process(instance)
-    if (callee?.alive === true) {
-      if (!callee.frozen) this.network.connect(process.instance, instance)
-      return
-    }
-    const entry = this.entries.get(process.instance)
-    if (entry === undefined || this.#current(idOf(instance)) !== undefined) return
-    this.timeline.after(this.chance.between(0, 10), () => this.#entryEvent(entry, { type: 'peerDisconnected', peer: instance, refused: true }))
+  #newCallers (): Callers {
+    return new Callers({
+      timeline: this.timeline,
+      judge: this.judge,
+      entries: this.entries,
+      trace: this.#trace,
+      arrive: (entry, handle) => this.#arrive(entry, handle),
+      entryEvent: (entry, event) => this.#entryEvent(entry, event)
+    })
   }
 
-  // Helpers
+  // Life of processes
 
   #newInstance (id: string): Instance {
     const incarnation = (this.#incarnations.get(id) ?? 0) + 1
@@ -439,14 +326,12 @@
     this.timeline.after(this.chance.between(0, TICK), next)
     const dial = (): void => {
       if (!process.alive) return
-      this.#dial(process)
+      this.#dialling.dial(process)
       this.timeline.after(DIAL_PAUSE, dial)
     }
     this.timeline.after(this.chance.between(0, DIAL_PAUSE), dial)
   }
 
-  readonly #ticks = new Map<Instance, () => void>()
-
   #tick (process: Process): void {
     this.#ticks.get(process.instance)?.()
   }
@@ -469,13 +354,4 @@
   #forgotten (): boolean {
     return [...this.entries.values()].some(entry => entry.core.status().horizon > 0)
   }
-
-  #note (instance: Instance, text: string): void {
-    this.#trace?.(`${this.timeline.now.toFixed(1).padStart(9)} ${instance.padEnd(10)} ${text}`)
-  }
-
-  #brief (message: AnyMessage): string {
-    const text = JSON.stringify(message.value, (key, value) => key === 'payload' || key === 'tasks' || key === 'target' || key === 'report' || key === 'results' || key === 'address' || key === 'dataCentre' ? undefined : value)
-    return ` ${text.slice(0, 900)}`
-  }
 }
--- a/packages/coordination/src/agentlinks.ts
+++ b/packages/coordination/src/agentlinks.ts
@@ -10,6 +10,14 @@
   lost: boolean
 }
 
+/** A known agent run, for status pages. */
+export interface AgentSummary {
+  instance: Instance
+  target: string
+  provider: string
+  connected: boolean
+}
+
 export class AgentLinks {
   readonly #links = new Map<Instance, AgentLink>()
   readonly #byTarget = new Map<string, Instance>()
@@ -19,8 +27,11 @@
     return link !== undefined && link.disconnectedAt === undefined
   }
 
-  targetOf (agent: Instance): TargetDescription | undefined {
-    return this.#links.get(agent)?.target
+  /** Every known run; target and provider are empty for one that only another entry told of. */
+  summaries (): AgentSummary[] {
+    return [...this.#links].map(([instance, { target, disconnectedAt }]) => {
+      return { instance, target: target?.target ?? '', provider: target?.provider ?? '', connected: disconnectedAt === undefined }
+    })
   }
 
   /** Connected agent runs. */
--- a/packages/coordination/src/entrycontext.ts
+++ b/packages/coordination/src/entrycontext.ts
@@ -17,8 +17,6 @@
   horizon: boolean
   /** Answer a copy of a refused submission with the same refusal. */
   submission: boolean
-  /** Obey no entry that is not a member of the view. */
-  view: boolean
   /** Match results by agent and attempt. */
   attempt: boolean
   /** Say "not run" only while no other entry can have taken this one's job ids over. */
@@ -38,7 +36,6 @@
   ledgersComplete: true,
   horizon: true,
   submission: true,
-  view: true,
   attempt: true,
   inForce: true,
   acquaintance: true,
--- /dev/null
+++ b/packages/coordination/src/entrylinks.ts
@@ -0,0 +1,47 @@
+/** The links of an entry to other entries and to agents: what is sent where no link is up is dropped. */
+import type { AgentLinks } from './agentlinks.ts'
+import type { EntryEffect } from './entrytypes.ts'
+import type { EntryToAgent, Instance, PeerMessage } from './messages.ts'
+
+export class EntryLinks {
+  readonly #agents: AgentLinks
+  readonly #emit: (effect: EntryEffect) => void
+  readonly #peers = new Set<Instance>()
+
+  constructor (agents: AgentLinks, emit: (effect: EntryEffect) => void) {
+    this.#agents = agents
+    this.#emit = emit
+  }
+
+  /** Peers to which a link is up. */
+  get peers (): ReadonlySet<Instance> {
+    return this.#peers
+  }
+
+  peerConnected (peer: Instance): void {
+    this.#peers.add(peer)
+  }
+
+  peerDisconnected (peer: Instance): void {
+    this.#peers.delete(peer)
+  }
+
+  /** Sends to every peer. */
+  broadcast (message: PeerMessage): void {
+    for (const peer of this.#peers) this.sendPeer(peer, message)
+  }
+
+  /** Sends if the link is up; whether it was. */
+  sendPeer (peer: Instance, message: PeerMessage): boolean {
+    if (!this.#peers.has(peer)) return false
+    this.#emit({ type: 'sendPeer', peer, message })
+    return true
+  }
+
+  /** Sends if the link is up; whether it was. */
+  sendAgent (agent: Instance, message: EntryToAgent): boolean {
+    if (!this.#agents.connected(agent)) return false
+    this.#emit({ type: 'sendAgent', agent, message })
+    return true
+  }
+}
--- a/packages/coordination/src/execution.ts
+++ b/packages/coordination/src/execution.ts
@@ -104,6 +104,11 @@
     return this.job === undefined
   }
 
+  /** Whether the next submission brings a lost entry's job, and decides what of it is run. */
+  get resumable (): boolean {
+    return this.orphan && this.answer === undefined
+  }
+
   /** Whether any task may have started. */
   get touched (): boolean {
     return this.#lines.size > 0 || this.#tasks.some(task => task.stage !== TaskStage.Pending)
--- /dev/null
+++ b/packages/coordination/src/messagehandlers.ts
@@ -0,0 +1,17 @@
+/** Handlers of messages, one for each kind. */
+import type { Instance } from './messages.ts'
+
+interface AnyMessage {
+  case: string
+  value: unknown
+}
+
+/** Each takes the sender, the content and the time. */
+export type MessageHandlers<Message extends AnyMessage> = {
+  [Case in Message['case']]: (from: Instance, value: Extract<Message, { case: Case }>['value'], now: number) => void
+}
+
+export function handleMessage<Message extends AnyMessage> (handlers: MessageHandlers<Message>, from: Instance, message: Message, now: number): void {
+  const handler = handlers[message.case as Message['case']] as (from: Instance, value: unknown, now: number) => void
+  handler(from, message.value, now)
+}
--- /dev/null
+++ b/packages/coordination/src/plannedstop.ts
@@ -0,0 +1,78 @@
+/** The planned stop of an entry: it finishes what it has, hands its memory over and leaves the view. */
+import type { EntryContext } from './entrycontext.ts'
+import type { Member } from './messages.ts'
+import type { Membership } from './membership.ts'
+
+/** How long a stopping entry goes on taking requests that were already on their way. */
+const LINGER_MILLISECONDS = 1000
+/** How long a stopping entry that has handed everything over waits to be removed from the view. */
+const DEPARTURE_PATIENCE_MILLISECONDS = 3000
+
+export interface PlannedStopParts {
+  context: EntryContext
+  membership: Membership
+  otherMembers: () => readonly Member[]
+  /** Whether no job and no request is open here. */
+  idle: () => boolean
+  /** Gives every memory held here to the entries that stay. */
+  handOver: () => void
+  /** Ends the entry. */
+  stop: () => void
+}
+
+export class PlannedStop {
+  readonly #context: EntryContext
+  readonly #membership: Membership
+  readonly #otherMembers: () => readonly Member[]
+  readonly #idle: () => boolean
+  readonly #handOver: () => void
+  readonly #stop: () => void
+  #orderedAt: number | undefined
+  #departingSince: number | undefined
+
+  constructor (parts: PlannedStopParts) {
+    this.#context = parts.context
+    this.#membership = parts.membership
+    this.#otherMembers = parts.otherMembers
+    this.#idle = parts.idle
+    this.#handOver = parts.handOver
+    this.#stop = parts.stop
+  }
+
+  get ordered (): boolean {
+    return this.#orderedAt !== undefined
+  }
+
+  /** Whether everything has been handed over, and this entry waits to be removed from the view. */
+  get departing (): boolean {
+    return this.#departingSince !== undefined
+  }
+
+  /** Begins the stop; false when it had begun. */
+  order (now: number): boolean {
+    if (this.#orderedAt !== undefined) return false
+    this.#orderedAt = now
+    this.#membership.leave()
+    return true
+  }
+
+  tick (now: number): void {
+    if (this.#orderedAt === undefined) return
+    if (this.#departingSince !== undefined) {
+      if (now - this.#departingSince >= DEPARTURE_PATIENCE_MILLISECONDS) this.#stop()
+      return
+    }
+    const lingered = now - this.#orderedAt >= LINGER_MILLISECONDS
+    if (!lingered || !this.#relieved() || !this.#idle()) return
+    this.#departingSince = now
+    this.#handOver()
+    this.#membership.depart()
+  }
+
+  /** Whether the others own this entry's job ids now, and each can be told what is known of them. */
+  #relieved (): boolean {
+    const others = this.#otherMembers()
+    if (others.length > 0 && !this.#membership.leavingInForce) return false
+    return others.every(member => this.#context.peerConnected(member.instance))
+  }
+}
--- a/packages/coordination/src/view.ts
+++ b/packages/coordination/src/view.ts
@@ -16,6 +16,14 @@
   return !view.fenced.includes(instance) && view.members.some(member => member.instance === instance)
 }
 
+/**
+ * Whether this view was made by first joins alone: each raises the version and the number of members by
+ * one, and everything else raises the version only. No entry has gone, so nothing has been forgotten.
+ */
+export function onlyJoinsSoFar (view: View): boolean {
+  return view.version === view.members.length && view.fenced.length === 0
+}
+
 /** Name of a view and its fences: equal in all processes that see the same members. */
 export function epochOf (view: View): string {
   const fenced = view.fenced.filter(instance => view.members.some(member => member.instance === instance))
--- /dev/null
+++ b/packages/coordination/src/waiting.ts
@@ -0,0 +1,34 @@
+/** Jobs that callers of an entry wait for. */
+import type { Instance, Job } from './messages.ts'
+
+/** A job that callers of this entry wait for. */
+export interface Waiting {
+  job: Job
+  submission: string
+  requests: Set<string>
+  /** The entry it was handed to last; this entry's own name when it is held or parked here. */
+  sentTo: Instance | undefined
+  /** Entries it was sent to that have not answered: each may have taken it. */
+  unresolved: Set<Instance>
+  deadline: number
+  rerouteAt: number
+  redirects: number
+}
+
+export function newWaiting (submission: string, request: string, job: Job, now: number): Waiting {
+  return {
+    job,
+    submission,
+    requests: new Set([request]),
+    sentTo: undefined,
+    unresolved: new Set(),
+    deadline: now + job.remainingMilliseconds,
+    rerouteAt: now,
+    redirects: 0
+  }
+}
+
+/** Nobody waits for the answer any more. */
+export function isAbandoned (waiting: Waiting): boolean {
+  return waiting.requests.size === 0
+}
