--- /dev/null
+++ b/packages/trials/test/callers.test.ts
@@ -0,0 +1,61 @@
+import { test } from 'node:test'
+
+import { expect } from 'earl'
+
+import { kindOf } from '../src/client.ts'
+import { TEST_TIMEOUT } from '../src/defaults.ts'
+import { newJob } from '../src/jobs.ts'
+import { Trial } from '../src/trial.ts'
+
+test('callers that go away leave no slot held', { timeout: TEST_TIMEOUT }, async t => {
+  // A site loses its line: callers vanish with jobs that run and wait. Their jobs go on to their end,
+  // every slot is free afterwards, and a caller that comes back gets the answer of its job.
+  const trial = await Trial.begin({ slots: 2 })
+  t.after(() => trial.end())
+  const jobs = Array.from({ length: 9 }, (_, number) => trial.caller.lodge(newJob(`gone-${number}`, { tasks: 3, run: 200 })))
+  const away = new AbortController()
+  const sent = jobs.map((job, number) => trial.caller.send(job, trial.entry(1 + number % 3).callersUrl, away.signal))
+  await trial.until('some starts', async () => (await trial.startsOf(jobs.map(job => job.submission.job))).length >= 6)
+
+  away.abort()
+  await Promise.all(sent)
+  await trial.until('all slots to be free', async () => await isIdle(trial))
+  const back = await Promise.all(jobs.map((job, number) => trial.caller.send(job, trial.entry(1 + (number + 1) % 3).callersUrl)))
+
+  expect(back.map(kindOf)).toEqual(jobs.map(() => 'complete'))
+  const report = await trial.judge()
+  expect(report.faults).toEqual([])
+  expect(report.starts).toEqual(27)
+  expect(report.askedAboveSlots).toEqual(0)
+})
+
+test('a wave of cancellations frees the slots and says "not run" only of what did not run', { timeout: TEST_TIMEOUT }, async t => {
+  // A customer withdraws a whole batch while some of it runs and most of it waits. Each job is answered
+  // once, the ones that never started as not run. Nothing of the batch starts afterwards, and the next
+  // job has the slots.
+  const trial = await Trial.begin({ slots: 2 })
+  t.after(() => trial.end())
+  const jobs = Array.from({ length: 30 }, (_, number) => trial.caller.lodge(newJob(`wave-${number}`, { tasks: 2, run: 400 })))
+  const sent = jobs.map((job, number) => trial.caller.send(job, trial.entry(1 + number % 3).callersUrl))
+  await trial.until('some starts', async () => (await trial.startsOf(jobs.map(job => job.submission.job))).length >= 6)
+
+  await Promise.all(jobs.map((job, number) => trial.caller.cancel(job, trial.entry(1 + (number + 1) % 3).callersUrl)))
+  const answers = await Promise.all(sent)
+  await trial.until('all slots to be free', async () => await isIdle(trial))
+  const started = (await trial.startsOf(jobs.map(job => job.submission.job))).length
+  const next = await trial.caller.send(trial.caller.lodge(newJob('next', { tasks: 6, run: 50 })), trial.entry(1).callersUrl)
+
+  const refused = answers.filter(answer => kindOf(answer) === 'refused')
+  expect(refused.length).toBeGreaterThan(0)
+  expect(answers.map(kindOf).filter(kind => kind === 'no answer')).toEqual([])
+  expect(kindOf(next)).toEqual('complete')
+  expect((await trial.startsOf(jobs.map(job => job.submission.job))).length).toEqual(started)
+  const report = await trial.judge()
+  expect(report.faults).toEqual([])
+})
+
+async function isIdle (trial: Trial): Promise<boolean> {
+  const entries = await Promise.all(trial.fleet.entries.map(entry => trial.status(entry)))
+  const agents = await Promise.all(trial.fleet.agents.map(agent => trial.status(agent)))
+  return entries.every(({ openJobs }) => openJobs === 0) && agents.every(({ running, queued }) => running + queued === 0)
+}
--- /dev/null
+++ b/packages/trials/test/cuts.test.ts
@@ -0,0 +1,67 @@
+import { test } from 'node:test'
+
+import type { LinkCutter } from '@amaranthmast/standins/cutter'
+import { LinkState } from '@amaranthmast/standins/cutter'
+import { LinkKind } from '@amaranthmast/standins/fleet'
+import { expect } from 'earl'
+
+import { TEST_TIMEOUT } from '../src/defaults.ts'
+import { Trial } from '../src/trial.ts'
+
+const LOAD = { seed: 5, rate: 15, seconds: 5, scale: 0.3, burstEvery: 0 }
+
+const CUTS: ReadonlyArray<{ name: string, cut: (link: LinkCutter) => void }> = [
+  { name: 'reset', cut: link => link.cut() },
+  { name: 'silent both ways', cut: link => link.freeze(LinkState.Silent) },
+  { name: 'silent towards it', cut: link => link.freeze(LinkState.SilentToServer) },
+  { name: 'silent from it', cut: link => link.freeze(LinkState.SilentToClient) }
+]
+
+for (const { name, cut } of CUTS) {
+  test(`an entry is cut off from agents and entries under load (${name})`, { timeout: TEST_TIMEOUT }, async t => {
+    // Callers still reach the entry, but every link of agents and other entries to it is cut. It has
+    // jobs that run and wait. The others remove it and serve its ids. The cut ends, and it stops
+    // because it was replaced: what it was still to do is done by others, once.
+    const trial = await Trial.begin({ relays: true })
+    t.after(() => trial.end())
+    const load = trial.load(LOAD)
+    await trial.until('the load to run', () => trial.records.length >= 15)
+
+    cut(trial.fleet.link(LinkKind.Peers, 'entry-1'))
+    await trial.untilMembers(trial.entry(3), [trial.entry(2), trial.entry(3)])
+    await trial.until('more load', () => trial.records.length >= 45)
+    trial.fleet.link(LinkKind.Peers, 'entry-1').restore()
+    await trial.entry(1).process?.ended
+    await trial.fleet.startDaemon(trial.entry(1))
+    await trial.untilReady()
+    await load
+
+    const report = await trial.judge()
+    expect(report.faults).toEqual([])
+    expect(report.counts.complete).toBeGreaterThan(report.counts.jobs / 2)
+  })
+}
+
+for (const { name, cut } of CUTS) {
+  test(`entries lose the store one after the other under load (${name})`, { timeout: TEST_TIMEOUT }, async t => {
+    // First one entry cannot reach the store, then a second one. As long as any entry confirms the
+    // view, or every entry answers, agents go on, and callers notice nothing.
+    const trial = await Trial.begin({ relays: true })
+    t.after(() => trial.end())
+    const load = trial.load(LOAD)
+    await trial.until('the load to run', () => trial.records.length >= 15)
+
+    cut(trial.fleet.link(LinkKind.Store, 'entry-1'))
+    await trial.until('more load', () => trial.records.length >= 35)
+    cut(trial.fleet.link(LinkKind.Store, 'entry-2'))
+    await trial.until('yet more load', () => trial.records.length >= 60)
+    trial.fleet.link(LinkKind.Store, 'entry-1').restore()
+    trial.fleet.link(LinkKind.Store, 'entry-2').restore()
+    await load
+    await trial.untilMembers(trial.entry(1), trial.fleet.entries)
+
+    const report = await trial.judge()
+    expect(report.faults).toEqual([])
+    expect(trial.notComplete()).toEqual([])
+  })
+}
--- /dev/null
+++ b/packages/trials/test/stops.test.ts
@@ -0,0 +1,97 @@
+import { test } from 'node:test'
+
+import { expect } from 'earl'
+
+import { kindOf } from '../src/client.ts'
+import { TEST_TIMEOUT } from '../src/defaults.ts'
+import { newJob } from '../src/jobs.ts'
+import { Trial } from '../src/trial.ts'
+
+const LOAD = { rate: 20, seconds: 4, scale: 0.4, burstEvery: 0 }
+
+test('an entry that is stopped answers all it has and hands its ids over', { timeout: TEST_TIMEOUT }, async t => {
+  // Operators stop an entry under load (SIGTERM). It says at once that it is not ready, answers every
+  // job that it holds and ends by itself. A caller that submits one of its answered jobs again, to
+  // another entry, gets the same answer, and the job is not run again.
+  const trial = await Trial.begin()
+  t.after(() => trial.end())
+  const ids = await trial.idsOwnedBy(trial.entry(1), 6, 'stopped')
+  const jobs = ids.map(id => trial.caller.lodge(newJob(id, { tasks: 3, run: 60 })))
+  const answered = await Promise.all(jobs.slice(0, 3).map(job => trial.caller.send(job, trial.entry(1).callersUrl)))
+  const load = trial.load({ ...LOAD, seed: 7 })
+  await trial.until('the load to run', () => trial.records.length >= 30)
+
+  const open = jobs.slice(3).map(job => trial.caller.send(job, trial.entry(1).callersUrl))
+  await trial.until('the last jobs to arrive', async () => (await trial.startsOf(ids)).length > 9)
+  trial.entry(1).process?.signal('SIGTERM')
+  await trial.until('it to be not ready', async () => !(await trial.fleet.isReady(trial.entry(1)).catch(() => false)))
+  await trial.entry(1).process?.ended
+  const last = await Promise.all(open)
+  const again = await Promise.all(jobs.map(job => trial.caller.send(job, trial.entry(2).callersUrl)))
+  await load
+
+  expect(trial.entry(1).process?.exitCode).toEqual(0)
+  expect([...answered, ...last].map(kindOf)).toEqual(ids.map(() => 'complete'))
+  expect(again.map(({ answer }) => answer)).toEqual([...answered, ...last].map(({ answer }) => answer))
+  const report = await trial.judge()
+  expect(report.faults).toEqual([])
+  expect(trial.notComplete()).toEqual([])
+})
+
+test('an agent that is stopped finishes what runs and starts nothing more', { timeout: TEST_TIMEOUT }, async t => {
+  // Operators stop an agent under load (SIGTERM). Its target finishes what it runs, the answers are
+  // delivered, and the agent ends by itself; what waited there runs elsewhere. Callers notice nothing.
+  const trial = await Trial.begin()
+  t.after(() => trial.end())
+  const load = trial.load({ ...LOAD, seed: 8 })
+  await trial.until('the load to run', () => trial.records.length >= 30)
+
+  trial.agent(1).process?.signal('SIGTERM')
+  await trial.agent(1).process?.ended
+  const ended = Date.now()
+  await load
+
+  expect(trial.agent(1).process?.exitCode).toEqual(0)
+  const starts = (await trial.startsOf(trial.records.map(record => record.submission.job))).filter(start => start.target === 'target-1')
+  expect(starts.filter(start => start.startedAt > ended || start.finishedAt === undefined)).toEqual([])
+  expect(starts.length).toBeGreaterThan(0)
+  const report = await trial.judge()
+  expect(report.faults).toEqual([])
+  expect(trial.notComplete()).toEqual([])
+})
+
+const DRAINS = [
+  { kind: 'target', name: 'agent-1', drained: ['target-1'] },
+  { kind: 'provider', name: 'provider-b', drained: ['target-2'] }
+]
+
+for (const { kind, name, drained } of DRAINS) {
+  test(`a drained ${kind} gets no new work and finishes what it has`, { timeout: TEST_TIMEOUT }, async t => {
+    // Operators take a part of the fleet out of service under load. Once every instance has confirmed
+    // the order, and the agents' queues of that moment have run, nothing starts there; what had started
+    // is finished and answered.
+    const trial = await Trial.begin()
+    t.after(() => trial.end())
+    const load = trial.load({ ...LOAD, seed: 9, seconds: 6 })
+    await trial.until('the load to run', () => trial.records.length >= 30)
+
+    await trial.tool('drain', kind, name)
+    await trial.untilConfigured(2)
+    const agent = trial.agent(Number(drained[0]?.split('-')[1]))
+    await trial.until('the drained agent to be idle', async () => await isIdle(trial, agent))
+    const idle = Date.now()
+    await load
+
+    const starts = (await trial.startsOf(trial.records.map(record => record.submission.job))).filter(start => drained.includes(start.target))
+    expect(starts.filter(start => start.startedAt > idle)).toEqual([])
+    expect(starts.length).toBeGreaterThan(0)
+    const report = await trial.judge()
+    expect(report.faults).toEqual([])
+    expect(trial.notComplete()).toEqual([])
+  })
+}
+
+async function isIdle (trial: Trial, agent: Parameters<Trial['status']>[0]): Promise<boolean> {
+  const { running, queued } = await trial.status(agent)
+  return running + queued === 0
+}
--- /dev/null
+++ b/packages/trials/test/store.test.ts
@@ -0,0 +1,68 @@
+import { test } from 'node:test'
+
+import type { KeyValueFaults } from '@amaranthmast/standins/keyvaluefaults'
+import { LostAnswer, Outage } from '@amaranthmast/standins/keyvaluefaults'
+import { expect } from 'earl'
+
+import { kindOf } from '../src/client.ts'
+import { TEST_TIMEOUT } from '../src/defaults.ts'
+import { newJob } from '../src/jobs.ts'
+import { Trial } from '../src/trial.ts'
+
+const LOAD = { rate: 15, seconds: 4, scale: 0.3, burstEvery: 0 }
+
+for (const outage of [Outage.Refuse, Outage.Hang, Outage.NoLeader]) {
+  test(`jobs go on while the store is down (${outage})`, { timeout: TEST_TIMEOUT }, async t => {
+    // The store goes away for longer than any agent trusts a confirmation of its view. Nobody has
+    // died, so every entry still answers every agent, and callers notice nothing. Then an entry is
+    // killed: the two others both find its address refusing, fence it, and serve its ids.
+    const trial = await Trial.begin()
+    t.after(() => trial.end())
+    const [id = ''] = await trial.idsOwnedBy(trial.entry(1), 1, 'outage')
+
+    await trial.storeFaults({ outage })
+    await trial.load({ ...LOAD, seed: 1, prefix: 'alive' })
+    const job = trial.caller.lodge(newJob(id, { tasks: 8, run: 300 }))
+    const first = trial.caller.send(job, trial.entry(1).callersUrl)
+    await trial.untilStarted(id, 2)
+    await trial.fleet.killDaemon(trial.entry(1))
+    const second = await trial.caller.send(job, trial.entry(2).callersUrl)
+    await first
+    await trial.storeFaults({ outage: Outage.None })
+    await trial.untilMembers(trial.entry(2), [trial.entry(2), trial.entry(3)])
+    await trial.load({ ...LOAD, seconds: 1, seed: 2, prefix: 'after' })
+
+    expect(kindOf(second)).toEqual('complete')
+    const report = await trial.judge()
+    expect(report.faults).toEqual([])
+    expect(trial.notComplete()).toEqual([])
+  })
+}
+
+const WRITE_FAULTS: ReadonlyArray<{ name: string, faults: Partial<KeyValueFaults> }> = [
+  { name: 'the store is slow', faults: { readDelayMilliseconds: 600, writeDelayMilliseconds: 800 } },
+  { name: 'the answers of view writes are cut off', faults: { loseAnswers: 2, loseAnswersBy: LostAnswer.Cut } },
+  { name: 'the answers of view writes never come', faults: { loseAnswers: 2, loseAnswersBy: LostAnswer.Hang } }
+]
+
+for (const { name, faults } of WRITE_FAULTS) {
+  test(`an entry is replaced while ${name}`, { timeout: TEST_TIMEOUT }, async t => {
+    // An entry dies under load and a new one takes its place. The writes that change the view take
+    // effect, but their answers come late or never. Nothing is lost or doubled, and the new entry joins.
+    const trial = await Trial.begin()
+    t.after(() => trial.end())
+    await trial.storeFaults(faults)
+    const load = trial.load({ ...LOAD, seed: 3, prefix: 'slow' })
+    await trial.until('the load to run', () => trial.records.length >= 10)
+
+    await trial.fleet.killDaemon(trial.entry(2))
+    await trial.fleet.startDaemon(trial.entry(2))
+    await load
+    await trial.untilMembers(trial.entry(1), trial.fleet.entries)
+    await trial.untilReady()
+
+    const report = await trial.judge()
+    expect(report.faults).toEqual([])
+    expect(trial.notComplete()).toEqual([])
+  })
+}
