Fleets of test files that run side by side never pick the same port

Cause: in one whole test run an entry ended at start with EADDRINUSE: two test files had picked the same port while it was free for both.

Ruled out: a retry on another port (the settings of all others name the first); one fleet at a time (the tests would take several times as long).

Change: a picker claims a block of 50 ports by holding the first of them open for as long as its process lives.

Conclusion: ports are claimed, not only looked at.

--- a/packages/standins/src/defaults.ts
+++ b/packages/standins/src/defaults.ts
@@ -60,5 +60,8 @@
 export const FIRST_PORT = 18_000
 export const LAST_PORT = 31_000
 
+/** Ports that one picker claims at a time. */
+export const PORT_BLOCK = 50
+
 /** Time that targets have to finish their runs before their records are read. */
 export const SETTLE_TIMEOUT = 15_000
--- a/packages/standins/src/ports.ts
+++ b/packages/standins/src/ports.ts
@@ -1,7 +1,9 @@
 /** Free ports on the loopback. */
+import { once } from 'node:events'
+import type { Server } from 'node:net'
 import { createServer } from 'node:net'
 
-import { FIRST_PORT, LAST_PORT, LOOPBACK } from './defaults.ts'
+import { FIRST_PORT, LAST_PORT, LOOPBACK, PORT_BLOCK } from './defaults.ts'
 
 /** No port of the range is free. */
 export class NoFreePortError extends Error {
@@ -17,26 +19,62 @@
  * Hands out ports that were free when asked for, each once. They lie below the range from which
  * the operating system picks ports for connections, so that no connection takes one before the
  * process that it is meant for listens.
+ *
+ * Test files run side by side, and a port that is free while one picks may be taken by another's
+ * daemon before the own one listens. So ports come in blocks, and a picker holds the first port of
+ * each of its blocks open for as long as its process lives: no other picker uses that block.
  */
 export class PortPicker {
-  #next = FIRST_PORT + (process.pid * 97) % (LAST_PORT - FIRST_PORT)
-  #tried = 0
+  readonly #claims: Server[] = []
+  #nextBlock = process.pid % blockCount()
+  #blocksTried = 0
+  #next = 0
+  #end = 0
 
   /** The next free port. */
   async pick (): Promise<number> {
-    while (this.#tried++ < LAST_PORT - FIRST_PORT) {
-      const port = this.#next
-      this.#next = port >= LAST_PORT ? FIRST_PORT : port + 1
-      if (await isFree(port)) return port
+    while (true) {
+      while (this.#next < this.#end) {
+        const port = this.#next++
+        if (await isFree(port)) return port
+      }
+      await this.#claimBlock()
+    }
+  }
+
+  async #claimBlock (): Promise<void> {
+    while (this.#blocksTried++ < blockCount()) {
+      const first = FIRST_PORT + this.#nextBlock * PORT_BLOCK
+      this.#nextBlock = (this.#nextBlock + 1) % blockCount()
+      const claim = await listenOn(first)
+      if (claim === undefined) continue
+      claim.unref()
+      this.#claims.push(claim)
+      this.#next = first + 1
+      this.#end = first + PORT_BLOCK
+      return
     }
     throw new NoFreePortError()
   }
 }
 
-function isFree (port: number): Promise<boolean> {
+function blockCount (): number {
+  return Math.floor((LAST_PORT - FIRST_PORT) / PORT_BLOCK)
+}
+
+/** A server on the port, or nothing when the port is taken. */
+function listenOn (port: number): Promise<Server | undefined> {
   return new Promise(resolve => {
-    const probe = createServer()
-    probe.once('error', () => resolve(false))
-    probe.listen(port, LOOPBACK, () => probe.close(() => resolve(true)))
+    const server = createServer()
+    server.once('error', () => resolve(undefined))
+    server.listen(port, LOOPBACK, () => resolve(server))
   })
 }
+
+async function isFree (port: number): Promise<boolean> {
+  const probe = await listenOn(port)
+  if (probe === undefined) return false
+  probe.close()
+  await once(probe, 'close')
+  return true
+}
