--- a/packages/cli/src/configurationstore.ts
+++ b/packages/cli/src/configurationstore.ts
@@ -1,8 +1,8 @@
 /** The configuration in the key-value service: reading it, its history, and replacing it exactly once. */
-import type { KeyValueClient } from '@amaranthmast/platform/client'
-import type { KeyValueEntry } from '@amaranthmast/platform/entries'
-import type { StoreError } from '@amaranthmast/platform/errors'
-import { StoreTimedOut } from '@amaranthmast/platform/errors'
+import type { KeyValueClient } from '@amaranthmast/store/client'
+import type { KeyValueEntry } from '@amaranthmast/store/entries'
+import type { StoreError } from '@amaranthmast/store/errors'
+import { StoreTimedOut } from '@amaranthmast/store/errors'
 import type { ConfigurationFile, StoredConfiguration } from '@amaranthmast/settings/configurationfile'
 import { parseStoredConfiguration } from '@amaranthmast/settings/configurationfile'
 import { configurationKey, historyKey } from '@amaranthmast/settings/storekeys'
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -1,7 +1,7 @@
 /** The edges that commands work with, made from the options of one command line. */
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { KeyValueClient } from '@amaranthmast/platform/client'
+import { KeyValueClient } from '@amaranthmast/store/client'
 import { readText } from '@amaranthmast/settings/settings'
 import type { Arguments, Context } from './command.ts'
 import { ConfigurationStore } from './configurationstore.ts'
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -1,5 +1,5 @@
 /** Errors of the tool, each with the exit code that it ends with. */
-import type { StoreError } from '@amaranthmast/platform/errors'
+import type { StoreError } from '@amaranthmast/store/errors'
 import type { SettingsError } from '@amaranthmast/settings/errors'
 import { DocumentRefused } from '@amaranthmast/settings/errors'
 import type { Change } from '@amaranthmast/settings/difference'
--- a/packages/cli/src/instances.ts
+++ b/packages/cli/src/instances.ts
@@ -4,7 +4,7 @@
  * under the key of `instanceKey`. Agents are known from the entries that they are linked to.
  */
 import type { View } from '@amaranthmast/coordination/messages'
-import type { KeyValueClient } from '@amaranthmast/platform/client'
+import type { KeyValueClient } from '@amaranthmast/store/client'
 import type { PublishedInstance } from '@amaranthmast/settings/storekeys'
 import { instancePrefix, viewKey } from '@amaranthmast/settings/storekeys'
 import type { Result } from 'neverthrow'
--- a/packages/cli/test/apply.test.ts
+++ b/packages/cli/test/apply.test.ts
@@ -1,7 +1,7 @@
 /** Applying a file: accepted once or refused whole, whatever happens to races, answers and the store. */
 import { test } from 'node:test'
 import { LostAnswer, Outage } from '@amaranthmast/standins/keyvaluefaults'
-import { StoreTimedOut } from '@amaranthmast/platform/errors'
+import { StoreTimedOut } from '@amaranthmast/store/errors'
 import { expect } from 'earl'
 import { errAsync, ResultAsync } from 'neverthrow'
 import type { Arguments, Report } from '../src/command.ts'
--- a/packages/cli/test/toolcontext.ts
+++ b/packages/cli/test/toolcontext.ts
@@ -1,6 +1,6 @@
 /** What the tests of the tool share: a context on the key-value stand-in, with everything else in memory. */
 import type { TestContext } from 'node:test'
-import { KeyValueClient } from '@amaranthmast/platform/client'
+import { KeyValueClient } from '@amaranthmast/store/client'
 import { KeyValueStandIn } from '@amaranthmast/standins/keyvalue'
 import { err, ok } from 'neverthrow'
 import { FileUnreadable } from '@amaranthmast/settings/errors'
--- /dev/null
+++ b/packages/daemon/src/agentservice.ts
@@ -0,0 +1,149 @@
+/** The process of an agent under leases: the edges around its decision logic. */
+import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
+import type { EntryMessage } from '@amaranthmast/dispatch/messages'
+import type { Greeting } from '@amaranthmast/links/greeting'
+import type { DecisionLog } from './decisionlog.ts'
+import type { EffectHandlers } from './loop.ts'
+import type { ServiceSettings, StorePort, TargetPort, TargetPortFactory } from './ports.ts'
+import { Agent } from '@amaranthmast/dispatch/agent'
+import { timingsFor } from '@amaranthmast/dispatch/timings'
+import { Dialer } from '@amaranthmast/links/dialer'
+import { PeerRole } from '@amaranthmast/links/greeting'
+import { Listener } from '@amaranthmast/links/listener'
+import { TICK_MILLISECONDS } from './defaults.ts'
+import { Exposition } from './exposition.ts'
+import { Loop, runLoop } from './loop.ts'
+import { MetricsListener } from './metricslistener.ts'
+import { SuspensionWatch } from './suspension.ts'
+
+export interface AgentServiceOptions {
+  settings: ServiceSettings
+  incarnation: string
+  store: StorePort
+  target: TargetPortFactory
+  decisions: DecisionLog
+  now: () => number
+  wallClock: () => number
+}
+
+/** Without a link to any entry for this long, the agent goes to those that it knows, in milliseconds. */
+const LONELY_MILLISECONDS = 700
+
+/** Part of the grace that is kept for the end of the process itself, in milliseconds. */
+const END_RESERVE_MILLISECONDS = 400
+
+export class AgentService {
+  readonly #options: AgentServiceOptions
+  readonly #loop = new Loop<AgentEvent>()
+  readonly #agent: Agent
+  readonly #target: TargetPort
+  readonly #listener: Listener
+  /** Visits to entries that may not know of this agent. */
+  readonly #visits: Dialer
+  readonly #suspension: SuspensionWatch
+  readonly #metricsListener: MetricsListener
+  readonly #entryAddresses = new Set<string>()
+  readonly #linked = new Set<string>()
+  #visitedAt: number
+  #stopOrderedAt: number | undefined
+
+  readonly #handlers: EffectHandlers<AgentEffect> = {
+    start: effect => this.#target.start(effect),
+    stop: effect => this.#target.stop(effect),
+    look: effect => this.#target.look(effect),
+    send: ({ entry, message }) => this.#listener.link(nameOf(entry))?.send(message),
+    unlink: ({ entry }) => this.#listener.link(nameOf(entry))?.close('out of contact'),
+    note: ({ what, fields }) => this.#options.decisions.decision(what, fields),
+    stopped: () => this.#loop.end()
+  }
+
+  constructor (options: AgentServiceOptions) {
+    const { settings, incarnation, decisions, now, wallClock } = options
+    this.#options = options
+    this.#visitedAt = now()
+    this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, wallClock })
+    this.#suspension = new SuspensionWatch(now, wallClock)
+    const own: Greeting = { role: PeerRole.Agent, name: settings.id, incarnation, address: `${settings.host}:${settings.linkPort}` }
+    const post = (event: AgentEvent): void => this.#post(event)
+    this.#target = options.target(post, now, decisions.log)
+    this.#listener = new Listener(own, {
+      linked: (_link, peer) => {
+        this.#linked.add(peer.name)
+        this.#entryAddresses.add(peer.address)
+        post({ type: 'entryLinked', entry: `${peer.name}#${peer.incarnation}` })
+      },
+      received: (peer, message) => post({ type: 'entryMessage', entry: `${peer.name}#${peer.incarnation}`, message: message as EntryMessage }),
+      unlinked: peer => {
+        this.#linked.delete(peer.name)
+        post({ type: 'entryUnlinked', entry: `${peer.name}#${peer.incarnation}` })
+      }
+    })
+    this.#visits = new Dialer(own, { linked: () => {}, received: () => {}, unlinked: () => {} }, now)
+    this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
+  }
+
+  /** Runs until it was told to stop and nothing runs any more; rejects with a fault of the program. */
+  async run (): Promise<void> {
+    const { settings, store, now } = this.#options
+    await this.#listener.listen(settings.host, settings.linkPort)
+    this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
+    store.publish({ name: settings.id, role: PeerRole.Agent, address: `${settings.host}:${settings.linkPort}` })
+    const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
+    try {
+      await runLoop(this.#loop, this.#agent, this.#handlers, now)
+    } finally {
+      clearInterval(timer)
+    }
+  }
+
+  stop (): void {
+    if (this.#stopOrderedAt !== undefined) return
+    this.#stopOrderedAt = this.#options.now()
+    this.#post({ type: 'stopOrdered' })
+  }
+
+  async close (): Promise<void> {
+    this.#listener.close()
+    this.#visits.close()
+    this.#metricsListener.close()
+    this.#target.close()
+    await this.#options.store.close()
+  }
+
+  /** A suspension is told before anything that waited behind it. */
+  #post (event: AgentEvent): void {
+    const asleep = this.#suspension.check()
+    if (asleep > 0) this.#loop.post({ type: 'woke', asleep })
+    this.#loop.post(event)
+  }
+
+  #tick (): void {
+    this.#post({ type: 'tick' })
+    this.#visitIfLonely()
+    if (this.#stopOrderedAt === undefined) return
+    if (this.#options.now() - this.#stopOrderedAt >= this.#options.settings.bounds.grace - END_RESERVE_MILLISECONDS) this.#loop.end()
+  }
+
+  /** No entry has dialled: after a restart while the store is down, none may know where this agent is. */
+  #visitIfLonely (): void {
+    const now = this.#options.now()
+    if (this.#linked.size > 0 || now - this.#visitedAt < LONELY_MILLISECONDS) return
+    this.#visitedAt = now
+    const { seeds, linkPort } = this.#options.settings
+    for (const address of [...seeds.map(seed => `${seed}:${linkPort}`), ...this.#entryAddresses]) this.#visits.add(address)
+  }
+
+  #exposed (): string {
+    const exposition = new Exposition()
+    const { tasks, entries, cleared, silent } = this.#agent.status()
+    const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
+    exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_store_calls_total', 'Calls to the store', Object.entries(this.#options.store.calls()).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    return exposition.text()
+  }
+}
+
+function nameOf (instance: string): string {
+  return instance.slice(0, instance.lastIndexOf('#'))
+}
--- /dev/null
+++ b/packages/daemon/src/entryservice.ts
@@ -0,0 +1,179 @@
+/** The process of an entry under leases: the edges around its decision logic. */
+import type { EntryEffect, EntryEvent } from '@amaranthmast/dispatch/entrytypes'
+import type { AgentMessage } from '@amaranthmast/dispatch/messages'
+import type { DispatchConfiguration } from '@amaranthmast/dispatch/queues'
+import type { Greeting } from '@amaranthmast/links/greeting'
+import type { Link } from '@amaranthmast/links/link'
+import type { CallerPort, CallerPortFactory, ServiceSettings, StorePort } from './ports.ts'
+import type { GossipMessage } from './gossip.ts'
+import type { DecisionLog } from './decisionlog.ts'
+import type { EffectHandlers } from './loop.ts'
+import { Entry } from '@amaranthmast/dispatch/entry'
+import { QueueTable } from '@amaranthmast/dispatch/queues'
+import { timingsFor } from '@amaranthmast/dispatch/timings'
+import { Dialer } from '@amaranthmast/links/dialer'
+import { PeerRole } from '@amaranthmast/links/greeting'
+import { Listener } from '@amaranthmast/links/listener'
+import { TICK_MILLISECONDS } from './defaults.ts'
+import { Exposition } from './exposition.ts'
+import { addressesOf, Gossip } from './gossip.ts'
+import { Loop, runLoop } from './loop.ts'
+import { MetricsListener } from './metricslistener.ts'
+import { JobMetrics } from './jobmetrics.ts'
+
+export interface EntryServiceOptions {
+  settings: ServiceSettings
+  incarnation: string
+  store: StorePort
+  callers: CallerPortFactory
+  decisions: DecisionLog
+  now: () => number
+}
+
+/** How long a stopping entry goes on as before: the balancer looks once a second and needs two misses, in milliseconds. */
+const BALANCER_MILLISECONDS = 2500
+
+/** Part of the grace that is kept for the end of the process itself, in milliseconds. */
+const END_RESERVE_MILLISECONDS = 400
+
+export class EntryService {
+  readonly #options: EntryServiceOptions
+  readonly #loop = new Loop<EntryEvent>()
+  readonly #entry: Entry
+  readonly #callers: CallerPort
+  readonly #agents: Dialer
+  readonly #peers: Dialer
+  readonly #listener: Listener
+  readonly #gossip: Gossip
+  readonly #metrics = new JobMetrics()
+  readonly #metricsListener: MetricsListener
+  #configuration: DispatchConfiguration | undefined
+  #queues = new QueueTable([])
+  #stopOrderedAt: number | undefined
+
+  readonly #handlers: EffectHandlers<EntryEffect> = {
+    answer: ({ request, answer }) => this.#callers.answer(request, answer),
+    send: ({ agent, message }) => this.#agents.send(agent, message),
+    unlink: ({ agent }) => this.#agents.renew(agent),
+    jobEnded: effect => this.#metrics.jobEnded(effect),
+    note: ({ what, fields }) => this.#options.decisions.decision(what, fields)
+  }
+
+  constructor (options: EntryServiceOptions) {
+    const { settings, incarnation, decisions, now, store } = options
+    this.#options = options
+    this.#entry = new Entry({ dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace })
+    const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: `${settings.host}:${settings.linkPort}` }
+    this.#agents = new Dialer(own, {
+      linked: (peer, address) => {
+        this.#gossip.agentLinked(address)
+        this.#loop.post({ type: 'agentLinked', agent: peer.name, incarnation: peer.incarnation })
+      },
+      received: (peer, message) => this.#loop.post({ type: 'agentMessage', agent: peer.name, message: message as AgentMessage }),
+      unlinked: peer => this.#loop.post({ type: 'agentUnlinked', agent: peer.name })
+    }, now)
+    this.#peers = new Dialer(own, {
+      linked: peer => { for (const message of this.#gossip.welcome()) this.#peers.send(peer.name, message) },
+      received: (peer, message) => this.#gossip.received(peer, message as GossipMessage, reply => this.#peers.send(peer.name, reply)),
+      unlinked: () => {}
+    }, now)
+    this.#listener = new Listener(own, {
+      linked: (link, peer) => this.#visited(link, peer),
+      received: (peer, message) => this.#gossip.received(peer, message as GossipMessage, reply => this.#listener.link(peer.name)?.send(reply)),
+      unlinked: () => {}
+    })
+    this.#gossip = new Gossip({
+      store,
+      settings,
+      configured: configuration => this.#configured(configuration),
+      agentFound: address => this.#agents.add(address),
+      sendAll: message => this.#peers.sendAll(message)
+    })
+    this.#callers = options.callers({
+      find: (host, path) => this.#configuration === undefined ? 'unconfigured' : this.#queues.find(host, path),
+      limits: () => this.#configuration?.limits,
+      submitted: (request, job) => this.#loop.post({ type: 'submitted', request, job }),
+      cancelAsked: (request, id) => this.#loop.post({ type: 'cancelAsked', request, id }),
+      stateAsked: (request, id) => this.#loop.post({ type: 'stateAsked', request, id }),
+      waiting: () => 0,
+      gone: request => this.#loop.post({ type: 'requestGone', request }),
+      ready: () => this.#entry.ready
+    }, decisions.log)
+    this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
+  }
+
+  /** Runs until it was told to stop; rejects with a fault of the program. */
+  async run (): Promise<void> {
+    const { settings, store, now } = this.#options
+    await this.#listener.listen(settings.host, settings.linkPort)
+    await this.#callers.listen()
+    this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
+    store.watchConfiguration((configuration, document) => this.#gossip.offer(configuration, document))
+    store.watchInstances(records => {
+      for (const address of addressesOf(records, PeerRole.Agent)) this.#agents.add(address)
+      for (const address of addressesOf(records, PeerRole.Entry)) this.#peers.add(address)
+    })
+    store.publish({ name: settings.id, role: PeerRole.Entry, address: `${settings.host}:${settings.linkPort}` })
+    for (const seed of settings.seeds) this.#peers.add(`${seed}:${settings.linkPort}`)
+    this.#gossip.start()
+    const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
+    try {
+      await runLoop(this.#loop, this.#entry, this.#handlers, now)
+    } finally {
+      clearInterval(timer)
+    }
+  }
+
+  stop (): void {
+    if (this.#stopOrderedAt !== undefined) return
+    this.#stopOrderedAt = this.#options.now()
+    this.#loop.post({ type: 'stopOrdered' })
+  }
+
+  async close (): Promise<void> {
+    this.#gossip.stop()
+    this.#callers.close()
+    this.#agents.close()
+    this.#peers.close()
+    this.#listener.close()
+    this.#metricsListener.close()
+    await this.#options.store.close()
+  }
+
+  #tick (): void {
+    this.#loop.post({ type: 'tick' })
+    if (this.#stopOrderedAt === undefined) return
+    const stopping = this.#options.now() - this.#stopOrderedAt
+    if (stopping < BALANCER_MILLISECONDS) return
+    this.#callers.drain()
+    const finished = this.#callers.open() === 0
+    if (stopping >= this.#options.settings.bounds.grace - END_RESERVE_MILLISECONDS || (finished && stopping >= BALANCER_MILLISECONDS + 1000)) this.#loop.end()
+  }
+
+  #configured (configuration: DispatchConfiguration): void {
+    this.#configuration = configuration
+    this.#queues = new QueueTable(configuration.queues)
+    this.#loop.post({ type: 'configured', configuration })
+  }
+
+  /** An agent that nobody has dialled yet, or another entry, has come here. */
+  #visited (link: Link, peer: Greeting): void {
+    if (peer.role === PeerRole.Agent) {
+      this.#agents.add(peer.address)
+      link.close('told')
+      return
+    }
+    this.#peers.add(peer.address)
+    for (const message of this.#gossip.welcome()) link.send(message)
+  }
+
+  #exposed (): string {
+    const exposition = new Exposition()
+    const status = this.#entry.status()
+    exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents', Object.entries(status).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_store_calls_total', 'Calls to the store', Object.entries(this.#options.store.calls()).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    this.#metrics.expose(exposition)
+    return exposition.text()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ports.ts
@@ -0,0 +1,87 @@
+/** What the leased entry and agent need of the world outside, each implemented by an adapter. */
+import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
+import type { Answer } from '@amaranthmast/dispatch/entrytypes'
+import type { JobRequest } from '@amaranthmast/dispatch/job'
+import type { DispatchConfiguration, Queue, RequestLimits } from '@amaranthmast/dispatch/queues'
+import type { Logger } from 'pino'
+
+type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
+
+/** The target beside an agent. How each call ended is posted as an event; none throws. */
+export interface TargetPort {
+  start: (order: EffectOf<'start'>) => void
+  stop: (order: EffectOf<'stop'>) => void
+  look: (order: EffectOf<'look'>) => void
+  close: () => void
+}
+
+/** Makes the port of the target, given where its events go. */
+export type TargetPortFactory = (post: (event: AgentEvent) => void, now: () => number, log: Logger) => TargetPort
+
+/** Where a process is found. */
+export interface InstanceRecord {
+  name: string
+  role: string
+  /** `host:port` of its listener for links. */
+  address: string
+}
+
+/** What is agreed or kept in the platform's store. */
+export interface StorePort {
+  /** Publishes this process for as long as it runs. */
+  publish: (record: InstanceRecord) => void
+  /** Tells of other processes, now and whenever they change. */
+  watchInstances: (found: (records: readonly InstanceRecord[]) => void) => void
+  /** Tells of each new configuration; `document` is what other entries are handed. */
+  watchConfiguration: (found: (configuration: DispatchConfiguration, document: string) => void) => void
+  /** Reads a document that another entry has handed over; undefined when it is not understood. */
+  readConfiguration: (document: string) => DispatchConfiguration | undefined
+  /** Calls so far, by kind. */
+  calls: () => Readonly<Record<string, number>>
+  close: () => Promise<void>
+}
+
+/** What callers' requests become. */
+export interface CallerEvents {
+  /** The queue of a request; undefined when the configuration has none. `'unconfigured'` before there is any. */
+  find: (host: string, path: string) => Queue | undefined | 'unconfigured'
+  limits: () => RequestLimits | undefined
+  submitted: (request: number, job: JobRequest) => void
+  cancelAsked: (request: number, id: string) => void
+  stateAsked: (request: number, id: string) => void
+  /** Jobs of the queue of which no task has started. */
+  waiting: (queue: Queue) => number
+  gone: (request: number) => void
+  ready: () => boolean
+}
+
+/** The listener for callers. */
+export interface CallerPort {
+  listen: () => Promise<void>
+  answer: (request: number, answer: Answer) => void
+  /** New requests are answered with a closing connection. */
+  drain: () => void
+  /** Requests that wait for an answer. */
+  open: () => number
+  close: () => void
+}
+
+export type CallerPortFactory = (events: CallerEvents, log: Logger) => CallerPort
+
+/** Settings that both roles share. */
+export interface ServiceSettings {
+  id: string
+  dataCentre: string
+  host: string
+  linkPort: number
+  /** Hosts of processes that may know others. */
+  seeds: string[]
+  metrics: { host: string, port: number }
+  bounds: {
+    /** After the order to stop, the process must have ended. */
+    grace: number
+    stop: number
+    longestLease: number
+    resubmission: number
+  }
+}
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -1,7 +1,7 @@
 /** An entry's use of the key-value service: the view, the configuration, and where its status is found. */
 import type { EntryEvent } from '@amaranthmast/coordination/entrytypes'
 import type { View } from '@amaranthmast/coordination/messages'
-import { Watcher } from '@amaranthmast/platform/watcher'
+import { Watcher } from '@amaranthmast/store/watcher'
 import { readStoredConfiguration } from '@amaranthmast/settings/configurationfile'
 import type { PublishedEntry } from '@amaranthmast/settings/publishedinstance'
 import { configurationKey, viewKey } from '@amaranthmast/settings/storekeys'
--- a/packages/daemon/src/targets.ts
+++ b/packages/daemon/src/targets.ts
@@ -1,7 +1,7 @@
 /** Calls to the target beside an agent. */
 import type { AgentEvent } from '@amaranthmast/coordination/agenttypes'
 import type { Dispatch } from '@amaranthmast/coordination/messages'
-import { Pool } from '@amaranthmast/platform/connections'
+import { Pool } from '@amaranthmast/store/connections'
 import { TARGET_KEEP_ALIVE_MILLISECONDS, TARGET_TIMEOUT_MILLISECONDS } from './defaults.ts'
 import { TargetCall } from './targetcall.ts'
 
--- a/packages/daemon/src/viewreader.ts
+++ b/packages/daemon/src/viewreader.ts
@@ -1,6 +1,6 @@
 /** Reads of the view of the entries, for both roles. */
 import type { View } from '@amaranthmast/coordination/messages'
-import type { KeyValueClient } from '@amaranthmast/platform/client'
+import type { KeyValueClient } from '@amaranthmast/store/client'
 import type { StoreSettings } from '@amaranthmast/settings/settingstypes'
 import { viewKey } from '@amaranthmast/settings/storekeys'
 import { ok } from 'neverthrow'
--- /dev/null
+++ b/packages/dispatch/src/agenttypes.ts
@@ -0,0 +1,93 @@
+/** Events and effects of an agent. */
+import type { AgentMessage, EntryMessage, TargetFacts } from './messages.ts'
+
+/** How a target answered the order to start a task. */
+export enum StartAnswer {
+  Started = 'started',
+  /** A process with a higher fencing token has used the target. */
+  Fenced = 'fenced',
+  /** A run with this number or a higher one has ended or was stopped there. */
+  OldRun = 'oldRun',
+  /** The order arrived after its deadline. */
+  Late = 'late',
+  Full = 'full',
+  /** It did nothing, being overloaded or unhealthy. */
+  Unhealthy = 'unhealthy',
+  /** It takes the order for invalid. */
+  Rejected = 'rejected',
+  /** Another life of the target answers at its address. */
+  OtherInstance = 'otherInstance',
+  /** Nothing listens at its address. */
+  NoListener = 'noListener',
+  /** No answer: the order may still be carried out. */
+  Silent = 'silent'
+}
+
+/** How a look at the target failed. */
+export enum LookFailure {
+  Fenced = 'fenced',
+  OtherInstance = 'otherInstance',
+  NoListener = 'noListener',
+  Silent = 'silent'
+}
+
+export interface RunningTask {
+  task: string
+  run: number
+  /** Progress, from 0 to 100. */
+  percent: number
+}
+
+/** How a run ended, as the target lists it. */
+export enum RunEnd {
+  Done = 'done',
+  Failed = 'failed',
+  Stopped = 'stopped',
+  Lapsed = 'lapsed',
+  /** It ended for another member of its group. */
+  Broken = 'broken'
+}
+
+export interface EndedRun {
+  /** Counts the ends in one life of the target, from 1. */
+  number: number
+  task: string
+  run: number
+  end: RunEnd
+}
+
+export type AgentEvent =
+  /** The target announced itself; `clock` is a reading of its own clock. */
+  | { type: 'targetSeen', facts: TargetFacts, clock: number }
+  | { type: 'targetLeft', instance: string }
+  | { type: 'startAnswered', instance: string, task: string, run: number, answer: StartAnswer }
+  | { type: 'stopAnswered', instance: string, task: string, run: number, answered: boolean }
+  /** `sent`: when the look was sent, by this process's clock. */
+  | { type: 'looked', instance: string, sent: number, clock: number, running: RunningTask[], ended: EndedRun[] }
+  | { type: 'lookFailed', instance: string, failure: LookFailure }
+  | { type: 'entryLinked', entry: string }
+  | { type: 'entryUnlinked', entry: string }
+  | { type: 'entryMessage', entry: string, message: EntryMessage }
+  /** The machine was suspended: contact that was agreed before has run out, whatever the clock says. */
+  | { type: 'woke', asleep: number }
+  | { type: 'tick' }
+  | { type: 'stopOrdered' }
+
+/** What the target is told with every order: which life of it is meant, and by whom. */
+interface Order {
+  instance: string
+  /** Fencing token: the target ignores lower ones than it has seen. */
+  token: number
+}
+
+export type AgentEffect =
+  | Order & { type: 'start', task: string, run: number, payload: string, deadline: number }
+  | Order & { type: 'stop', task: string, run: number }
+  /** Renews the lease when a deadline is given, acknowledges ends and waits up to `wait` for the next. */
+  | Order & { type: 'look', deadline: number | undefined, acknowledged: number, wait: number }
+  | { type: 'send', entry: string, message: AgentMessage }
+  /** Breaks the link off, so that it begins anew. */
+  | { type: 'unlink', entry: string }
+  /** A decision or a change of what is believed, for the log. */
+  | { type: 'note', what: string, fields: Record<string, unknown> }
+  | { type: 'stopped' }
--- /dev/null
+++ b/packages/dispatch/src/defaults.ts
@@ -0,0 +1,97 @@
+/** Constants of dispatching under leases. Durations in milliseconds unless the name says otherwise. */
+
+/** How fast two clocks may drift apart: a worker's steady clock may be 2% slow, by the platform's bounds. */
+export const CLOCK_RATE_MARGIN = 0.02
+
+/** Timers that fire late and calls on the loopback, added wherever one process waits for another's limit. */
+export const TIMER_MARGIN_MILLISECONDS = 50
+
+/** Shortest lease that a stall of a process (garbage collection, a spent processor quota of 100 ms) leaves intact. */
+export const SHORTEST_LEASE_MILLISECONDS = 250
+
+/** Pings that an entry may miss before its tasks are stopped: one lost answer and one stall leave two. */
+export const PINGS_PER_CONTACT = 4
+
+/** Interval of pings on a link without tasks: what it keeps alive is only the view of the target's load. */
+export const IDLE_PING_MILLISECONDS = 200
+
+/** How long one look at the target waits for an end: five looks a second while nothing ends. */
+export const LOOK_WAIT_MILLISECONDS = 200
+
+/** Added to the wait of a look before it counts as lost: a call on the same machine takes 1 to 5 ms. */
+export const LOOK_SLACK_MILLISECONDS = 150
+
+/** Interval of looks while nothing runs. */
+export const IDLE_LOOK_MILLISECONDS = 1000
+
+/** Time after which a start without an answer is taken back; calls on the same machine take 1 to 5 ms. */
+export const START_TIMEOUT_MILLISECONDS = 250
+
+/** Time after which a stop without an answer is sent again. */
+export const STOP_TIMEOUT_MILLISECONDS = 100
+
+/** Stops without an answer after which the lease is no longer renewed, so that it ends the run instead. */
+export const STOPS_BEFORE_LAPSE = 3
+
+/** Sequences of ended tasks whose run numbers an agent remembers, so that a further run gets a higher one. */
+export const RUNS_REMEMBERED = 20_000
+
+/** Progress of a task is judged over at least this time: targets tell it in whole percent. */
+export const PROGRESS_WINDOW_MILLISECONDS = 200
+
+/** A task that made no progress for this long counts as stuck. Working ones advance with each look. */
+export const STUCK_MILLISECONDS = 450
+
+/** A task whose projected run is this many times the expected one is reported as slow. Estimates are off by 40%. */
+export const SLOW_FACTOR = 2.5
+
+/** Weight of the newest outcome in the learned speed of a target; tasks of one kind differ by 15%. */
+export const SPEED_RATE = 0.1
+
+/** Bounds of the learned speed, in parts of the mean: machines of one fleet differ by 0.8 to 1.25. */
+export const SLOWEST_SPEED = 0.1
+export const FASTEST_SPEED = 2
+
+/** What placing a task in another data centre is worth avoiding: its bytes are paid for, its answers 1 ms later. */
+export const FAR_PENALTY_MILLISECONDS = 15
+
+/** What placing a task on the fullest rather than the emptiest target is worth avoiding. */
+export const LOAD_PENALTY_MILLISECONDS = 10
+
+/** Silence of an agent from which nothing is placed there: two idle pings lost and one late. */
+export const SUSPECT_MILLISECONDS = 500
+
+/** Jobs that wait for room and are passed over by later ones in one decision: a wide job must not keep small ones out. */
+export const SCAN_LIMIT = 8
+
+/** Speed below which a target gets one task at a time, to see whether it has recovered: sound ones reach 0.8. */
+export const PROBED_SPEED = 0.5
+
+/** A task that stands still or crawls is moved when that is expected to save this much. */
+export const MOVE_GAIN_MILLISECONDS = 50
+
+/** Starts of one task that came to nothing, after which its job is given up: a task that no target accepts would go round for ever. */
+export const REFUSALS_LIMIT = 60
+
+/** Failure rate above which it counts no further against a target in a choice; from there on ejection decides. */
+export const COUNTED_FAILURE_RATE = 0.8
+
+/** Late part of a job: a result counts a part up to this many times the objective (the users' rule of credit). */
+export const LATE_FACTOR = 3
+
+/** Part of the objective for which a job that is late already is kept while others wait: estimates are off by 40%. */
+export const LATE_TOLERANCE_PART = 0.25
+
+/** Time kept for the way of an answer to its caller before the deadline. */
+export const ANSWER_MILLISECONDS = 10
+
+/** Answered jobs that are remembered, to answer a further submission or a look-up. */
+export const ANSWERS_REMEMBERED = 5_000
+
+/** Shortest and longest time after which a refused caller is asked to come back. */
+export const SHORTEST_RETRY_AFTER_MILLISECONDS = 200
+export const LONGEST_RETRY_AFTER_MILLISECONDS = 5_000
+
+/** How long a refusal by a target that cannot be reached keeps tasks away from it. */
+export const REFUSAL_PAUSE_MILLISECONDS = 100
+
--- /dev/null
+++ b/packages/dispatch/src/entry.ts
@@ -0,0 +1,399 @@
+/**
+ * Decision logic of an entry: takes jobs, places their tasks at targets through the agents, and
+ * answers each job once, whole.
+ *
+ * A job whose caller gets no answer is submitted again by its caller, through any entry. So an
+ * entry keeps nothing that must survive it: agents stop the tasks of an entry that is gone before
+ * the caller comes back.
+ */
+import type { Answer, EntryEffect, EntryEvent } from './entrytypes.ts'
+import type { AgentView, Placement } from './fleetview.ts'
+import type { PlannedStart } from './fleet.ts'
+import type { JobRequest, Step, Task } from './job.ts'
+import type { PlacementRequest } from './placement.ts'
+import type { SlowTask, TaskEnd } from './messages.ts'
+import type { DispatchConfiguration } from './queues.ts'
+import type { Timings } from './timings.ts'
+import { RunTimeEstimates } from '@amaranthmast/coordination/estimates'
+import {
+  ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LATE_FACTOR, LATE_TOLERANCE_PART, LONGEST_RETRY_AFTER_MILLISECONDS,
+  MOVE_GAIN_MILLISECONDS, REFUSALS_LIMIT, SCAN_LIMIT, SHORTEST_RETRY_AFTER_MILLISECONDS
+} from './defaults.ts'
+import { AnswerKind, Reason } from './entrytypes.ts'
+import { Fleet } from './fleet.ts'
+import { Job, JobState, longestChain, TaskState } from './job.ts'
+import { JobQueue } from './jobqueue.ts'
+import { Outcome } from './messages.ts'
+import { choose } from './placement.ts'
+import { NEVER } from './progress.ts'
+import { fits } from './resources.ts'
+
+export interface EntryOptions {
+  dataCentre: string
+  timings: Timings
+  /** After the order to stop, the process ends within this time, in milliseconds. */
+  grace: number
+}
+
+type Handlers = {
+  [Type in EntryEvent['type']]: (event: Extract<EntryEvent, { type: Type }>, now: number) => void
+}
+
+/** Part of the grace kept for answers on their way, in milliseconds. */
+const GRACE_RESERVE_MILLISECONDS = 700
+
+/** Figures for status pages. */
+export interface EntryStatus {
+  configuration: number
+  agents: number
+  open: number
+  queued: number
+}
+
+export class Entry {
+  readonly #options: EntryOptions
+  readonly #fleet: Fleet
+  readonly #estimates = new RunTimeEstimates()
+  readonly #jobs = new Map<string, Job>()
+  readonly #byRequest = new Map<number, Job>()
+  readonly #queues = new Map<string, JobQueue>()
+  readonly #answers = new Map<string, Answer>()
+  #configuration: DispatchConfiguration | undefined
+  /** By when everything must be answered; undefined while no stop is ordered. */
+  #endsAt: number | undefined
+  #effects: EntryEffect[] = []
+
+  readonly #handlers: Handlers = {
+    submitted: ({ request, job }, now) => this.#submitted(request, job, now),
+    requestGone: ({ request }, now) => this.#requestGone(request, now),
+    cancelAsked: ({ request, id }, now) => this.#cancelAsked(request, id, now),
+    stateAsked: ({ request, id }) => this.#answer(request, this.#stateOf(id)),
+    agentLinked: ({ agent, incarnation }, now) => this.#fleet.agentLinked(agent, incarnation, now),
+    agentUnlinked: ({ agent }, now) => this.#fleet.agentUnlinked(agent, now),
+    agentMessage: ({ agent, message }, now) => this.#fleet.message(agent, message, now),
+    configured: ({ configuration }) => this.#configured(configuration),
+    tick: (_event, now) => this.#tick(now),
+    stopOrdered: (_event, now) => {
+      this.#endsAt ??= now + this.#options.grace
+      this.#note('stop ordered', { open: this.#jobs.size })
+    }
+  }
+
+  constructor (options: EntryOptions) {
+    this.#options = options
+    this.#fleet = new Fleet({
+      timings: options.timings,
+      emit: effect => this.#effects.push(effect),
+      ended: (agent, placement, end, now) => this.#taskEnded(agent, placement, end, now),
+      slow: (agent, placement, slow, now) => this.#taskSlow(agent, placement, slow, now)
+    })
+  }
+
+  /** Takes one event in and returns what is to be done for it, in order. */
+  handle (event: EntryEvent, now: number): EntryEffect[] {
+    this.#effects = []
+    const handler = this.#handlers[event.type] as (event: EntryEvent, now: number) => void
+    handler(event, now)
+    for (const [service, queue] of this.#queues) if (queue.size > 0) this.#place(service, queue, now)
+    return this.#effects
+  }
+
+  status (): EntryStatus {
+    let queued = 0
+    for (const queue of this.#queues.values()) queued += queue.size
+    return { configuration: this.#configuration?.version ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued }
+  }
+
+  /** Whether new callers may be sent here. */
+  get ready (): boolean {
+    return this.#configuration !== undefined && this.#fleet.linked > 0 && this.#endsAt === undefined
+  }
+
+  // Callers
+
+  #configured (configuration: DispatchConfiguration): void {
+    if (configuration.version <= (this.#configuration?.version ?? 0)) return
+    this.#configuration = configuration
+    this.#note('configuration in force', { version: configuration.version, queues: configuration.queues.length })
+  }
+
+  #submitted (request: number, submitted: JobRequest, now: number): void {
+    const known = this.#jobs.get(submitted.id)
+    if (known?.state === JobState.Open) return this.#attach(request, known)
+    const answered = this.#answers.get(submitted.id)
+    if (answered !== undefined) return this.#answer(request, answered)
+    const refusal = this.#refusal(submitted, now)
+    if (refusal !== undefined) {
+      this.#note('job refused', { job: submitted.id, queue: submitted.queue.name, reason: refusal.reason })
+      this.#effects.push({ type: 'jobEnded', queue: submitted.queue.name, kind: refusal.kind, reason: refusal.reason, milliseconds: 0, waited: 0 })
+      return this.#answer(request, refusal)
+    }
+    const job = new Job(submitted, now)
+    this.#attach(request, job)
+    if (known === undefined) this.#open(job, now)
+    else this.#supersede(known, job)
+  }
+
+  /** The id is submitted again while tasks of its earlier submission are stopping: they must be gone first. */
+  #supersede (known: Job, job: Job): void {
+    if (known.successor !== undefined) {
+      for (const request of known.successor.waiting) this.#attach(request, job)
+    }
+    known.successor = job
+  }
+
+  #open (job: Job, now: number): void {
+    this.#jobs.set(job.request.id, job)
+    this.#estimate(job)
+    this.#queueOf(job).add(job, now)
+  }
+
+  #attach (request: number, job: Job): void {
+    job.waiting.add(request)
+    this.#byRequest.set(request, job)
+  }
+
+  #refusal ({ queue, steps }: JobRequest, now: number): Answer | undefined {
+    if (this.#endsAt !== undefined && this.#tooLongToStop(queue.name, queue.service, steps, now)) return refused(Reason.Stopping, SHORTEST_RETRY_AFTER_MILLISECONDS)
+    const known = this.#fleet.known(queue.service)
+    if (known.length === 0) return undefined
+    const unfit = steps.some(step => !known.some(agent => agent.target !== undefined && fits(step.needs, agent.target.capacity)))
+    return unfit ? refused(Reason.NeverRunnable, LONGEST_RETRY_AFTER_MILLISECONDS) : undefined
+  }
+
+  #tooLongToStop (queue: string, service: string, steps: readonly Step[], now: number): boolean {
+    const expected = steps.map(step => this.#estimates.predict(queue, service, step.estimated))
+    return now + longestChain(steps, expected) * 2 > (this.#endsAt ?? Infinity) - GRACE_RESERVE_MILLISECONDS
+  }
+
+  #requestGone (request: number, now: number): void {
+    const job = this.#byRequest.get(request)
+    this.#byRequest.delete(request)
+    if (job === undefined || !job.waiting.delete(request) || job.waiting.size > 0) return
+    if (job.state === JobState.Open) this.#close(job, { kind: AnswerKind.Cancelled, reason: Reason.CallerGone, retryAfter: 0 }, now)
+  }
+
+  #cancelAsked (request: number, id: string, now: number): void {
+    const job = this.#jobs.get(id)
+    if (job === undefined || job.state !== JobState.Open) return this.#answer(request, unknown())
+    const answer = { kind: AnswerKind.Cancelled, reason: Reason.Cancelled, retryAfter: 0 }
+    this.#close(job, answer, now)
+    this.#answer(request, answer)
+  }
+
+  #stateOf (id: string): Answer {
+    const job = this.#jobs.get(id)
+    if (job?.state !== JobState.Open) return this.#answers.get(id) ?? unknown()
+    return { kind: job.started ? AnswerKind.Running : AnswerKind.Pending, reason: Reason.None, retryAfter: 0 }
+  }
+
+  #answer (request: number, answer: Answer): void {
+    this.#byRequest.delete(request)
+    this.#effects.push({ type: 'answer', request, answer })
+  }
+
+  /** Ends a job: answers everyone who waits, and stops what still runs. */
+  #close (job: Job, answer: Answer, now: number): void {
+    job.state = JobState.Closed
+    this.#queueOf(job).remove(job)
+    for (const request of job.waiting) this.#answer(request, answer)
+    job.waiting.clear()
+    const { id, queue } = job.request
+    const milliseconds = now - job.arrivedAt
+    const waited = (job.offeredAt ?? now) - job.arrivedAt
+    this.#effects.push({ type: 'jobEnded', queue: queue.name, kind: answer.kind, reason: answer.reason, milliseconds, waited })
+    if (answer.kind !== AnswerKind.Completed) {
+      this.#note('job ended', { job: id, queue: queue.name, kind: answer.kind, reason: answer.reason, age: Math.round(milliseconds), waited: Math.round(waited), tasks: job.tasks.length, placed: job.placed, chain: Math.round(job.chain) })
+    }
+    if (answer.kind === AnswerKind.Completed || answer.kind === AnswerKind.Failed) this.#remember(id, answer)
+    this.#fleet.stopJob(job)
+    this.#forgetIfGone(job, now)
+  }
+
+  #remember (id: string, answer: Answer): void {
+    this.#answers.set(id, answer)
+    if (this.#answers.size <= ANSWERS_REMEMBERED) return
+    const oldest = this.#answers.keys().next().value
+    if (oldest !== undefined) this.#answers.delete(oldest)
+  }
+
+  #forgetIfGone (job: Job, now: number): void {
+    if (job.state !== JobState.Closed || job.placed > 0) return
+    if (this.#jobs.get(job.request.id) === job) this.#jobs.delete(job.request.id)
+    const { successor } = job
+    job.successor = undefined
+    if (successor === undefined || successor.waiting.size === 0) return
+    const answered = this.#answers.get(job.request.id)
+    if (answered === undefined) return this.#open(successor, now)
+    for (const request of successor.waiting) this.#answer(request, answered)
+  }
+
+  // Order
+
+  #queueOf (job: Job): JobQueue {
+    const { service } = job.request.queue
+    let queue = this.#queues.get(service)
+    if (queue === undefined) {
+      queue = new JobQueue()
+      this.#queues.set(service, queue)
+    }
+    return queue
+  }
+
+  #estimate (job: Job): void {
+    const { queue, steps } = job.request
+    job.expected = steps.map(step => this.#estimates.predict(queue.name, queue.service, step.estimated))
+    const stepsDone = new Set(steps.keys())
+    for (const task of job.tasks) if (task.state !== TaskState.Done) stepsDone.delete(task.step)
+    const whole = longestChain(steps, job.expected)
+    job.chain = longestChain(steps, job.expected, step => stepsDone.has(step))
+    job.objectiveAt = job.arrivedAt + queue.slackFactor * whole + queue.latency
+    job.startBy = Math.min(job.objectiveAt, job.deadline - ANSWER_MILLISECONDS) - job.chain
+  }
+
+  /** Whether the job is better answered now than kept. */
+  #hopeless (job: Job, saturated: boolean, now: number): Reason {
+    if (now + job.chain > job.deadline) return Reason.Deadline
+    const objective = job.objectiveAt - job.arrivedAt
+    if (now + job.chain > job.arrivedAt + LATE_FACTOR * objective) return Reason.Overload
+    return saturated && now > job.startBy + LATE_TOLERANCE_PART * objective ? Reason.Overload : Reason.None
+  }
+
+  // Placing
+
+  #place (service: string, queue: JobQueue, now: number): void {
+    queue.advance(now)
+    const candidates = this.#fleet.usable(service, now).filter(agent => agent.free.cpu > 0)
+    const waiting: Job[] = []
+    while (waiting.length < SCAN_LIMIT) {
+      const job = queue.take()
+      if (job === undefined) break
+      this.#placeJob(job, candidates, now)
+      if (job.state !== JobState.Open || job.queued().length === 0) continue
+      waiting.push(job)
+      if (candidates.length === 0) break
+    }
+    for (const job of waiting) queue.add(job, now)
+  }
+
+  #placeJob (job: Job, candidates: AgentView[], now: number): void {
+    const starts = new Map<AgentView, PlannedStart[]>()
+    for (const task of job.queued()) {
+      const agent = choose(this.#requestFor(job, task), candidates)
+      if (agent === undefined) continue
+      const start = plan(job, task)
+      this.#fleet.reserve(agent, start, now)
+      const planned = starts.get(agent)
+      if (planned === undefined) starts.set(agent, [start])
+      else planned.push(start)
+    }
+    if (starts.size === 0) return
+    job.started = true
+    job.offeredAt ??= now
+    for (const [agent, planned] of starts) this.#fleet.send(agent, job, planned)
+  }
+
+  #requestFor (job: Job, task: Task): PlacementRequest {
+    return {
+      step: job.request.steps[task.step] as Step,
+      expected: job.expected[task.step] ?? 0,
+      avoid: task.avoid,
+      dataCentre: this.#options.dataCentre,
+      placedAt: agent => countOf(agent, job, task.step)
+    }
+  }
+
+  // Ends
+
+  #taskEnded (agent: AgentView, placement: Placement, end: TaskEnd, now: number): void {
+    const { task } = placement
+    const { job } = task
+    job.placed -= 1
+    if (job.state === JobState.Closed) return this.#forgetIfGone(job, now)
+    if (end.outcome === Outcome.Done) return this.#taskDone(agent, placement, end, now)
+    task.state = TaskState.Queued
+    this.#note('task to be placed again', { job: job.request.id, task: task.name, attempt: end.attempt, agent: agent.name, outcome: end.outcome, cause: end.cause, ran: Math.round(end.ran) })
+    if (end.outcome === Outcome.Failed) {
+      task.failures += 1
+      task.avoid = agent.name
+      if (task.failures >= job.request.queue.attempts) return this.#close(job, { kind: AnswerKind.Failed, reason: Reason.TaskFailed, retryAfter: 0 }, now)
+    } else {
+      task.refusals += 1
+      if (task.refusals > REFUSALS_LIMIT) return this.#giveUp(job, Reason.NoTarget, now)
+    }
+    this.#queueOf(job).add(job, now)
+  }
+
+  #taskDone (agent: AgentView, { task, expected }: Placement, end: TaskEnd, now: number): void {
+    const { job } = task
+    const { queue, steps } = job.request
+    this.#estimates.learn(queue.name, queue.service, (steps[task.step] as Step).estimated, end.ran * agent.speed)
+    agent.noteRun(expected, end.ran)
+    const unblocked = job.finish(task)
+    if (job.done) return this.#close(job, { kind: AnswerKind.Completed, reason: Reason.None, retryAfter: 0 }, now)
+    if (!unblocked) return
+    this.#estimate(job)
+    this.#queueOf(job).add(job, now)
+  }
+
+  /** Moves a task that stands still or crawls, when it would end sooner elsewhere. */
+  #taskSlow (agent: AgentView, placement: Placement, slow: SlowTask, now: number): void {
+    if (placement.stopping) return
+    if (slow.remaining !== NEVER && slow.remaining < placement.expected + MOVE_GAIN_MILLISECONDS) return
+    const { task } = placement
+    this.#note('task moved', { job: task.job.request.id, task: task.name, agent: agent.name, remaining: Math.round(slow.remaining), expected: Math.round(placement.expected) })
+    if (slow.remaining === NEVER) this.#fleet.noteStuck(agent, now)
+    task.avoid = agent.name
+    this.#fleet.stop(agent, [placement])
+  }
+
+  // Time
+
+  #tick (now: number): void {
+    this.#fleet.tick(now)
+    for (const job of this.#jobs.values()) {
+      if (job.state === JobState.Open && now >= job.deadline - ANSWER_MILLISECONDS) this.#giveUp(job, Reason.Deadline, now)
+    }
+    for (const queue of this.#queues.values()) this.#giveUpHopeless(queue, now)
+  }
+
+  #giveUpHopeless (queue: JobQueue, now: number): void {
+    const saturated = queue.timely > 0
+    for (const job of [...queue.jobs()]) {
+      if (job.started) continue
+      const reason = this.#hopeless(job, saturated, now)
+      if (reason !== Reason.None) this.#giveUp(job, reason, now)
+    }
+  }
+
+  /** A job of which no task was ever placed has provably not run. */
+  #giveUp (job: Job, reason: Reason, now: number): void {
+    if (job.started) return this.#close(job, { kind: AnswerKind.TimedOut, reason, retryAfter: 0 }, now)
+    this.#close(job, refused(reason, SHORTEST_RETRY_AFTER_MILLISECONDS), now)
+  }
+
+  #note (what: string, fields: Record<string, unknown>): void {
+    this.#effects.push({ type: 'note', what, fields })
+  }
+}
+
+function refused (reason: Reason, retryAfter: number): Answer {
+  return { kind: AnswerKind.Refused, reason, retryAfter }
+}
+
+function unknown (): Answer {
+  return { kind: AnswerKind.Unknown, reason: Reason.None, retryAfter: 0 }
+}
+
+function plan (job: Job, task: Task): PlannedStart {
+  task.state = TaskState.Placed
+  task.attempt += 1
+  job.placed += 1
+  return { task, needs: (job.request.steps[task.step] as Step).needs, expected: job.expected[task.step] ?? 0 }
+}
+
+function countOf (agent: AgentView, job: Job, step: number): number {
+  let count = 0
+  for (const { task } of agent.placements.values()) if (task.job === job && task.step === step) count += 1
+  return count
+}
--- /dev/null
+++ b/packages/dispatch/src/entrysession.ts
@@ -0,0 +1,62 @@
+/** What an agent keeps for one run of an entry: until when its tasks may run, and ends it has not received. */
+import type { Resources } from './resources.ts'
+import type { TaskEnd } from './messages.ts'
+import { NO_RESOURCES } from './resources.ts'
+
+export class EntrySession {
+  /** Run of the entry, `name#incarnation`. */
+  readonly entry: string
+  connected = false
+  /** Resources that its tasks hold at the target. */
+  readonly used: Resources = { ...NO_RESOURCES }
+  tasks = 0
+  pingedAt = Number.NEGATIVE_INFINITY
+  disconnectedAt = 0
+  #contactUntil = Number.NEGATIVE_INFINITY
+  #validFrom = Number.NEGATIVE_INFINITY
+  #firstUnacknowledged = 1
+  #unacknowledged: TaskEnd[] = []
+
+  constructor (entry: string) {
+    this.entry = entry
+  }
+
+  /** Whether the entry has proven lately that it lives and is heard. */
+  inContact (now: number): boolean {
+    return now < this.#contactUntil
+  }
+
+  /** Ends the contact; only an echo of a later ping renews it. */
+  loseContact (now: number): void {
+    this.#contactUntil = Number.NEGATIVE_INFINITY
+    this.#validFrom = now
+  }
+
+  /**
+   * Takes an echo in. Contact counts from the moment at which the ping was *sent*: an echo that was
+   * held up for seconds by a partition then extends nothing.
+   */
+  echoed (sent: number, received: number, contact: number): void {
+    if (sent >= this.#validFrom) this.#contactUntil = Math.max(this.#contactUntil, sent + contact)
+    const acknowledged = received - this.#firstUnacknowledged + 1
+    if (acknowledged <= 0) return
+    this.#unacknowledged.splice(0, acknowledged)
+    this.#firstUnacknowledged = received + 1
+  }
+
+  /** Remembers an end until the entry has received it; gives its number. */
+  remember (end: TaskEnd): number {
+    this.#unacknowledged.push(end)
+    return this.#firstUnacknowledged + this.#unacknowledged.length - 1
+  }
+
+  /** Ends that the entry may not have received, and the number of the first. */
+  unacknowledged (): { first: number, ends: TaskEnd[] } {
+    return { first: this.#firstUnacknowledged, ends: [...this.#unacknowledged] }
+  }
+}
+
+/** Name of the entry without its incarnation. */
+export function nameOf (instance: string): string {
+  return instance.slice(0, instance.lastIndexOf('#'))
+}
--- /dev/null
+++ b/packages/dispatch/src/entrytypes.ts
@@ -0,0 +1,65 @@
+/** Events and effects of an entry. */
+import type { JobRequest } from './job.ts'
+import type { AgentMessage, EntryMessage } from './messages.ts'
+import type { DispatchConfiguration } from './queues.ts'
+
+/** How a request about a job is answered. */
+export enum AnswerKind {
+  /** Every task is done. */
+  Completed = 'completed',
+  /** A task failed as often as the queue allows. */
+  Failed = 'failed',
+  /** It has not run and never will under this submission. */
+  Refused = 'refused',
+  /** It was not finished in time; some tasks ran. */
+  TimedOut = 'timedOut',
+  /** It was cancelled. */
+  Cancelled = 'cancelled',
+  /** It is in progress. */
+  Running = 'running',
+  Pending = 'pending',
+  Unknown = 'unknown'
+}
+
+/** Why a job was not completed. */
+export enum Reason {
+  None = '',
+  NoConfiguration = 'noConfiguration',
+  NoTarget = 'noTarget',
+  NeverRunnable = 'neverRunnable',
+  Overload = 'overload',
+  Deadline = 'deadline',
+  TaskFailed = 'taskFailed',
+  Stopping = 'stopping',
+  CallerGone = 'callerGone',
+  Cancelled = 'cancelled'
+}
+
+export interface Answer {
+  kind: AnswerKind
+  reason: Reason
+  /** When to come back, in milliseconds; 0 when coming back is of no use. */
+  retryAfter: number
+}
+
+export type EntryEvent =
+  | { type: 'submitted', request: number, job: JobRequest }
+  | { type: 'requestGone', request: number }
+  | { type: 'cancelAsked', request: number, id: string }
+  | { type: 'stateAsked', request: number, id: string }
+  | { type: 'agentLinked', agent: string, incarnation: string }
+  | { type: 'agentUnlinked', agent: string }
+  | { type: 'agentMessage', agent: string, message: AgentMessage }
+  | { type: 'configured', configuration: DispatchConfiguration }
+  | { type: 'tick' }
+  | { type: 'stopOrdered' }
+
+export type EntryEffect =
+  | { type: 'answer', request: number, answer: Answer }
+  | { type: 'send', agent: string, message: EntryMessage }
+  /** Breaks the link off, so that it begins anew. */
+  | { type: 'unlink', agent: string }
+  /** A job has ended: figures for histograms. */
+  | { type: 'jobEnded', queue: string, kind: AnswerKind, reason: Reason, milliseconds: number, waited: number }
+  /** A decision or a change of what is believed, for the log. */
+  | { type: 'note', what: string, fields: Record<string, unknown> }
--- /dev/null
+++ b/packages/dispatch/src/fleet.ts
@@ -0,0 +1,249 @@
+/** The agents of one entry: what was placed where, what became of it, and who is still there. */
+import type { EntryEffect } from './entrytypes.ts'
+import type { Placement } from './fleetview.ts'
+import type { Job, Task } from './job.ts'
+import type { AgentMessage, SlowTask, TaskEnd, TaskReference } from './messages.ts'
+import type { Timings } from './timings.ts'
+import { FleetHealth, TargetHealth, Trust } from '@amaranthmast/coordination/health'
+import { REFUSAL_PAUSE_MILLISECONDS, SUSPECT_MILLISECONDS } from './defaults.ts'
+import { AgentView } from './fleetview.ts'
+import { Cause, Outcome } from './messages.ts'
+
+/** A task to be started at a target. */
+export interface PlannedStart {
+  task: Task
+  needs: Placement['needs']
+  /** Expected run time at an average target, in milliseconds. */
+  expected: number
+}
+
+export interface FleetOptions {
+  timings: Timings
+  emit: (effect: EntryEffect) => void
+  /** One start of a task has ended, and nothing of it runs any more. */
+  ended: (agent: AgentView, placement: Placement, end: TaskEnd, now: number) => void
+  slow: (agent: AgentView, placement: Placement, slow: SlowTask, now: number) => void
+}
+
+type Handlers = {
+  [Type in AgentMessage['type']]: (agent: AgentView, message: Extract<AgentMessage, { type: Type }>, now: number) => void
+}
+
+/** Slots assumed for the gradual trust in a new target: a worker runs about ten tasks at a time. */
+const ASSUMED_SLOTS = 8
+
+/** Causes that speak against a target, not against the load. */
+const UNREACHABLE = new Set<Cause>([Cause.Unreachable, Cause.Rejected])
+
+export class Fleet {
+  readonly #options: FleetOptions
+  readonly #agents = new Map<string, AgentView>()
+  readonly #health = new FleetHealth()
+
+  readonly #handlers: Handlers = {
+    announce: (agent, message, now) => this.#announced(agent, message, now),
+    ping: (agent, { sent, load }, now) => {
+      agent.noteLoad(load)
+      agent.echoedAt = now
+      this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'echo', sent, received: agent.received } })
+    },
+    ends: (agent, { first, ends, load }, now) => {
+      agent.noteLoad(load)
+      for (const [index, end] of ends.entries()) this.#ended(agent, first + index, end, now)
+    },
+    slow: (agent, { tasks }, now) => {
+      for (const slow of tasks) {
+        const placement = this.#placement(agent, slow)
+        if (placement === undefined) continue
+        agent.notePace(slow.pace)
+        this.#options.slow(agent, placement, slow, now)
+      }
+    }
+  }
+
+  constructor (options: FleetOptions) {
+    this.#options = options
+  }
+
+  get linked (): number {
+    return [...this.#agents.values()].filter(agent => agent.linked).length
+  }
+
+  /** Agents whose targets take tasks of the service now. */
+  usable (service: string, now: number): AgentView[] {
+    return [...this.#agents.values()].filter(agent => agent.target?.service === service && agent.usable(now, SUSPECT_MILLISECONDS))
+  }
+
+  /** Agents with a target of the service, usable or not. */
+  known (service: string): AgentView[] {
+    return [...this.#agents.values()].filter(agent => agent.target?.service === service)
+  }
+
+  agentLinked (name: string, incarnation: string, now: number): void {
+    let agent = this.#agents.get(name)
+    if (agent === undefined) {
+      agent = new AgentView(name)
+      this.#agents.set(name, agent)
+      this.#health.add(agent.health)
+    }
+    if (agent.incarnation !== incarnation) {
+      agent.incarnation = incarnation
+      agent.received = 0
+      agent.noteTarget(undefined)
+    }
+    agent.linked = true
+    agent.announced = false
+    agent.heardAt = now
+    this.#note('agent linked', { agent: name, incarnation, placed: agent.placements.size })
+  }
+
+  agentUnlinked (name: string, now: number): void {
+    const agent = this.#agents.get(name)
+    if (agent === undefined || !agent.linked) return
+    agent.linked = false
+    this.#note('agent unlinked', { agent: name, placed: agent.placements.size, heardAgo: Math.round(now - agent.heardAt) })
+  }
+
+  message (name: string, message: AgentMessage, now: number): void {
+    const agent = this.#agents.get(name)
+    if (agent === undefined || !agent.linked) return
+    agent.heardAt = now
+    const handler = this.#handlers[message.type] as (agent: AgentView, message: AgentMessage, now: number) => void
+    handler(agent, message, now)
+  }
+
+  /** Takes the room for a task; `send` then has it started. */
+  reserve (agent: AgentView, { task, needs, expected }: PlannedStart, now: number): void {
+    agent.add({ task, attempt: task.attempt, incarnation: agent.incarnation, needs, expected, placedAt: now, stopping: false })
+  }
+
+  /** Sends tasks of one job to a target. */
+  send (agent: AgentView, job: Job, starts: readonly PlannedStart[]): void {
+    const tasks = starts.map(({ task, needs, expected }) =>
+      ({ task: task.name, attempt: task.attempt, needs, expected: Math.round(expected / agent.speed) }))
+    this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'start', payload: job.request.payload, tasks } })
+  }
+
+  /** Orders the tasks of a job to stop, wherever they are. */
+  stopJob (job: Job): void {
+    if (job.placed === 0) return
+    for (const agent of this.#agents.values()) {
+      const tasks = [...agent.placements.values()].filter(({ task }) => task.job === job)
+      if (tasks.length > 0) this.stop(agent, tasks)
+    }
+  }
+
+  stop (agent: AgentView, placements: readonly Placement[]): void {
+    const tasks = placements.filter(placement => !placement.stopping).map(({ task, attempt }) => ({ task: task.name, attempt }))
+    for (const placement of placements) placement.stopping = true
+    if (tasks.length > 0) this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'stop', tasks } })
+  }
+
+  tick (now: number): void {
+    const { contact, silence } = this.#options.timings
+    for (const agent of this.#agents.values()) {
+      this.#probeIfDue(agent, now)
+      if (agent.linked && now - agent.heardAt >= contact) {
+        // The connection may be silent for good while a new one works.
+        this.#note('agent silent', { agent: agent.name, placed: agent.placements.size })
+        agent.linked = false
+        this.#options.emit({ type: 'unlink', agent: agent.name })
+      }
+      if (agent.linked || agent.placements.size === 0 || now < agent.echoedAt + silence) continue
+      this.#note('tasks of a silent agent ended', { agent: agent.name, tasks: agent.placements.size, echoedAgo: Math.round(now - agent.echoedAt) })
+      for (const placement of [...agent.placements.values()]) this.#gone(agent, placement, Cause.Lapsed, now)
+    }
+  }
+
+  #announced (agent: AgentView, message: Extract<AgentMessage, { type: 'announce' }>, now: number): void {
+    const { target, held, load } = message
+    const opening = !agent.announced
+    agent.announced = true
+    if (target !== undefined && target.instance !== agent.target?.instance) this.#newTarget(agent)
+    agent.noteTarget(target)
+    agent.noteLoad(load)
+    this.#note('target announced', { agent: agent.name, instance: target?.instance, leaving: target?.leaving, held: held.length })
+    const names = new Set(held.map(({ task, attempt }) => `${task}/${attempt}`))
+    for (const placement of [...agent.placements.values()]) {
+      // A new run of the agent announces a target once its predecessor's tasks have ended there.
+      const replaced = placement.incarnation !== agent.incarnation
+      const certain = replaced ? target !== undefined : opening && !names.has(`${placement.task.name}/${placement.attempt}`)
+      if (certain) this.#gone(agent, placement, Cause.TargetLost, now)
+    }
+  }
+
+  #newTarget (agent: AgentView): void {
+    this.#health.remove(agent.health)
+    agent.health = new TargetHealth(ASSUMED_SLOTS)
+    this.#health.add(agent.health)
+    agent.speed = 1
+  }
+
+  #gone (agent: AgentView, { task, attempt }: Placement, cause: Cause, now: number): void {
+    this.#settle(agent, { task: task.name, attempt, outcome: Outcome.Gone, cause, ran: 0 }, now)
+  }
+
+  #ended (agent: AgentView, number: number, end: TaskEnd, now: number): void {
+    if (number <= agent.received) return
+    agent.received = number
+    this.#settle(agent, end, now)
+  }
+
+  #settle (agent: AgentView, end: TaskEnd, now: number): void {
+    const placement = this.#placement(agent, end)
+    if (placement === undefined) return
+    agent.remove(placement)
+    this.#judge(agent, placement, end, now)
+    this.#options.ended(agent, placement, end, now)
+  }
+
+  /** Learns from an end how far the target can be trusted. */
+  #judge (agent: AgentView, placement: Placement, end: TaskEnd, now: number): void {
+    this.#health.remove(agent.health)
+    if (end.outcome === Outcome.Done) {
+      agent.health.noteSuccess(end.ran * agent.speed / Math.max(1, placement.expected), now)
+    } else if (end.outcome === Outcome.Failed) {
+      agent.health.noteFailure()
+    } else if (end.outcome === Outcome.NotStarted && UNREACHABLE.has(end.cause)) {
+      agent.health.noteFailure()
+      agent.pausedUntil = now + REFUSAL_PAUSE_MILLISECONDS
+    } else if (end.cause === Cause.Full) {
+      agent.noteFull()
+    }
+    this.#health.add(agent.health)
+    if (end.outcome !== Outcome.Done) this.#ejectIfDue(agent, now)
+  }
+
+  /** A task that stood still there speaks against the target as a failed one does. */
+  noteStuck (agent: AgentView, now: number): void {
+    this.#health.remove(agent.health)
+    agent.health.noteFailure()
+    this.#health.add(agent.health)
+    this.#ejectIfDue(agent, now)
+  }
+
+  #ejectIfDue (agent: AgentView, now: number): void {
+    if (!this.#health.shouldEject(agent.health)) return
+    this.#health.remove(agent.health)
+    agent.health.eject(now)
+    this.#health.add(agent.health)
+    this.#note('target ejected', { agent: agent.name, failureRate: agent.health.failureRate, probeIn: Math.round(agent.health.probeAt - now) })
+  }
+
+  #probeIfDue (agent: AgentView, now: number): void {
+    if (agent.health.trust !== Trust.Ejected || now < agent.health.probeAt) return
+    this.#health.remove(agent.health)
+    agent.health.probe()
+    this.#health.add(agent.health)
+    this.#note('target probed', { agent: agent.name })
+  }
+
+  #placement (agent: AgentView, { task, attempt }: TaskReference): Placement | undefined {
+    const placement = agent.placements.get(task)
+    return placement?.attempt === attempt ? placement : undefined
+  }
+
+  #note (what: string, fields: Record<string, unknown>): void {
+    this.#options.emit({ type: 'note', what, fields })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/fleetview.ts
@@ -0,0 +1,108 @@
+/** The targets as one entry knows them through their agents. */
+import type { Task } from './job.ts'
+import type { Load, TargetFacts } from './messages.ts'
+import type { Resources } from './resources.ts'
+import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
+import { FASTEST_SPEED, PROBED_SPEED, SLOWEST_SPEED, SPEED_RATE } from './defaults.ts'
+import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
+
+/** A start of a task that has not ended yet. */
+export interface Placement {
+  readonly task: Task
+  readonly attempt: number
+  /** Run of the agent that it was sent to. */
+  readonly incarnation: string
+  readonly needs: Resources
+  /** Expected run time at an average target, in milliseconds. */
+  readonly expected: number
+  readonly placedAt: number
+  /** It was ordered to stop. */
+  stopping: boolean
+}
+
+export class AgentView {
+  /** Name of the agent without its incarnation. */
+  readonly name: string
+  incarnation = ''
+  linked = false
+  /** Whether the agent has announced itself on the present link. */
+  announced = false
+  target: TargetFacts | undefined
+  health = new TargetHealth(1)
+  /** Run time of an average target over the run time here. */
+  speed = 1
+  others: Resources = { ...NO_RESOURCES }
+  /** Room for further tasks, as far as known. */
+  free: Resources = { ...NO_RESOURCES }
+  readonly used: Resources = { ...NO_RESOURCES }
+  readonly placements = new Map<string, Placement>()
+  heardAt = Number.NEGATIVE_INFINITY
+  /** When the last echo was sent: the agent may count on this entry from then on. */
+  echoedAt = Number.NEGATIVE_INFINITY
+  received = 0
+  /** Nothing is placed before. */
+  pausedUntil = Number.NEGATIVE_INFINITY
+
+  constructor (name: string) {
+    this.name = name
+  }
+
+  noteTarget (target: TargetFacts | undefined): void {
+    this.target = target
+    this.#measure()
+  }
+
+  noteLoad ({ others }: Load): void {
+    this.others = others
+    this.#measure()
+  }
+
+  /** The agent says that it is full: nothing fits before its next word on its load. */
+  noteFull (): void {
+    this.free = { ...NO_RESOURCES }
+  }
+
+  add (placement: Placement): void {
+    this.placements.set(placement.task.name, placement)
+    addTo(this.used, placement.needs)
+    this.#measure()
+  }
+
+  remove (placement: Placement): void {
+    if (!this.placements.delete(placement.task.name)) return
+    takeFrom(this.used, placement.needs)
+    this.#measure()
+  }
+
+  /** Learns the speed from a run against what an average target would take. */
+  noteRun (expected: number, ran: number): void {
+    const speed = Math.min(FASTEST_SPEED, Math.max(SLOWEST_SPEED, expected / Math.max(1, ran)))
+    this.speed += (speed - this.speed) * SPEED_RATE
+  }
+
+  /** A task crawls there: one that is slowed to an eighth would else look sound until its first tasks end. */
+  notePace (pace: number): void {
+    if (pace < this.speed * PROBED_SPEED) this.speed = Math.max(SLOWEST_SPEED, pace)
+  }
+
+  /** Whether tasks may be placed there now. `silence`: longest time without a sign of life, in milliseconds. */
+  usable (now: number, silence: number): boolean {
+    return this.linked && this.announced && this.target !== undefined && !this.target.leaving &&
+      now >= this.pausedUntil && now - this.heardAt < silence && this.health.trust !== Trust.Ejected
+  }
+
+  /** Whether its health allows one more task at a time. */
+  get hasPlace (): boolean {
+    return this.placements.size < (this.speed < PROBED_SPEED ? 1 : this.health.limit())
+  }
+
+  #measure (): void {
+    const { target, others, used } = this
+    if (target === undefined) return this.noteFull()
+    this.free = {
+      cpu: target.capacity.cpu - others.cpu - used.cpu,
+      memory: target.capacity.memory - others.memory - used.memory,
+      accelerators: target.capacity.accelerators - others.accelerators - used.accelerators
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/heldtasks.ts
@@ -0,0 +1,99 @@
+/** The tasks that an agent has at its target, and what they hold of it. */
+import type { EntrySession } from './entrysession.ts'
+import type { TaskOrder } from './messages.ts'
+import type { Resources } from './resources.ts'
+import { RUNS_REMEMBERED } from './defaults.ts'
+import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
+
+/** How far a task is. In every stage it may be running and holds its room. */
+export enum Stage {
+  /** The order to start it is not answered yet. */
+  Starting = 'starting',
+  Running = 'running',
+  /** The order to stop it was sent, or its start was not answered and is taken back. */
+  Stopping = 'stopping'
+}
+
+export interface HeldTask {
+  readonly order: TaskOrder
+  readonly payload: string
+  readonly session: EntrySession
+  /** Number of this start at the target. */
+  run: number
+  stage: Stage
+  startedAt: number
+  /** When the target answered that it runs; undefined before. */
+  confirmedAt: number | undefined
+  /** When the last order to stop it was sent. */
+  stopSentAt: number
+  /** When the target confirmed that it stops; undefined before. */
+  stopConfirmedAt: number | undefined
+  stops: number
+  percent: number
+  /** When the progress last changed. */
+  advancedAt: number
+  reportedSlowAt: number
+}
+
+export class HeldTasks {
+  readonly #tasks = new Map<string, HeldTask>()
+  readonly #runs = new Map<string, number>()
+  readonly used: Resources = { ...NO_RESOURCES }
+
+  get size (): number {
+    return this.#tasks.size
+  }
+
+  get (task: string): HeldTask | undefined {
+    return this.#tasks.get(task)
+  }
+
+  all (): HeldTask[] {
+    return [...this.#tasks.values()]
+  }
+
+  of (session: EntrySession): HeldTask[] {
+    return this.all().filter(held => held.session === session)
+  }
+
+  add (order: TaskOrder, payload: string, session: EntrySession, now: number): HeldTask {
+    const run = Math.max(order.attempt, (this.#runs.get(order.task) ?? 0) + 1)
+    const held: HeldTask = {
+      order,
+      payload,
+      session,
+      run,
+      stage: Stage.Starting,
+      startedAt: now,
+      confirmedAt: undefined,
+      stopSentAt: 0,
+      stopConfirmedAt: undefined,
+      stops: 0,
+      percent: 0,
+      advancedAt: now,
+      reportedSlowAt: Number.NEGATIVE_INFINITY
+    }
+    this.#tasks.set(order.task, held)
+    this.noteRun(held)
+    addTo(this.used, order.needs)
+    addTo(session.used, order.needs)
+    session.tasks += 1
+    return held
+  }
+
+  remove (held: HeldTask): void {
+    if (!this.#tasks.delete(held.order.task)) return
+    takeFrom(this.used, held.order.needs)
+    takeFrom(held.session.used, held.order.needs)
+    held.session.tasks -= 1
+  }
+
+  /** Remembers the number of a run: the target refuses to start one that is not higher. */
+  noteRun (held: HeldTask): void {
+    this.#runs.delete(held.order.task)
+    this.#runs.set(held.order.task, held.run)
+    if (this.#runs.size <= RUNS_REMEMBERED) return
+    const oldest = this.#runs.keys().next().value
+    if (oldest !== undefined) this.#runs.delete(oldest)
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/messages.ts
@@ -0,0 +1,97 @@
+/** Messages between entries and agents, and what they are about. */
+import type { Resources } from './resources.ts'
+
+/** One start of one task. `attempt` rises with each start of the task. */
+export interface TaskReference {
+  task: string
+  attempt: number
+}
+
+/** A task to be started. */
+export interface TaskOrder extends TaskReference {
+  needs: Resources
+  /** Run time that the entry expects at this target, in milliseconds. */
+  expected: number
+}
+
+/** What became of one start of a task. */
+export enum Outcome {
+  Done = 'done',
+  /** It ran and failed. */
+  Failed = 'failed',
+  /** It has not run, and this start never will. */
+  NotStarted = 'notStarted',
+  /** It is gone without a result: stopped, lapsed, or lost with its target. */
+  Gone = 'gone'
+}
+
+/** Why a task was not started, or is gone. */
+export enum Cause {
+  None = '',
+  /** The target has no room for it. */
+  Full = 'full',
+  /** The target cannot be reached, or says that it is not healthy. */
+  Unreachable = 'unreachable',
+  /** The target is leaving, or the agent is stopping. */
+  Leaving = 'leaving',
+  /** The agent has no target yet, or clears it of its predecessor's tasks. */
+  NoTarget = 'noTarget',
+  /** The target refused it for another reason. */
+  Rejected = 'rejected',
+  /** It was stopped. */
+  Stopped = 'stopped',
+  /** The lease of the target lapsed. */
+  Lapsed = 'lapsed',
+  /** The target is gone. */
+  TargetLost = 'targetLost'
+}
+
+/** The end of one start of a task. */
+export interface TaskEnd extends TaskReference {
+  outcome: Outcome
+  cause: Cause
+  /** How long it ran, in milliseconds; 0 when that is not known. */
+  ran: number
+}
+
+/** A task that advances much slower than expected. */
+export interface SlowTask extends TaskReference {
+  /** Time that it still needs at its present pace, in milliseconds; -1 when it does not advance at all. */
+  remaining: number
+  /** Its pace, in parts of the expected one. */
+  pace: number
+}
+
+/** A target as its agent announces it. */
+export interface TargetFacts {
+  /** This life of the target. */
+  instance: string
+  service: string
+  dataCentre: string
+  capacity: Resources
+  labels: string[]
+  /** It takes no new work. */
+  leaving: boolean
+}
+
+/** Resources of a target that tasks of other entries hold. */
+export interface Load {
+  others: Resources
+}
+
+/** From an agent to an entry. */
+export type AgentMessage =
+  /** First message on a link, and again whenever the target changes. `held`: this entry's tasks here. */
+  | { type: 'announce', target: TargetFacts | undefined, held: TaskReference[], load: Load }
+  /** `sent` is a reading of the agent's own clock, returned to it untouched. */
+  | { type: 'ping', sent: number, load: Load }
+  /** Ends numbered from `first` on; repeated on a new link until the entry has told that it received them. */
+  | { type: 'ends', first: number, ends: TaskEnd[], load: Load }
+  | { type: 'slow', tasks: SlowTask[] }
+
+/** From an entry to an agent. */
+export type EntryMessage =
+  /** Answer to a ping; `received` is the number of the last end that arrived. */
+  | { type: 'echo', sent: number, received: number }
+  | { type: 'start', payload: string, tasks: TaskOrder[] }
+  | { type: 'stop', tasks: TaskReference[] }
--- /dev/null
+++ b/packages/dispatch/src/placement.ts
@@ -0,0 +1,53 @@
+/** Which target a task goes to. */
+import type { AgentView } from './fleetview.ts'
+import type { Step } from './job.ts'
+import { COUNTED_FAILURE_RATE, FAR_PENALTY_MILLISECONDS, LOAD_PENALTY_MILLISECONDS } from './defaults.ts'
+import { fits } from './resources.ts'
+
+/** What a choice is made for. */
+export interface PlacementRequest {
+  step: Step
+  /** Expected run time at an average target, in milliseconds. */
+  expected: number
+  /** Target to be taken only when no other has room. */
+  avoid: string
+  dataCentre: string
+  /** Tasks of the same step at a target. */
+  placedAt: (agent: AgentView) => number
+}
+
+/**
+ * The target with room where the task is expected to end first, with a preference for the own data
+ * centre, whose traffic is cheaper, and for emptier targets, whose load is less likely to be out of
+ * date. Undefined when none has room.
+ */
+export function choose (request: PlacementRequest, candidates: readonly AgentView[]): AgentView | undefined {
+  let best: AgentView | undefined
+  let lowest = Infinity
+  for (const agent of candidates) {
+    if (!allows(request, agent)) continue
+    const cost = costOf(request, agent)
+    if (cost >= lowest) continue
+    lowest = cost
+    best = agent
+  }
+  return best
+}
+
+function allows ({ step, placedAt }: PlacementRequest, agent: AgentView): boolean {
+  if (!agent.hasPlace || !fits(step.needs, agent.free)) return false
+  if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
+  return step.perTarget === 0 || placedAt(agent) < step.perTarget
+}
+
+/** Time that the choice costs, in milliseconds. */
+function costOf ({ step, expected, avoid, dataCentre }: PlacementRequest, agent: AgentView): number {
+  const { target } = agent
+  if (target === undefined) return Infinity
+  const sound = 1 - Math.min(COUNTED_FAILURE_RATE, agent.health.failureRate)
+  const run = expected / agent.speed / sound
+  const far = target.dataCentre === dataCentre ? 0 : FAR_PENALTY_MILLISECONDS
+  const remote = step.rack === '' || target.labels.includes(step.rack) ? 0 : run / 2
+  const load = LOAD_PENALTY_MILLISECONDS * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
+  return run + far + remote + load + (agent.name === avoid ? expected : 0)
+}
--- /dev/null
+++ b/packages/dispatch/src/targetlease.ts
@@ -0,0 +1,55 @@
+/** The lease under which everything runs at a target, as its agent renews it. */
+import type { Timings } from './timings.ts'
+
+/**
+ * Works out deadlines on the target's clock and until when its tasks may be running.
+ *
+ * A target that receives renewals whose answers are lost would keep running tasks of which nobody
+ * hears: after one lost answer no further renewal is sent until the target has answered again.
+ */
+export class TargetLease {
+  readonly #timings: Timings
+  /** Reading of the target's clock, and when it arrived here. */
+  #reading: { clock: number, at: number } | undefined
+  #renewedAt = Number.NEGATIVE_INFINITY
+  #silent = false
+
+  constructor (timings: Timings) {
+    this.#timings = timings
+  }
+
+  /** Whether the last look at the target brought no answer. */
+  get silent (): boolean {
+    return this.#silent
+  }
+
+  /** From then on nothing can be running that was started or renewed before. */
+  get lapsedAt (): number {
+    return this.#renewedAt + this.#timings.lapse
+  }
+
+  /**
+   * A deadline for a message that is sent now, on the target's clock; undefined while that clock is
+   * not known or the target is silent. The reading is older than its arrival, so the deadline is
+   * rather too early than too late.
+   */
+  renew (now: number): number | undefined {
+    if (this.#reading === undefined || this.#silent) return undefined
+    this.#renewedAt = now
+    return Math.floor(this.#reading.clock + (now - this.#reading.at) + this.#timings.lease)
+  }
+
+  noteClock (clock: number, now: number): void {
+    this.#reading = { clock, at: now }
+  }
+
+  /** A look was answered. */
+  noteAnswer (clock: number, now: number): void {
+    this.noteClock(clock, now)
+    this.#silent = false
+  }
+
+  noteSilence (): void {
+    this.#silent = true
+  }
+}
--- /dev/null
+++ b/packages/links/src/dialer.ts
@@ -0,0 +1,118 @@
+/** Keeps links to a set of destinations: dials each again, with growing pauses, until it is forgotten. */
+import type { Greeting } from './greeting.ts'
+import { connect } from 'node:net'
+import { FORGET_MILLISECONDS, REDIAL_FIRST_MILLISECONDS, REDIAL_LAST_MILLISECONDS } from './defaults.ts'
+import { Link } from './link.ts'
+
+export interface DialerEvents {
+  linked: (peer: Greeting, address: string) => void
+  received: (peer: Greeting, message: unknown) => void
+  unlinked: (peer: Greeting, reason: string) => void
+}
+
+interface Destination {
+  readonly address: string
+  link: Link | undefined
+  pause: number
+  timer: NodeJS.Timeout | undefined
+  /** When it was last linked or named. */
+  knownAt: number
+}
+
+export class Dialer {
+  readonly #own: Greeting
+  readonly #events: DialerEvents
+  readonly #now: () => number
+  readonly #destinations = new Map<string, Destination>()
+  readonly #linked = new Map<string, Destination>()
+  #stopped = false
+
+  constructor (own: Greeting, events: DialerEvents, now: () => number) {
+    this.#own = own
+    this.#events = events
+    this.#now = now
+  }
+
+  /** Addresses that are kept, linked or not. */
+  get addresses (): string[] {
+    return [...this.#destinations.keys()]
+  }
+
+  /** Takes a destination in, or remembers it for longer. */
+  add (address: string): void {
+    const known = this.#destinations.get(address)
+    if (known !== undefined) {
+      known.knownAt = this.#now()
+      return
+    }
+    const destination: Destination = { address, link: undefined, pause: REDIAL_FIRST_MILLISECONDS, timer: undefined, knownAt: this.#now() }
+    this.#destinations.set(address, destination)
+    this.#dial(destination)
+  }
+
+  send (name: string, message: unknown): void {
+    this.#linked.get(name)?.link?.send(message)
+  }
+
+  sendAll (message: unknown): void {
+    for (const destination of this.#linked.values()) destination.link?.send(message)
+  }
+
+  /** Breaks a link off and dials again at once. */
+  renew (name: string): void {
+    this.#linked.get(name)?.link?.close('renewed')
+  }
+
+  close (): void {
+    this.#stopped = true
+    for (const { link, timer } of this.#destinations.values()) {
+      clearTimeout(timer)
+      link?.close('this process stops')
+    }
+  }
+
+  #dial (destination: Destination): void {
+    destination.timer = undefined
+    const [host = '', port = ''] = destination.address.split(':')
+    const link = new Link(connect({ host, port: Number(port) }), this.#own, {
+      greeted: greeted => this.#greeted(destination, greeted),
+      received: (from, message) => { if (destination.link === from) this.#events.received(from.peer as Greeting, message) },
+      closed: (closed, reason) => this.#closed(destination, closed, reason)
+    })
+    destination.link = link
+  }
+
+  #greeted (destination: Destination, link: Link): void {
+    const peer = link.peer as Greeting
+    if (peer.name === this.#own.name) {
+      this.#destinations.delete(destination.address)
+      link.close('own address')
+      return
+    }
+    destination.pause = REDIAL_FIRST_MILLISECONDS
+    destination.knownAt = this.#now()
+    this.#linked.set(peer.name, destination)
+    this.#events.linked(peer, destination.address)
+  }
+
+  #closed (destination: Destination, link: Link, reason: string): void {
+    if (destination.link !== link) return
+    destination.link = undefined
+    const { peer } = link
+    if (peer !== undefined && this.#linked.get(peer.name) === destination) {
+      this.#linked.delete(peer.name)
+      this.#events.unlinked(peer, reason)
+    }
+    this.#redial(destination)
+  }
+
+  #redial (destination: Destination): void {
+    if (this.#stopped || !this.#destinations.has(destination.address)) return
+    if (this.#now() - destination.knownAt > FORGET_MILLISECONDS) {
+      this.#destinations.delete(destination.address)
+      return
+    }
+    destination.timer = setTimeout(() => this.#dial(destination), destination.pause)
+    destination.pause = Math.min(REDIAL_LAST_MILLISECONDS, destination.pause * 2)
+  }
+}
--- /dev/null
+++ b/packages/links/src/messagesocket.ts
@@ -0,0 +1,86 @@
+/** Messages as lines of JSON on one connection; all of one turn of the event loop leave together. */
+import type { Socket } from 'node:net'
+import { BACKLOG_LIMIT, MESSAGE_LIMIT } from './defaults.ts'
+
+export interface MessageSocketEvents {
+  received: (message: unknown) => void
+  /** Called once. */
+  closed: (reason: string) => void
+}
+
+const NEWLINE = 10
+
+export class MessageSocket {
+  readonly #socket: Socket
+  readonly #events: MessageSocketEvents
+  #lines: string[] = []
+  #parts: Buffer[] = []
+  #partial = 0
+  #closed = false
+
+  constructor (socket: Socket, events: MessageSocketEvents) {
+    this.#socket = socket
+    this.#events = events
+    socket.setNoDelay(true)
+    socket.on('data', chunk => this.#read(chunk))
+    socket.on('error', error => this.#close(error.message))
+    socket.on('close', () => this.#close('closed'))
+    socket.on('end', () => this.#close('ended by the other end'))
+  }
+
+  get open (): boolean {
+    return !this.#closed
+  }
+
+  /** Sends a message with the others of this turn; it is dropped when the connection has ended. */
+  send (message: unknown): void {
+    if (this.#closed) return
+    if (this.#lines.length === 0) setImmediate(() => this.#flush())
+    this.#lines.push(JSON.stringify(message))
+  }
+
+  /** Breaks the connection off; nothing is received from it any more. */
+  destroy (reason: string): void {
+    this.#close(reason)
+  }
+
+  #flush (): void {
+    if (this.#closed) return
+    const text = `${this.#lines.join('\n')}\n`
+    this.#lines = []
+    this.#socket.write(text)
+    if (this.#socket.writableLength > BACKLOG_LIMIT) this.#close('the other end does not read')
+  }
+
+  #read (chunk: Buffer): void {
+    let start = 0
+    for (let end = chunk.indexOf(NEWLINE); end >= 0 && !this.#closed; end = chunk.indexOf(NEWLINE, start)) {
+      this.#line(chunk.subarray(start, end))
+      start = end + 1
+    }
+    if (start >= chunk.length || this.#closed) return
+    this.#parts.push(chunk.subarray(start))
+    this.#partial += chunk.length - start
+    if (this.#partial > MESSAGE_LIMIT) this.#close('a message is too large')
+  }
+
+  #line (end: Buffer): void {
+    const line = this.#parts.length === 0 ? end : Buffer.concat([...this.#parts, end])
+    this.#parts = []
+    this.#partial = 0
+    let message: unknown
+    try {
+      message = JSON.parse(line.toString('utf8'))
+    } catch {
+      return this.#close('a line is not JSON')
+    }
+    this.#events.received(message)
+  }
+
+  #close (reason: string): void {
+    if (this.#closed) return
+    this.#closed = true
+    this.#socket.destroy()
+    this.#events.closed(reason)
+  }
+}
--- a/packages/platform/src/exchange.ts
+++ b/packages/store/src/exchange.ts
@@ -1,6 +1,5 @@
 /** One HTTP exchange with one endpoint, and what can be said for certain when it fails. */
 import type { Dispatcher } from 'undici'
-import type { GatewayPath } from './gateway.ts'
 
 /** How an exchange ended. */
 export enum ExchangeOutcome {
@@ -95,10 +94,24 @@
   }
 }
 
+/** A request other than a plain post. */
+export interface ExchangeRequest {
+  method: 'GET' | 'POST' | 'DELETE'
+  path: string
+  headers?: Readonly<Record<string, string>>
+  body?: string
+}
+
 /** Posts `body` to one endpoint; the promise is never rejected. */
-export function exchange (dispatcher: Dispatcher, path: GatewayPath, body: string, timeoutMilliseconds: number): Promise<Exchange> {
+export function exchange (dispatcher: Dispatcher, path: string, body: string, timeoutMilliseconds: number): Promise<Exchange> {
+  return exchangeRequest(dispatcher, { method: 'POST', path, body }, timeoutMilliseconds)
+}
+
+/** Sends a request to one endpoint; the promise is never rejected. */
+export function exchangeRequest (dispatcher: Dispatcher, request: ExchangeRequest, timeoutMilliseconds: number): Promise<Exchange> {
   return new Promise((resolve) => {
     const handler = new ExchangeHandler(timeoutMilliseconds, resolve)
-    dispatcher.dispatch({ path, method: 'POST', headers: REQUEST_HEADERS, body }, handler)
+    const { method, path, headers = REQUEST_HEADERS, body = null } = request
+    dispatcher.dispatch({ method, path, headers, body }, handler)
   })
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,6 +3,8 @@
  * starts faster and holds less memory than the tree of modules that it is made of. Names are kept,
  * so that stack traces stay readable. A program whose source is missing is skipped with a line that
  * says so.
+ *
+ * node scripts/build.mjs [DIRECTORY [PROGRAM ...]]: all programs into dist/ when nothing is named.
  */
 import { existsSync } from 'node:fs'
 import { mkdir } from 'node:fs/promises'
@@ -26,14 +28,17 @@
   fleet: 'packages/standins/src/fleetmain.ts',
   bench: 'packages/bench/src/main.ts',
   capacity: 'packages/bench/src/capacity.ts',
-  path: 'packages/bench/src/path.ts'
+  path: 'packages/bench/src/path.ts',
+  'amaranthmast-fleet': 'platform/src/main.ts'
 }
 
+const [directory = 'dist', ...wanted] = process.argv.slice(2)
+
 /**
  * Programs whose parts are loaded by roles: what a process imports only in another role stays in a
- * file under dist/parts/ that it never reads, which saves an idle agent 2 to 4 MB.
+ * file under parts/ that it never reads, which saves an idle agent 2 to 4 MB.
  */
-const splitPrograms = new Set(['amaranthmastd'])
+const splitPrograms = new Set(['amaranthmastd', 'amaranthmast-fleet'])
 
 /** CommonJS dependencies (pino among them) use what an ES module does not define. */
 const commonJsBanner = [
@@ -52,7 +57,7 @@
   return build({
     absWorkingDir: root,
     entryPoints: { [name]: source },
-    outdir: 'dist',
+    outdir: directory,
     splitting: splitPrograms.has(name),
     chunkNames: 'parts/[name]-[hash]',
     bundle: true,
@@ -70,17 +75,18 @@
   })
 }
 
-await mkdir(join(root, 'dist'), { recursive: true })
+await mkdir(join(root, directory), { recursive: true })
 const present = []
 for (const [name, source] of Object.entries(programs)) {
+  if (wanted.length > 0 && !wanted.includes(name)) continue
   if (existsSync(join(root, source))) present.push([name, source])
-  else console.log(`skipped dist/${name}.js: there is no ${source}`)
+  else console.log(`skipped ${directory}/${name}.js: there is no ${source}`)
 }
 
 const outcomes = await Promise.allSettled(present.map(([name, source]) => bundle(name, source)))
 outcomes.forEach((outcome, index) => {
   const [name, source] = present[index]
   if (outcome.status === 'fulfilled') return
-  console.error(`failed dist/${name}.js: ${source} does not build, see the messages above`)
+  console.error(`failed ${directory}/${name}.js: ${source} does not build, see the messages above`)
   process.exitCode = 1
 })
