Dispatch: a begun job keeps its place until it counts nothing; load is told when it changes

Entries learnt of room that others left 150 to 200 ms late, and took an agent that was full once for full until its next ping. Ruled out: placing wide jobs only as a whole, which leaves room unused while the last slot is awaited. Change: three ranks (timely or begun, late, overdue); an agent tells its load when it changed by 8% of the capacity.

--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -14,7 +14,7 @@
 import { EntrySession, nameOf } from './entrysession.ts'
 import { HeldTasks, Stage } from './heldtasks.ts'
 import {
-  IDLE_LOOK_MILLISECONDS, LOOK_WAIT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE
+  IDLE_LOOK_MILLISECONDS, LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LOOK_WAIT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE
 } from './defaults.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining, TargetPace } from './progress.ts'
@@ -474,7 +474,7 @@
   #tick (now: number): void {
     for (const session of this.#sessions.values()) {
       const interval = session.tasks > 0 ? this.#timings.ping : this.#timings.idlePing
-      if (session.connected && now - session.pingedAt >= interval) this.#ping(session, now)
+      if (session.connected && (now - session.pingedAt >= interval || this.#loadChanged(session, now))) this.#ping(session, now)
       if (!session.connected && session.tasks === 0 && now - session.disconnectedAt > SESSION_MEMORY_MILLISECONDS) this.#sessions.delete(session.entry)
     }
     for (const held of this.#held.all()) {
@@ -519,8 +519,17 @@
     this.#send(session, { type: 'announce', target, held, load: this.#load(session, now) })
   }
 
+  /** Room that one entry's tasks leave is of use to the others only when they hear of it. */
+  #loadChanged (session: EntrySession, now: number): boolean {
+    const capacity = this.#target?.capacity.cpu ?? 0
+    const change = Math.abs(this.#held.used.cpu - session.used.cpu - session.toldOthers)
+    return change > LOAD_CHANGE_PART * capacity && now - session.toldAt >= LOAD_INTERVAL_MILLISECONDS * this.#sessions.size
+  }
+
   #load (session: EntrySession, now: number): Load {
     const { used } = this.#held
+    session.toldOthers = used.cpu - session.used.cpu
+    session.toldAt = now
     return {
       pace: Math.round(this.#pace.value(now) * 100) / 100,
       others: { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -88,8 +88,14 @@
 /** Part of the objective for which a job that is late already is kept while others wait: estimates are off by 40%. */
 export const LATE_TOLERANCE_PART = 0.25
 
-/** Time kept for the way of an answer to its caller before the deadline. */
-export const ANSWER_MILLISECONDS = 10
+/** Time kept for the way of an answer to its caller before the deadline: deadlines are looked at every 50 ms. */
+export const ANSWER_MILLISECONDS = 60
+
+/** Change of a target's load, in parts of its capacity, of which entries are told before their next ping is due. */
+export const LOAD_CHANGE_PART = 0.08
+
+/** Least time between such messages to one entry, times the entries: an agent tells at most 80 a second. */
+export const LOAD_INTERVAL_MILLISECONDS = 12
 
 /** Answered jobs that are remembered, to answer a further submission or a look-up. */
 export const ANSWERS_REMEMBERED = 5_000
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -247,21 +247,21 @@
     const whole = longestChain(steps, job.expected)
     job.chain = longestChain(steps, job.expected, step => stepsDone.has(step))
     job.objectiveAt = job.arrivedAt + queue.slackFactor * whole + queue.latency
+    job.overdueAt = Math.min(job.arrivedAt + LATE_FACTOR * (job.objectiveAt - job.arrivedAt), job.deadline)
     job.startBy = Math.min(job.objectiveAt, job.deadline - ANSWER_MILLISECONDS) - job.chain
   }
 
   /** Whether the job is better answered now than kept. */
   #hopeless (job: Job, saturated: boolean, now: number): Reason {
     if (now + job.chain > job.deadline) return Reason.Deadline
-    const objective = job.objectiveAt - job.arrivedAt
-    if (now + job.chain > job.arrivedAt + LATE_FACTOR * objective) return Reason.Overload
-    return saturated && now > job.startBy + LATE_TOLERANCE_PART * objective ? Reason.Overload : Reason.None
+    if (now + job.chain > job.overdueAt) return Reason.Overload
+    const tolerance = LATE_TOLERANCE_PART * (job.objectiveAt - job.arrivedAt)
+    return saturated && now > job.startBy + tolerance ? Reason.Overload : Reason.None
   }
 
   // Placing
 
   #place (service: string, queue: JobQueue, now: number): void {
-    queue.advance(now)
     const candidates = this.#fleet.usable(service, now).filter(agent => agent.free.cpu > 0)
     const waiting: Job[] = []
     while (waiting.length < SCAN_LIMIT) {
@@ -357,7 +357,10 @@
     for (const job of this.#jobs.values()) {
       if (job.state === JobState.Open && now >= job.deadline - ANSWER_MILLISECONDS) this.#giveUp(job, Reason.Deadline, now)
     }
-    for (const queue of this.#queues.values()) this.#giveUpHopeless(queue, now)
+    for (const queue of this.#queues.values()) {
+      queue.advance(now)
+      this.#giveUpHopeless(queue, now)
+    }
   }
 
   #giveUpHopeless (queue: JobQueue, now: number): void {
--- a/packages/dispatch/src/entrysession.ts
+++ b/packages/dispatch/src/entrysession.ts
@@ -10,6 +10,9 @@
   /** Resources that its tasks hold at the target. */
   readonly used: Resources = { ...NO_RESOURCES }
   tasks = 0
+  /** Processors of other entries' tasks, as the entry was told last. */
+  toldOthers = 0
+  toldAt = Number.NEGATIVE_INFINITY
   pingedAt = Number.NEGATIVE_INFINITY
   disconnectedAt = 0
   #contactUntil = Number.NEGATIVE_INFINITY
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import { REFUSAL_PAUSE_MILLISECONDS, SUSPECT_MILLISECONDS } from './defaults.ts'
 import { AgentView } from './fleetview.ts'
 import { Cause, Outcome } from './messages.ts'
+import { fits } from './resources.ts'
 
 /** A task to be started at a target. */
 export interface PlannedStart {
@@ -213,7 +214,8 @@
     } else if (end.outcome === Outcome.NotStarted && UNREACHABLE.has(end.cause)) {
       agent.health.noteFailure()
       agent.pausedUntil = now + REFUSAL_PAUSE_MILLISECONDS
-    } else if (end.cause === Cause.Full) {
+    } else if (end.cause === Cause.Full && fits(placement.needs, agent.free)) {
+      // By what it says of its load there is room: asking again at once would go on for ever.
       agent.noteFull()
     }
     this.#health.add(agent.health)
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -74,6 +74,8 @@
   expected: number[] = []
   /** An answer until then counts in full. */
   objectiveAt = 0
+  /** An answer after that counts nothing. */
+  overdueAt = 0
   /** Latest time at which what is left of the chain may begin for the answer to count in full. */
   startBy = 0
   /** Tasks placed and not ended. */
--- a/packages/dispatch/src/jobqueue.ts
+++ b/packages/dispatch/src/jobqueue.ts
@@ -2,49 +2,69 @@
 import type { Job } from './job.ts'
 import { IndexedHeap } from '@amaranthmast/coordination/heap'
 
+/** How much a job is worth serving now; the first come first. */
+export enum Rank {
+  /** It can be in time, or has begun and still counts: what it has used would be lost. */
+  Timely = 0,
+  /** It has not begun and can't be in time any more. */
+  Late = 1,
+  /** It comes too late to count; it is finished with room that nobody else wants. */
+  Overdue = 2
+}
+
+const RANKS = [Rank.Timely, Rank.Late, Rank.Overdue]
+
+export function rankOf (job: Job, now: number): Rank {
+  if (now + job.chain > job.overdueAt) return Rank.Overdue
+  return job.started || job.startBy >= now ? Rank.Timely : Rank.Late
+}
+
 /**
- * Jobs that can still be in time come first, the most pressing of them at the head; those that
- * can't any more get what room is left. Under overload a plain order by deadline would serve
- * late jobs first and make every other one late as well.
+ * Within a rank the most pressing job comes first. Under overload a plain order by deadline would
+ * serve late jobs first and make every other one late as well. A job that was begun keeps its
+ * place: else a wide one is passed over while its last tasks wait, and all its work is in vain.
  */
 export class JobQueue {
-  readonly #timely = new IndexedHeap<Job>()
-  readonly #late = new IndexedHeap<Job>()
+  readonly #heaps = RANKS.map(() => new IndexedHeap<Job>())
 
   get size (): number {
-    return this.#timely.size + this.#late.size
+    return this.#heaps.reduce((sum, heap) => sum + heap.size, 0)
   }
 
+  /** Jobs that can be in time. */
   get timely (): number {
-    return this.#timely.size
+    return (this.#heaps[Rank.Timely] as IndexedHeap<Job>).size
   }
 
   add (job: Job, now: number): void {
     this.remove(job)
-    const heap = job.startBy >= now ? this.#timely : this.#late
+    const heap = this.#heaps[rankOf(job, now)] as IndexedHeap<Job>
     heap.set(job, job.startBy, job.arrivedAt)
   }
 
   remove (job: Job): void {
-    this.#timely.delete(job)
-    this.#late.delete(job)
+    for (const heap of this.#heaps) heap.delete(job)
   }
 
-  /** Moves the jobs that have become late behind the others. */
+  /** Moves the jobs whose rank has fallen behind the others. */
   advance (now: number): void {
-    while ((this.#timely.peekKey() ?? Infinity) < now) {
-      const job = this.#timely.pop() as Job
-      this.#late.set(job, job.startBy, job.arrivedAt)
+    for (const rank of RANKS) {
+      const heap = this.#heaps[rank] as IndexedHeap<Job>
+      for (const job of heap.values().filter(job => rankOf(job, now) !== rank)) this.add(job, now)
     }
   }
 
   /** Takes the next job out; it is added again if tasks are left. */
   take (): Job | undefined {
-    return this.#timely.pop() ?? this.#late.pop()
+    for (const heap of this.#heaps) {
+      const job = heap.pop()
+      if (job !== undefined) return job
+    }
+    return undefined
   }
 
   /** Every job, in no order. */
   jobs (): Job[] {
-    return [...this.#timely.values(), ...this.#late.values()]
+    return this.#heaps.flatMap(heap => heap.values())
   }
 }
