--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -33,8 +33,14 @@
 /** How long a stopping entry goes on as before: the balancer looks once a second and needs two misses, in milliseconds. */
 const BALANCER_MILLISECONDS = 2500
 
+/** How long open connections may still bring requests after the balancer has left, in milliseconds. */
+const IDLE_MILLISECONDS = 1000
+
+/** Before the end of the grace, whoever still waits is answered, in milliseconds: answers take a few to leave. */
+const ANSWER_RESERVE_MILLISECONDS = 600
+
 /** Part of the grace that is kept for the end of the process itself, in milliseconds. */
-const END_RESERVE_MILLISECONDS = 400
+const END_RESERVE_MILLISECONDS = 300
 
 export class EntryService {
   readonly #options: EntryServiceOptions
@@ -146,8 +152,10 @@
     const stopping = this.#options.now() - this.#stopOrderedAt
     if (stopping < BALANCER_MILLISECONDS) return
     this.#callers.drain()
-    const finished = this.#callers.open() === 0
-    if (stopping >= this.#options.settings.bounds.grace - END_RESERVE_MILLISECONDS || (finished && stopping >= BALANCER_MILLISECONDS + 1000)) this.#loop.end()
+    const { grace } = this.#options.settings.bounds
+    if (stopping >= grace - ANSWER_RESERVE_MILLISECONDS) this.#loop.post({ type: 'ending' })
+    const idle = this.#callers.open() === 0 && stopping >= BALANCER_MILLISECONDS + IDLE_MILLISECONDS
+    if (idle || stopping >= grace - END_RESERVE_MILLISECONDS) this.#loop.end()
   }
 
   #configured (configuration: DispatchConfiguration): void {
--- /dev/null
+++ b/packages/dispatch/explore/connections.ts
@@ -0,0 +1,113 @@
+/** Connections between entries and agents: ordered, delayed, and held up or broken by faults. */
+import type { SeededRandom } from '@amaranthmast/standins/random'
+import type { Timeline } from './timeline.ts'
+
+export interface End {
+  linked: () => void
+  received: (message: unknown) => void
+  unlinked: () => void
+}
+
+interface Connection {
+  entry: End
+  agent: End
+  entryOpen: boolean
+  agentOpen: boolean
+  /** Earliest arrival of the next message at each end: messages of one direction stay in order. */
+  atEntry: number
+  atAgent: number
+}
+
+const FASTEST = 0.1
+const SLOWEST = 3
+
+export class Connections {
+  readonly #timeline: Timeline
+  readonly #random: SeededRandom
+  readonly #connections = new Map<string, Connection>()
+  /** Until when a pair is cut. */
+  readonly #cuts = new Map<string, number>()
+
+  constructor (timeline: Timeline, random: SeededRandom) {
+    this.#timeline = timeline
+    this.#random = random
+  }
+
+  get (pair: string): boolean {
+    return this.#connections.has(pair)
+  }
+
+  cut (pair: string, milliseconds: number): void {
+    this.#cuts.set(pair, Math.max(this.#cuts.get(pair) ?? 0, this.#timeline.now + milliseconds))
+  }
+
+  isCut (pair: string): boolean {
+    return (this.#cuts.get(pair) ?? 0) > this.#timeline.now
+  }
+
+  /** A new connection replaces an earlier one: its ends hear of that, and nothing of the old one is heard. */
+  open (pair: string, entry: End, agent: End): void {
+    this.#connections.get(pair)?.agent.unlinked()
+    const connection: Connection = { entry, agent, entryOpen: true, agentOpen: true, atEntry: 0, atAgent: 0 }
+    this.#connections.set(pair, connection)
+    agent.linked()
+    entry.linked()
+  }
+
+  /** Breaks a connection off at the entry's end; the agent hears of it when the news arrives. */
+  closeByEntry (pair: string): void {
+    const connection = this.#connections.get(pair)
+    if (connection?.entryOpen !== true) return
+    connection.entryOpen = false
+    connection.entry.unlinked()
+    this.#deliver(pair, connection, 'atAgent', () => this.#agentHears(pair, connection))
+  }
+
+  closeByAgent (pair: string): void {
+    const connection = this.#connections.get(pair)
+    if (connection?.agentOpen !== true) return
+    this.#agentHears(pair, connection)
+    this.#deliver(pair, connection, 'atEntry', () => this.#entryHears(pair, connection))
+  }
+
+  toAgent (pair: string, message: unknown): void {
+    const connection = this.#connections.get(pair)
+    if (connection?.entryOpen !== true) return
+    this.#deliver(pair, connection, 'atAgent', () => { if (connection.agentOpen) connection.agent.received(message) })
+  }
+
+  toEntry (pair: string, message: unknown): void {
+    const connection = this.#connections.get(pair)
+    if (connection?.agentOpen !== true) return
+    this.#deliver(pair, connection, 'atEntry', () => { if (connection.entryOpen) connection.entry.received(message) })
+  }
+
+  #agentHears (pair: string, connection: Connection): void {
+    if (!connection.agentOpen || this.#connections.get(pair) !== connection) return
+    connection.agentOpen = false
+    connection.agent.unlinked()
+    this.#forget(pair, connection)
+  }
+
+  #entryHears (pair: string, connection: Connection): void {
+    if (!connection.entryOpen || this.#connections.get(pair) !== connection) return
+    connection.entryOpen = false
+    connection.entry.unlinked()
+    this.#forget(pair, connection)
+  }
+
+  #forget (pair: string, connection: Connection): void {
+    if (!connection.entryOpen && !connection.agentOpen) this.#connections.delete(pair)
+  }
+
+  /** What a cut holds up arrives after it, as long as the connection is the pair's present one. */
+  #deliver (pair: string, connection: Connection, direction: 'atEntry' | 'atAgent', action: () => void): void {
+    const { now } = this.#timeline
+    const travel = FASTEST + this.#random.next() * (SLOWEST - FASTEST)
+    const arrival = Math.max(now + travel, connection[direction] + 0.001, (this.#cuts.get(pair) ?? 0) + travel)
+    connection[direction] = arrival
+    this.#timeline.after(arrival - now, () => {
+      if (this.#connections.get(pair) === connection) action()
+    })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/explore/explore.ts
@@ -0,0 +1,31 @@
+/**
+ * Searches random faults for two runs of one task at one time.
+ *
+ *     npm run explore:leases -- --seed 1 --runs 1000 [--break contact]
+ *     npm run explore:leases -- --replay 17 [--break contact]
+ */
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { runSeed, search } from './faults.ts'
+import { ALL_GUARDS, guardsWithout } from './world.ts'
+
+const GUARD_NAMES = [...Object.keys(ALL_GUARDS.agent), ...Object.keys(ALL_GUARDS.fleet)]
+
+const settings = yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('runs', { type: 'number', default: 200, describe: 'seeds to try' })
+  .option('break', { choices: GUARD_NAMES, describe: 'guard to switch off' })
+  .option('replay', { type: 'number', describe: 'play this one seed and print what happens' })
+  .strict()
+  .parseSync()
+
+if (settings.replay !== undefined) {
+  const guards = settings.break === undefined ? ALL_GUARDS : guardsWithout(settings.break)
+  const { violation, answers } = runSeed(settings.replay, guards, line => console.log(line))
+  console.log(violation === undefined ? 'no violation' : `${violation.at.toFixed(1)} ms: ${violation.detail}`, Object.fromEntries(answers))
+  process.exitCode = violation === undefined ? 0 : 1
+} else {
+  const found = search(settings.seed, settings.runs, settings.break)
+  console.log(found === undefined ? `${settings.runs} seeds, no violation` : `seed ${found.seed}: ${found.violation.detail} at ${found.violation.at.toFixed(1)} ms`)
+  process.exitCode = found === undefined ? 0 : 1
+}
--- /dev/null
+++ b/packages/dispatch/explore/world.ts
@@ -0,0 +1,248 @@
+/** A small fleet under virtual time, its callers, and the promise that no task runs twice at one time. */
+import type { AgentEffect, AgentEvent } from '../src/agenttypes.ts'
+import type { AgentGuards } from '../src/agent.ts'
+import type { EntryEffect, EntryEvent } from '../src/entrytypes.ts'
+import type { FleetGuards } from '../src/fleet.ts'
+import type { AgentMessage, EntryMessage } from '../src/messages.ts'
+import { SeededRandom } from '@amaranthmast/standins/random'
+import { Agent, ALL_AGENT_GUARDS } from '../src/agent.ts'
+import { Entry } from '../src/entry.ts'
+import { AnswerKind } from '../src/entrytypes.ts'
+import { ALL_FLEET_GUARDS } from '../src/fleet.ts'
+import { timingsFor } from '../src/timings.ts'
+import { Connections } from './connections.ts'
+import { Process } from './process.ts'
+import { Timeline } from './timeline.ts'
+import { Worker } from './workers.ts'
+
+export interface Guards {
+  agent: AgentGuards
+  fleet: FleetGuards
+}
+
+export const ALL_GUARDS: Guards = { agent: ALL_AGENT_GUARDS, fleet: ALL_FLEET_GUARDS }
+
+/** Every guard on but one. */
+export function guardsWithout (name: string): Guards {
+  return {
+    agent: name in ALL_AGENT_GUARDS ? { ...ALL_AGENT_GUARDS, [name]: false } : ALL_AGENT_GUARDS,
+    fleet: name in ALL_FLEET_GUARDS ? { ...ALL_FLEET_GUARDS, [name]: false } : ALL_FLEET_GUARDS
+  }
+}
+
+/** Bounds of the platform that the fleet is built for, in milliseconds. */
+const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50 }
+const CALLER_DEADLINE = 3000
+const DIAL_AGAIN = 60
+const JOB_INTERVAL = 120
+const LOOK_INTERVAL = 5
+
+const QUEUE = { name: 'queue', host: 'host', prefix: '/', service: 'service', priority: 0, attempts: 3, slackFactor: 3, latency: 500, timeout: 0 }
+
+export interface Violation {
+  at: number
+  detail: string
+}
+
+type EntryProcess = Process<EntryEvent, EntryEffect>
+type AgentProcess = Process<AgentEvent, AgentEffect>
+
+/** One submission of a caller that waits for its answer. */
+interface Submission {
+  id: string
+  entry: number
+  incarnation: number
+  answered: boolean
+}
+
+export class World {
+  readonly timeline = new Timeline()
+  readonly random: SeededRandom
+  readonly entries: EntryProcess[] = []
+  readonly agents: AgentProcess[] = []
+  readonly workers: Worker[] = []
+  readonly answers = new Map<string, number>()
+  readonly #connections: Connections
+  readonly #submissions = new Map<number, Submission>()
+  readonly #trace: ((line: string) => void) | undefined
+  #requests = 0
+  #jobs = 0
+  violation: Violation | undefined
+
+  constructor (seed: number, guards: Guards, sizes: { entries: number, agents: number }, trace?: (line: string) => void) {
+    this.#trace = trace
+    this.random = new SeededRandom(seed)
+    this.#connections = new Connections(this.timeline, this.random)
+    const timings = timingsFor(BOUNDS)
+    for (let index = 0; index < sizes.agents; index += 1) this.#addAgent(index, timings, guards)
+    for (let index = 0; index < sizes.entries; index += 1) this.#addEntry(index, timings, guards)
+    for (const process of [...this.agents, ...this.entries]) process.start()
+    for (const entry of this.entries) this.#configure(entry)
+    this.#dialAll()
+    this.#look()
+  }
+
+  /** Callers submit jobs until then. */
+  submitUntil (end: number): void {
+    if (this.timeline.now >= end) return
+    this.#jobs += 1
+    this.#submit(`job${this.#jobs}`)
+    this.timeline.after(this.random.next() * JOB_INTERVAL * 2, () => this.submitUntil(end))
+  }
+
+  cut (entry: number, agent: number, milliseconds: number): void {
+    this.#connections.cut(pairOf(entry, agent), milliseconds)
+  }
+
+  restartEntry (index: number, milliseconds: number): void {
+    const entry = this.entries[index] as EntryProcess
+    if (!entry.alive) return
+    entry.kill()
+    this.agents.forEach((_agent, agent) => this.#connections.closeByEntry(pairOf(index, agent)))
+    this.#breakSubmissions(index)
+    this.timeline.after(milliseconds, () => {
+      entry.start()
+      this.#configure(entry)
+    })
+  }
+
+  /** @param heartbeat longest time until the worker announces itself to the new run, in milliseconds */
+  restartAgent (index: number, milliseconds: number, heartbeat = 1500): void {
+    const agent = this.agents[index] as AgentProcess
+    if (!agent.alive) return
+    agent.kill()
+    this.entries.forEach((_entry, entry) => this.#connections.closeByAgent(pairOf(entry, index)))
+    this.timeline.after(milliseconds, () => {
+      agent.start()
+      this.timeline.after(this.random.next() * heartbeat, () => this.workers[index]?.announce())
+    })
+  }
+
+  resetConnection (entry: number, agent: number): void {
+    this.#connections.closeByEntry(pairOf(entry, agent))
+  }
+
+  #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
+    // Clocks of different runs of one machine may be set back between them.
+    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent })
+    const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
+    this.agents.push(agent)
+    this.workers.push(new Worker(this.timeline, this.random, event => agent.post(event)))
+  }
+
+  #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
+    const make = (): Entry => new Entry({ dataCentre: 'one', timings, grace: 6000, guards: guards.fleet })
+    this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
+  }
+
+  #configure (entry: EntryProcess): void {
+    entry.post({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  }
+
+  #carryOutAgent (index: number, effect: AgentEffect): void {
+    const worker = this.workers[index] as Worker
+    if (effect.type === 'start') worker.start(effect)
+    if (effect.type === 'stop') worker.stop(effect)
+    if (effect.type === 'look') worker.look(effect)
+    if (effect.type === 'send') this.#connections.toEntry(pairOf(numberOf(effect.entry), index), effect.message)
+    if (effect.type === 'unlink') this.#connections.closeByAgent(pairOf(numberOf(effect.entry), index))
+    if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} agent${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
+  }
+
+  #carryOutEntry (index: number, effect: EntryEffect): void {
+    if (effect.type === 'send') this.#connections.toAgent(pairOf(index, numberOf(effect.agent)), effect.message)
+    if (effect.type === 'unlink') this.#connections.closeByEntry(pairOf(index, numberOf(effect.agent)))
+    if (effect.type === 'answer') this.#answered(effect.request, effect.answer.kind)
+    if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} entry${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
+  }
+
+  #dialAll (): void {
+    this.entries.forEach((entry, index) => this.agents.forEach((agent, other) => {
+      const pair = pairOf(index, other)
+      if (entry.alive && agent.alive && !entry.frozen && !agent.frozen && !this.#connections.isCut(pair) && !this.#connections.get(pair)) this.#dial(index, other)
+    }))
+    this.timeline.after(DIAL_AGAIN, () => this.#dialAll())
+  }
+
+  #dial (index: number, other: number): void {
+    const entry = this.entries[index] as EntryProcess
+    const agent = this.agents[other] as AgentProcess
+    const entryRun = `entry${index}#${entry.incarnation}`
+    const name = `agent${other}`
+    this.#connections.open(pairOf(index, other), {
+      linked: () => entry.post({ type: 'agentLinked', agent: name, incarnation: String(agent.incarnation) }),
+      received: message => entry.post({ type: 'agentMessage', agent: name, message: message as AgentMessage }),
+      unlinked: () => entry.post({ type: 'agentUnlinked', agent: name })
+    }, {
+      linked: () => agent.post({ type: 'entryLinked', entry: entryRun }),
+      received: message => agent.post({ type: 'entryMessage', entry: entryRun, message: message as EntryMessage }),
+      unlinked: () => agent.post({ type: 'entryUnlinked', entry: entryRun })
+    })
+  }
+
+  // Callers
+
+  #submit (id: string): void {
+    const index = this.random.integer(0, this.entries.length - 1)
+    const entry = this.entries[index] as EntryProcess
+    if (!entry.alive) {
+      this.timeline.after(BOUNDS.resubmission, () => this.#submit(id))
+      return
+    }
+    this.#requests += 1
+    const request = this.#requests
+    this.#submissions.set(request, { id, entry: index, incarnation: entry.incarnation, answered: false })
+    const step = { count: 1 + Number(id.length % 2), needs: { cpu: 3000, memory: 1, accelerators: 0 }, estimated: 800, after: [], label: '', rack: '', perTarget: 0 }
+    entry.post({ type: 'submitted', request, job: { id, queue: QUEUE, payload: '', steps: [step], remaining: CALLER_DEADLINE } })
+    this.timeline.after(CALLER_DEADLINE, () => this.#giveUp(request))
+  }
+
+  #answered (request: number, kind: AnswerKind): void {
+    const submission = this.#submissions.get(request)
+    if (submission === undefined || submission.answered) return
+    submission.answered = true
+    this.#submissions.delete(request)
+    this.answers.set(kind, (this.answers.get(kind) ?? 0) + 1)
+    if (kind === AnswerKind.TimedOut) this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
+  }
+
+  /** The caller waits no longer: it goes, and submits again a while later. */
+  #giveUp (request: number): void {
+    const submission = this.#submissions.get(request)
+    if (submission === undefined) return
+    this.#submissions.delete(request)
+    this.entries[submission.entry]?.post({ type: 'requestGone', request })
+    this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
+  }
+
+  #breakSubmissions (entry: number): void {
+    for (const [request, submission] of this.#submissions) {
+      if (submission.entry !== entry) continue
+      this.#submissions.delete(request)
+      this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
+    }
+  }
+
+  // The promise
+
+  #look (): void {
+    const where = new Map<string, number>()
+    this.workers.forEach((worker, index) => {
+      for (const { task, run } of worker.running()) {
+        const other = where.get(task)
+        if (other !== undefined) this.violation ??= { at: this.timeline.now, detail: `${task} runs at worker ${other} and, as run ${run}, at worker ${index}` }
+        where.set(task, index)
+      }
+    })
+    if (this.violation === undefined) this.timeline.after(LOOK_INTERVAL, () => this.#look())
+  }
+}
+
+function pairOf (entry: number, agent: number): string {
+  return `${entry}-${agent}`
+}
+
+/** Number in `entry3#1` or `agent3`. */
+function numberOf (name: string): number {
+  return Number(/\d+/.exec(name)?.[0])
+}
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -37,13 +37,13 @@
   contact: boolean
   /** A start without an answer is taken back before it counts as not started. */
   takeBack: boolean
-  /** After a lost answer the lease is not renewed until the target has answered. */
-  deafRenewal: boolean
   /** What a predecessor left at the target is stopped before anything starts. */
   clearing: boolean
+  /** Contact counts from the sending of the ping, not from the arrival of its echo. */
+  echoAge: boolean
 }
 
-export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, deafRenewal: true, clearing: true }
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true }
 
 /** Run numbers skipped after a refusal as old, times the refusals so far. */
 const RUN_STEP = 8
@@ -116,7 +116,7 @@
   }
 
   readonly #messages: MessageHandlers = {
-    echo: (session, { sent, received }) => session.echoed(sent, received, this.#timings.contact),
+    echo: (session, { sent, received }, now) => session.echoed(this.#guards.echoAge ? sent : now, received, this.#timings.contact),
     start: (session, { payload, tasks }, now) => { for (const order of tasks) this.#startOrdered(session, order, payload, now) },
     stop: (session, { tasks }, now) => { for (const task of tasks) this.#stopAsked(session, task, now) }
   }
@@ -382,7 +382,7 @@
     if (failure === LookFailure.NoListener) return this.#targetLost('nothing listens', now)
     if (failure === LookFailure.Fenced) return this.#raiseToken()
     if (!this.#lease.silent) this.#note('target silent', { instance, tasks: this.#held.size })
-    if (this.#guards.deafRenewal) this.#lease.noteSilence()
+    this.#lease.noteSilence()
   }
 
   #reportSlow (now: number): void {
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -8,7 +8,7 @@
  */
 import type { Answer, EntryEffect, EntryEvent } from './entrytypes.ts'
 import type { AgentView, Placement } from './fleetview.ts'
-import type { PlannedStart } from './fleet.ts'
+import type { FleetGuards, PlannedStart } from './fleet.ts'
 import type { JobRequest, Step, Task } from './job.ts'
 import type { PlacementRequest } from './placement.ts'
 import type { SlowTask, TaskEnd } from './messages.ts'
@@ -20,7 +20,7 @@
   MOVE_GAIN_MILLISECONDS, REFUSALS_LIMIT, SCAN_LIMIT, SHORTEST_RETRY_AFTER_MILLISECONDS
 } from './defaults.ts'
 import { AnswerKind, Reason } from './entrytypes.ts'
-import { Fleet } from './fleet.ts'
+import { ALL_FLEET_GUARDS, Fleet } from './fleet.ts'
 import { Job, JobState, longestChain, TaskState } from './job.ts'
 import { JobQueue } from './jobqueue.ts'
 import { Outcome } from './messages.ts'
@@ -33,14 +33,16 @@
   timings: Timings
   /** After the order to stop, the process ends within this time, in milliseconds. */
   grace: number
+  /** Guards switched off, to show that a proof fails without them. @internal */
+  guards?: FleetGuards
 }
 
 type Handlers = {
   [Type in EntryEvent['type']]: (event: Extract<EntryEvent, { type: Type }>, now: number) => void
 }
 
-/** Part of the grace kept for answers on their way, in milliseconds. */
-const GRACE_RESERVE_MILLISECONDS = 700
+/** Part of the grace that a job accepted while stopping must leave: it may have to wait, and may be estimated too short. */
+const GRACE_RESERVE_MILLISECONDS = 1200
 
 /** Figures for status pages. */
 export interface EntryStatus {
@@ -76,13 +78,15 @@
     stopOrdered: (_event, now) => {
       this.#endsAt ??= now + this.#options.grace
       this.#note('stop ordered', { open: this.#jobs.size })
-    }
+    },
+    ending: (_event, now) => this.#answerAll(now)
   }
 
   constructor (options: EntryOptions) {
     this.#options = options
     this.#fleet = new Fleet({
       timings: options.timings,
+      guards: options.guards ?? ALL_FLEET_GUARDS,
       emit: effect => this.#effects.push(effect),
       ended: (agent, placement, end, now) => this.#taskEnded(agent, placement, end, now),
       slow: (agent, placement, slow, now) => this.#taskSlow(agent, placement, slow, now)
@@ -372,8 +376,16 @@
     }
   }
 
+  #answerAll (now: number): void {
+    for (const job of [...this.#jobs.values()]) if (job.state === JobState.Open) this.#giveUp(job, Reason.Stopping, now)
+  }
+
   /** A job of which no task was ever placed has provably not run. */
   #giveUp (job: Job, reason: Reason, now: number): void {
+    const { service } = job.request.queue
+    const known = this.#fleet.known(service)
+    const usable = this.#fleet.usable(service, now)
+    this.#note('job given up', { job: job.request.id, reason, targets: known.length, usable: usable.length, free: usable.filter(agent => agent.hasPlace).map(agent => Math.round(agent.free.cpu)), needs: job.request.steps[0]?.needs.cpu, queued: this.#queueOf(job).size })
     if (job.started) return this.#close(job, { kind: AnswerKind.TimedOut, reason, retryAfter: 0 }, now)
     this.#close(job, refused(reason, SHORTEST_RETRY_AFTER_MILLISECONDS), now)
   }
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -53,6 +53,8 @@
   | { type: 'configured', configuration: DispatchConfiguration }
   | { type: 'tick' }
   | { type: 'stopOrdered' }
+  /** The process ends in a moment: whoever still waits gets a final answer. */
+  | { type: 'ending' }
 
 export type EntryEffect =
   | { type: 'answer', request: number, answer: Answer }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -18,8 +18,19 @@
   expected: number
 }
 
+/** Guards against two runs of one task. */
+export interface FleetGuards {
+  /** Tasks at an agent out of touch count as ended only when they must have been stopped. */
+  silence: boolean
+  /** Tasks of an earlier run of the agent count as ended only when its successor has cleared the target. */
+  cleared: boolean
+}
+
+export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true }
+
 export interface FleetOptions {
   timings: Timings
+  guards: FleetGuards
   emit: (effect: EntryEffect) => void
   /** One start of a task has ended, and nothing of it runs any more. */
   ended: (agent: AgentView, placement: Placement, end: TaskEnd, now: number) => void
@@ -30,8 +41,11 @@
   [Type in AgentMessage['type']]: (agent: AgentView, message: Extract<AgentMessage, { type: Type }>, now: number) => void
 }
 
-/** Slots assumed for the gradual trust in a new target: a worker runs about ten tasks at a time. */
-const ASSUMED_SLOTS = 8
+/**
+ * Slots assumed for the gradual trust in a target: with a quarter of them a new one takes all that it has room for
+ * (ten tasks of three cores on 32), so that a fleet that has just been restarted serves in full at once.
+ */
+const ASSUMED_SLOTS = 64
 
 /** Causes that speak against a target, not against the load. */
 const UNREACHABLE = new Set<Cause>([Cause.Unreachable, Cause.Rejected])
@@ -150,7 +164,7 @@
         agent.linked = false
         this.#options.emit({ type: 'unlink', agent: agent.name })
       }
-      if (agent.linked || agent.placements.size === 0 || now < agent.echoedAt + silence) continue
+      if (agent.linked || agent.placements.size === 0 || (this.#options.guards.silence && now < agent.echoedAt + silence)) continue
       this.#note('tasks of a silent agent ended', { agent: agent.name, tasks: agent.placements.size, echoedAgo: Math.round(now - agent.echoedAt) })
       for (const placement of [...agent.placements.values()]) this.#gone(agent, placement, Cause.Lapsed, now)
     }
@@ -175,7 +189,7 @@
     for (const placement of [...agent.placements.values()]) {
       // A new run of the agent announces a target once its predecessor's tasks have ended there.
       const replaced = placement.incarnation !== agent.incarnation
-      const certain = replaced ? target !== undefined : opening && !names.has(`${placement.task.name}/${placement.attempt}`)
+      const certain = replaced ? target !== undefined || !this.#options.guards.cleared : opening && !names.has(`${placement.task.name}/${placement.attempt}`)
       if (certain) this.#gone(agent, placement, Cause.TargetLost, now)
     }
   }
