--- /dev/null
+++ b/packages/standins/src/fleetworker.ts
@@ -0,0 +1,191 @@
+/**
+ * Stand-in of the platform's worker over HTTP, around `LeasedWorker`. It announces itself to the
+ * agent beside it, takes orders, and can lose answers, carry orders out late, refuse, or crash.
+ */
+import type { RunPlan } from './leasedworker.ts'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createServer, request as httpRequest } from 'node:http'
+import { LeasedWorker } from './leasedworker.ts'
+
+export interface FleetWorkerOptions {
+  service: string
+  dataCentre: string
+  cpu: number
+  /** Address of the agent, `host:port`, for announcements. */
+  agent: string
+  plan: (task: string) => RunPlan
+  /** @default 200 */
+  heartbeatMilliseconds?: number
+  /** @default 1000 */
+  longestLease?: number
+}
+
+/** What goes wrong; everything off by default. */
+export interface WorkerFaults {
+  /** Orders are carried out and their answers lost. */
+  loseAnswers: boolean
+  /** Orders get no answer and are carried out this much later, in milliseconds; 0 for at once. */
+  delay: number
+  /** It answers 503 and does nothing. */
+  refuse: boolean
+}
+
+interface WireOrder {
+  task: string
+  run: number
+  spec?: string
+  deadline_ms?: number
+  fencing_token?: number
+  acked?: number
+  wait_ms?: number
+}
+
+type Answer = { status: number, body: object }
+
+const LOOK_INTERVAL = 2
+const CPU_PER_TASK = 2000
+
+export class FleetWorker {
+  readonly faults: WorkerFaults = { loseAnswers: false, delay: 0, refuse: false }
+  /** Starts that were carried out, in order: task and run. */
+  readonly started: Array<{ task: string, run: number }> = []
+  readonly #options: FleetWorkerOptions
+  readonly #server: Server
+  #worker: LeasedWorker
+  #instance: string
+  #lives = 1
+  #sequence = 0
+  #state = 'ready'
+  #timer: NodeJS.Timeout | undefined
+
+  readonly #handlers: Readonly<Record<string, (order: WireOrder) => Answer | Promise<Answer>>> = {
+    '/v1/run-start': order => this.#start(order),
+    '/v1/run-stop': order => this.#stop(order),
+    '/v1/hold': async order => await this.#hold(order)
+  }
+
+  constructor (options: FleetWorkerOptions) {
+    this.#options = options
+    this.#worker = this.#newLife()
+    this.#instance = 'i-1'
+    this.#server = createServer((request, response) => { this.#handle(request, response) })
+  }
+
+  get instance (): string {
+    return this.#instance
+  }
+
+  get running (): string[] {
+    this.#worker.advance(this.#clock)
+    return this.#worker.running.map(({ task }) => task)
+  }
+
+  /** @returns the address on which it takes orders */
+  async listen (host: string, port = 0): Promise<string> {
+    await new Promise<void>(resolve => this.#server.listen(port, host, resolve))
+    return `${host}:${(this.#server.address() as AddressInfo).port}`
+  }
+
+  /** Begins to announce itself. */
+  announce (): void {
+    this.#beat()
+    this.#timer = setInterval(() => this.#beat(), this.#options.heartbeatMilliseconds ?? 200)
+  }
+
+  /** A new life: a new id, nothing running, no token seen. */
+  crash (): void {
+    this.#lives += 1
+    this.#instance = `i-${this.#lives}`
+    this.#worker = this.#newLife()
+    this.#state = 'ready'
+    this.#beat()
+  }
+
+  drain (): void {
+    this.#state = 'draining'
+    this.#beat()
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  get #clock (): number {
+    return Math.floor(performance.now())
+  }
+
+  #newLife (): LeasedWorker {
+    const { cpu, longestLease = 1000, plan } = this.#options
+    return new LeasedWorker({ cpu, longestLease, plan })
+  }
+
+  #handle (request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => { this.#order(request, JSON.parse(Buffer.concat(chunks).toString('utf8')) as WireOrder, response) })
+  }
+
+  async #order (request: IncomingMessage, order: WireOrder, response: ServerResponse): Promise<void> {
+    const handler = this.#handlers[request.url ?? '']
+    if (handler === undefined) return reply(response, { status: 404, body: {} })
+    const expected = request.headers['x-expected-instance']
+    if (expected !== undefined && expected !== this.#instance) return reply(response, { status: 421, body: {} })
+    if (this.faults.refuse) return reply(response, { status: 503, body: {} })
+    const { delay, loseAnswers } = this.faults
+    if (delay > 0) {
+      setTimeout(() => { handler(order) }, delay)
+      return
+    }
+    const answer = await handler(order)
+    if (!loseAnswers) reply(response, answer)
+  }
+
+  #start ({ task, run, deadline_ms: deadline = 0, fencing_token: token = 0 }: WireOrder): Answer {
+    const result = this.#worker.start({ task, run, token, deadline, cpu: CPU_PER_TASK }, this.#clock)
+    if (result !== 'started') return { status: 409, body: { clock_ms: this.#clock, reason: result } }
+    this.started.push({ task, run })
+    return { status: 200, body: { clock_ms: this.#clock } }
+  }
+
+  #stop ({ task, run, fencing_token: token = 0 }: WireOrder): Answer {
+    const accepted = this.#worker.stop(task, run, token, this.#clock)
+    return accepted ? { status: 200, body: { clock_ms: this.#clock } } : { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
+  }
+
+  async #hold ({ fencing_token: token = 0, deadline_ms: deadline, acked = 0, wait_ms: wait = 0 }: WireOrder): Promise<Answer> {
+    const until = this.#clock + wait
+    while (true) {
+      const look = this.#worker.look(token, deadline, acked, this.#clock)
+      if (look.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
+      if (look.ended.length > 0 || this.#clock >= until) return { status: 200, body: wireLook(look, this.#clock) }
+      await new Promise(resolve => setTimeout(resolve, LOOK_INTERVAL))
+    }
+  }
+
+  #beat (): void {
+    this.#sequence += 1
+    const { service, dataCentre, cpu, agent } = this.#options
+    const body = JSON.stringify({ service, address: '', zone: dataCentre, version: 'v1', slots: 8, state: this.#state, cold_remaining_ms: 0, capacity: { cpu, mem_mb: 65_536, gpu: 0 }, labels: ['a', 'r1-1'], clock_ms: this.#clock, sequence: this.#sequence })
+    const call = httpRequest(`http://${agent}/v1/Instances.Heartbeat/${this.#instance}`, { method: 'POST', headers: { 'content-type': 'application/json' } })
+    call.on('response', response => response.resume())
+    // The agent may be down: the next announcement comes soon.
+    call.on('error', () => {})
+    call.end(body)
+  }
+}
+
+function wireLook ({ running, ended }: ReturnType<LeasedWorker['look']>, clock: number): object {
+  return {
+    clock_ms: clock,
+    running: running.map(({ task, run, percent }) => [task, run, '', percent]),
+    ended: ended.map(({ number, task, run, how }) => [number, task, run, how, ''])
+  }
+}
+
+function reply (response: ServerResponse, { status, body }: Answer): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(body))
+}
