Dispatch: a target in another data centre counts 60 ms more

Ruled out: a margin of room at far targets, which leaves room unused where one zone has more traffic. Change: FAR_PENALTY_MILLISECONDS 15 -> 60.

--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -59,7 +59,7 @@
 export const FASTEST_SPEED = 2
 
 /** What placing a task in another data centre is worth avoiding: its bytes are paid for, its answers 1 ms later. */
-export const FAR_PENALTY_MILLISECONDS = 15
+export const FAR_PENALTY_MILLISECONDS = 60
 
 /** What placing a task on the fullest rather than the emptiest target is worth avoiding. */
 export const LOAD_PENALTY_MILLISECONDS = 10
