--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -63,7 +63,7 @@
     this.#visitedAt = now()
     this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, wallClock })
     this.#suspension = new SuspensionWatch(now, wallClock)
-    const own: Greeting = { role: PeerRole.Agent, name: settings.id, incarnation, address: `${settings.host}:${settings.linkPort}` }
+    const own: Greeting = { role: PeerRole.Agent, name: settings.id, incarnation, address: settings.linkAddress }
     const post = (event: AgentEvent): void => this.#post(event)
     this.#target = options.target(post)
     this.#listener = new Listener(own, {
@@ -87,7 +87,7 @@
     const { settings, store, now } = this.#options
     await this.#listener.listen(settings.host, settings.linkPort)
     this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
-    store.publish({ name: settings.id, role: PeerRole.Agent, address: `${settings.host}:${settings.linkPort}` })
+    store.publish({ name: settings.id, role: PeerRole.Agent, address: settings.linkAddress })
     const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
     try {
       await runLoop(this.#loop, this.#agent, this.#handlers, now)
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -69,7 +69,7 @@
     const { settings, incarnation, decisions, now, store } = options
     this.#options = options
     this.#entry = new Entry({ dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace })
-    const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: `${settings.host}:${settings.linkPort}` }
+    const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: settings.linkAddress }
     this.#agents = new Dialer(own, {
       linked: (peer, address) => {
         this.#gossip.agentLinked(address)
@@ -119,7 +119,7 @@
       for (const address of addressesOf(records, PeerRole.Agent)) this.#agents.add(address)
       for (const address of addressesOf(records, PeerRole.Entry)) this.#peers.add(address)
     })
-    store.publish({ name: settings.id, role: PeerRole.Entry, address: `${settings.host}:${settings.linkPort}` })
+    store.publish({ name: settings.id, role: PeerRole.Entry, address: settings.linkAddress })
     for (const seed of settings.seeds) this.#peers.add(`${seed}:${settings.linkPort}`)
     this.#gossip.start()
     const timer = setInterval(() => this.#tick(), TICK_MILLISECONDS)
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -74,6 +74,8 @@
   dataCentre: string
   host: string
   linkPort: number
+  /** Where others reach the listener for links, `host:port`. */
+  linkAddress: string
   /** Hosts of processes that may know others. */
   seeds: string[]
   metrics: { host: string, port: number }
--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -50,6 +50,7 @@
   readonly faults: WorkerFaults = { loseAnswers: false, delay: 0, refuse: false }
   /** Starts that were carried out, in order: task and run. */
   readonly started: Array<{ task: string, run: number }> = []
+  readonly #done = new Set<string>()
   readonly #options: FleetWorkerOptions
   readonly #server: Server
   #worker: LeasedWorker
@@ -72,6 +73,11 @@
     this.#server = createServer((request, response) => { this.#handle(request, response) })
   }
 
+  /** Runs of tasks that ended as done, since the stand-in was made. */
+  get done (): ReadonlySet<string> {
+    return this.#done
+  }
+
   get instance (): string {
     return this.#instance
   }
@@ -159,6 +165,7 @@
     const until = this.#clock + wait
     while (true) {
       const look = this.#worker.look(token, deadline, acked, this.#clock)
+      for (const { task, how } of look.ended) if (how === 'done') this.#done.add(task)
       if (look.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
       if (look.ended.length > 0 || this.#clock >= until) return { status: 200, body: wireLook(look, this.#clock) }
       await new Promise(resolve => setTimeout(resolve, LOOK_INTERVAL))
--- /dev/null
+++ b/packages/trials/src/soak.ts
@@ -0,0 +1,132 @@
+/** One seed of the soak: random faults in series and overlapping, then quiet, and the promises all the while. */
+import type { Told } from './soakcallers.ts'
+import { setTimeout as pause } from 'node:timers/promises'
+import { SeededRandom } from '@amaranthmast/standins/random'
+import { Fate, SoakCallers } from './soakcallers.ts'
+import { FAULTS } from './soakfaults.ts'
+import { SoakFleet } from './soakfleet.ts'
+
+export interface SoakOptions {
+  seed: number
+  program: string
+  /** How long faults strike, in milliseconds. */
+  faults: number
+  /** Kinds of faults; all when absent. */
+  kinds?: readonly string[]
+  entries?: number
+  agents?: number
+}
+
+export interface SoakResult {
+  seed: number
+  /** Broken promises, each with what was seen. */
+  findings: string[]
+  jobs: Record<string, number>
+  /** Faults in order, with their times, for the trace of a seed that failed. */
+  struck: string[]
+  logs: Record<string, readonly string[]>
+}
+
+/** Mean time between two faults, and between two jobs, in milliseconds. */
+const FAULT_INTERVAL = 450
+const JOB_INTERVAL = 60
+
+/** Time for the fleet to start, and after the faults to be whole again, in milliseconds. */
+const START = 1500
+const RECOVERY = 3000
+const QUIET = 1500
+
+/** Number of the first job after the faults. */
+const QUIET_JOBS = 0x100000
+
+const LOOK_INTERVAL = 4
+
+/** Part of the jobs that must be completed once all faults are over. */
+const SERVED_PART = 0.95
+
+export async function soak (options: SoakOptions): Promise<SoakResult> {
+  const { seed, program, entries = 3, agents = 4 } = options
+  const random = new SeededRandom(seed)
+  const fleet = new SoakFleet(program)
+  const findings: string[] = []
+  const struck: string[] = []
+  await fleet.start(entries, agents, task => 20 + (Number.parseInt(task.slice(10, 16), 16) * 97) % 900)
+  await pause(START)
+  const watch = setInterval(() => findings.push(...doubled(fleet)), LOOK_INTERVAL)
+  const callers = new SoakCallers(fleet, random, 0)
+  const calling = callers.run(options.faults, JOB_INTERVAL)
+  await strikeFor(options, fleet, random, struck)
+  await calling
+  await callers.settled()
+  await pause(RECOVERY)
+  findings.push(...await afterwards(fleet, random))
+  clearInterval(watch)
+  findings.push(...judge(fleet, callers.told), ...ended(fleet))
+  const logs = Object.fromEntries([...fleet.entries, ...fleet.agents].map(({ name, process }) => [name, process?.log ?? []]))
+  await fleet.close()
+  return { seed, findings: [...new Set(findings)], jobs: count(callers.told), struck, logs }
+}
+
+async function strikeFor ({ faults, kinds = Object.keys(FAULTS) }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
+  const began = performance.now()
+  const running: Array<Promise<void>> = []
+  while (performance.now() - began < faults) {
+    const kind = random.pick(kinds)
+    struck.push(`${Math.round(performance.now() - began)} ${kind}`)
+    running.push(FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
+    await pause(random.next() * 2 * FAULT_INTERVAL)
+  }
+  await Promise.all(running)
+}
+
+/** Tasks that run at two workers at this moment. */
+function doubled (fleet: SoakFleet): string[] {
+  const where = new Map<string, number>()
+  const found: string[] = []
+  fleet.workers.forEach((worker, index) => {
+    for (const task of worker.running) {
+      const other = where.get(task)
+      if (other !== undefined) found.push(`${task} runs at workers ${other} and ${index}`)
+      where.set(task, index)
+    }
+  })
+  return found
+}
+
+/** With every fault over, jobs are served through each entry, and each has the newest configuration. */
+async function afterwards (fleet: SoakFleet, random: SeededRandom): Promise<string[]> {
+  const quiet = new SoakCallers(fleet, random, QUIET_JOBS)
+  await quiet.run(QUIET, JOB_INTERVAL)
+  await quiet.settled()
+  const served = quiet.told.filter(({ fate }) => fate === Fate.Completed).length
+  const findings = served < SERVED_PART * quiet.told.length ? [`only ${served} of ${quiet.told.length} jobs were served after the faults: ${JSON.stringify(count(quiet.told))}`] : []
+  const version = fleet.configure()
+  await pause(RECOVERY)
+  for (const entry of fleet.entries) {
+    const status = await fetch(fleet.urlOf(entry, '', `/v${version}/`)).then(response => response.status, () => 0)
+    if (status !== 200) findings.push(`${entry.name} does not have version ${version} in force: ${status}`)
+  }
+  return findings
+}
+
+function judge (fleet: SoakFleet, told: readonly Told[]): string[] {
+  const started = new Set(fleet.workers.flatMap(worker => worker.started.map(({ task }) => task.split('.')[0])))
+  const done = new Set(fleet.workers.flatMap(worker => [...worker.done]))
+  return told.flatMap(({ id, tasks, fate }) => {
+    if (fate === Fate.Refused && started.has(id)) return [`${id} was refused and a task of it started`]
+    if (fate !== Fate.Completed) return []
+    const missing = Array.from({ length: tasks }, (_none, index) => `${id}.0.0.${index}`).filter(task => !done.has(task))
+    return missing.map(task => `${id} was answered as completed and ${task} was never done`)
+  })
+}
+
+/** Processes that ended though no fault ended them. */
+function ended (fleet: SoakFleet): string[] {
+  return [...fleet.entries, ...fleet.agents].filter(({ struck, process }) => !struck && process?.isRunning !== true).map(({ name, process }) => `${name} ended by itself with code ${process?.exitCode}`)
+}
+
+function count (told: readonly Told[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const { fate } of told) counts[fate] = (counts[fate] ?? 0) + 1
+  return counts
+}
--- /dev/null
+++ b/packages/trials/src/soakfleet.ts
@@ -0,0 +1,114 @@
+/** The fleet of a soak: real programs as processes, the platform's stand-ins, and a relay before each agent. */
+import type { LaunchedProcess } from '@amaranthmast/standins/processes'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { LinkCutter } from '@amaranthmast/standins/cutter'
+import { FleetStore } from '@amaranthmast/standins/fleetstore'
+import { FleetWorker } from '@amaranthmast/standins/fleetworker'
+import { PortPicker } from '@amaranthmast/standins/ports'
+import { ProcessGroup } from '@amaranthmast/standins/processes'
+
+const HOST = '127.0.0.1'
+const PREFIX = '/checks/'
+
+/** The bounds of the users' sites. */
+const BOUNDS = { graceSeconds: 6, drainMilliseconds: 2000, stopMilliseconds: 50, longestLeaseMilliseconds: 1000, resubmissionMilliseconds: 1300 }
+
+/** One process of ours, started again when a fault ended it. */
+export interface Member {
+  name: string
+  /** Address of the listener that a fault or a caller uses. */
+  address: string
+  settings: string
+  process: LaunchedProcess | undefined
+  /** Ended or stopped by a fault; any other end is a finding. */
+  struck: boolean
+}
+
+export class SoakFleet {
+  readonly store = new FleetStore()
+  readonly entries: Member[] = []
+  readonly agents: Member[] = []
+  readonly workers: FleetWorker[] = []
+  readonly cutters: LinkCutter[] = []
+  readonly #processes = new ProcessGroup()
+  readonly #ports = new PortPicker()
+  readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'))
+  readonly #program: string
+  #storeAddress = ''
+  #version = 0
+
+  /** @param program path of the built program */
+  constructor (program: string) {
+    this.#program = program
+  }
+
+  async start (entries: number, agents: number, duration: (task: string) => number): Promise<void> {
+    this.#storeAddress = await this.store.listen(HOST)
+    this.configure()
+    for (let index = 0; index < agents; index += 1) await this.#addAgent(index, duration)
+    for (let index = 0; index < entries; index += 1) await this.#addEntry(index)
+  }
+
+  /** Writes a new configuration; gives its version, which is also a queue that only it and later ones have. */
+  configure (): number {
+    this.#version += 1
+    const names = ['checks', ...Array.from({ length: this.#version }, (_none, index) => `v${index + 1}`)]
+    const routes = names.map(name => ({ name, host: HOST, prefix: `/${name}/`, kind: 'non_idempotent', timeout_ms: 1500, target_latency_ms: 200, priority: 0, service: 'checks', max_attempts: 3, slack_factor: 2 }))
+    this.store.put('op/config', JSON.stringify({ version: this.#version, routes, services: [], limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 } }))
+    return this.#version
+  }
+
+  urlOf (entry: Member, id: string, queue = PREFIX): string {
+    return `http://${entry.address}${queue}${id}`
+  }
+
+  launch (member: Member): void {
+    member.struck = false
+    member.process = this.#processes.start({ name: member.name, script: this.#program, environment: { AMARANTHMAST_SETTINGS: member.settings } })
+  }
+
+  async close (): Promise<void> {
+    for (const launched of this.#processes.running()) await launched.kill()
+    await this.#processes.stop()
+    for (const worker of this.workers) worker.close()
+    await Promise.all(this.cutters.map(cutter => cutter.close()))
+    this.store.close()
+    rmSync(this.#folder, { recursive: true })
+  }
+
+  async #addEntry (index: number): Promise<void> {
+    const callers = `${HOST}:${await this.#ports.pick()}`
+    const linkPort = await this.#ports.pick()
+    const listen = { callers, readiness: `${HOST}:${await this.#ports.pick()}`, announcements: '' }
+    const settings = this.#settings(`entry-${index}`, { linkPorts: [linkPort, linkPort], listen, target: { address: '', service: '' }, metricsPort: await this.#ports.pick() })
+    const member: Member = { name: `entry-${index}`, address: callers, settings, process: undefined, struck: false }
+    this.entries.push(member)
+    this.launch(member)
+  }
+
+  async #addAgent (index: number, duration: (task: string) => number): Promise<void> {
+    const announcements = `${HOST}:${await this.#ports.pick()}`
+    const linkPort = await this.#ports.pick()
+    const worker = new FleetWorker({ service: 'checks', dataCentre: 'one', cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
+    const target = { address: await worker.listen(HOST), service: 'checks' }
+    const cutter = new LinkCutter(linkPort)
+    const relayed = await cutter.listen(await this.#ports.pick())
+    const listen = { callers: '', readiness: '', announcements }
+    const settings = this.#settings(`agent-${index}`, { linkPorts: [linkPort, linkPort], linkAddress: `${HOST}:${relayed}`, listen, target, metricsPort: await this.#ports.pick() })
+    const member: Member = { name: `agent-${index}`, address: announcements, settings, process: undefined, struck: false }
+    this.agents.push(member)
+    this.workers.push(worker)
+    this.cutters.push(cutter)
+    this.launch(member)
+    worker.announce()
+  }
+
+  #settings (id: string, own: object): string {
+    const path = join(this.#folder, `${id}.json`)
+    const store = { address: this.#storeAddress, shortestLeaseMilliseconds: 1000, valueBytes: 1_048_576 }
+    writeFileSync(path, JSON.stringify({ id, role: id, ip: HOST, dataCentre: 'one', seeds: [], bounds: BOUNDS, store, ...own }))
+    return path
+  }
+}
--- /dev/null
+++ b/packages/trials/src/soakmain.ts
@@ -0,0 +1,40 @@
+/**
+ * Soaks the real programs under faults.
+ *
+ *     npm run soak -- --seed 1 --minutes 2          fresh seeds from 1 on for two minutes
+ *     npm run soak -- --seed 17 --seeds 1 --kinds killEntry,freezeAgent
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { soak } from './soak.ts'
+
+const MILLISECONDS_PER_MINUTE = 60_000
+
+const settings = yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('seeds', { type: 'number', describe: 'seeds to play; else as many as fit into the minutes' })
+  .option('minutes', { type: 'number', default: 1, describe: 'how long to go on' })
+  .option('faults', { type: 'number', default: 10_000, describe: 'how long faults strike in one seed, in milliseconds' })
+  .option('kinds', { type: 'string', describe: 'kinds of faults, separated by commas' })
+  .option('program', { type: 'string', default: 'dist/amaranthmast-fleet.js', describe: 'the built program' })
+  .strict()
+  .parseSync()
+
+const end = performance.now() + settings.minutes * MILLISECONDS_PER_MINUTE
+const kinds = settings.kinds?.split(',')
+let failed = 0
+let played = 0
+for (let seed = settings.seed; settings.seeds === undefined ? performance.now() < end : played < settings.seeds; seed += 1) {
+  const result = await soak({ seed, program: settings.program, faults: settings.faults, ...(kinds === undefined ? {} : { kinds }) })
+  played += 1
+  console.log(`seed ${seed}: ${JSON.stringify(result.jobs)}, ${result.struck.length} faults, ${result.findings.length} findings`)
+  for (const finding of result.findings) console.log(`  ${finding}`)
+  if (result.findings.length === 0) continue
+  failed += 1
+  mkdirSync('report', { recursive: true })
+  writeFileSync(`report/soak-${seed}.json`, JSON.stringify(result, undefined, 2))
+  console.log(`  trace and logs: report/soak-${seed}.json`)
+}
+console.log(`${played} seeds, ${failed} with findings`)
+process.exitCode = failed === 0 ? 0 : 1
