--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -45,6 +45,7 @@
   /** Starts in a row that the target did not answer. */
   unanswered = 0
   #busySince = 0
+  #probed = false
   /** Nothing is placed before. */
   pausedUntil = Number.NEGATIVE_INFINITY
 
@@ -81,9 +82,18 @@
     this.#measure()
   }
 
-  /** Sets the speed from its pace, against the middle one of the fleet; unknown counts as average. */
+  /**
+   * Sets the speed from its pace, against the middle one of the fleet; unknown counts as average. A target that was slow
+   * gets one task at a time until a pace shows that it has recovered: left alone, it soon has no pace to tell, looks
+   * average and empty, and drew the whole of the next wide job.
+   */
   noteSpeed (middle: number): void {
-    this.speed = this.pace === 0 || middle === 0 ? 1 : Math.min(FASTEST_SPEED, Math.max(SLOWEST_SPEED, this.pace / middle))
+    if (this.pace === 0 || middle === 0) {
+      this.speed = 1
+      return
+    }
+    this.speed = Math.min(FASTEST_SPEED, Math.max(SLOWEST_SPEED, this.pace / middle))
+    this.#probed = this.speed < PROBED_SPEED
   }
 
   /** Time without a sign of life that was due: an agent pings seldom until it has got its first task. */
@@ -100,7 +110,7 @@
 
   /** Whether its health allows one more task at a time. */
   get hasPlace (): boolean {
-    return this.placements.size < (this.speed < PROBED_SPEED ? 1 : this.health.limit())
+    return this.placements.size < (this.#probed ? 1 : this.health.limit())
   }
 
   #measure (): void {
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -389,6 +389,23 @@
   expect(bench.starts().length).toEqual(9)
 })
 
+// A slow target was left alone and had no pace to tell any more. It looked average and empty, and the
+// next wide job went there as a whole.
+test('a target that was slow is probed until its pace shows that it is not', () => {
+  const bench = EntryBench.withAgents('one', 'two', 'three')
+  for (const pace of [0.12, 0]) {
+    bench.ping('one', 0, pace)
+    bench.ping('two', 0, 1)
+    bench.ping('three', 0, 1)
+    bench.do({ type: 'tick' })
+  }
+  bench.submit('job', [step(12)])
+  expect(startsAt(bench, 'one').length).toEqual(1)
+  bench.ping('one', 0, 0.9)
+  bench.do({ type: 'tick' })
+  expect(startsAt(bench, 'one').length).toEqual(4)
+})
+
 test('the own data centre comes first, and another one before waiting', () => {
   const bench = EntryBench.withAgents('near')
   bench.link('far', { dataCentre: 'two' })
