--- a/packages/daemon/src/entries.ts
+++ b/packages/daemon/src/entries.ts
@@ -1,60 +1,36 @@
 /** The agent's side of the streams to entries. */
 import type { AgentEvent } from '@amaranthmast/coordination/agenttypes'
-import type { AgentToEntry, EntryToAgent, Instance } from '@amaranthmast/coordination/messages'
+import type { AgentToEntry, EntryToAgent } from '@amaranthmast/coordination/messages'
 import { agentFrame, entryMessages } from '@amaranthmast/protocol/codec'
 import type { AgentFrame, EntryFrame } from '@amaranthmast/protocol/inner_pb'
 import type { Destination } from './dialer.ts'
-import { Dialer } from './dialer.ts'
+import { DialledLinks } from './dialledlinks.ts'
 import type { Environment } from './environment.ts'
 import type { LinkDial } from './innerclient.ts'
 import { dialLink } from './innerclient.ts'
 import { Links } from './links.ts'
 
-export class Entries {
-  readonly #links: Links<EntryToAgent, AgentToEntry, AgentFrame>
-  readonly #dialer: Dialer
+export class Entries extends DialledLinks<EntryToAgent, AgentToEntry, AgentFrame> {
+  readonly #dial: LinkDial<EntryToAgent, AgentToEntry, EntryFrame, AgentFrame>
 
   /** @param post takes the events of all entries */
-  constructor ({ instance: own, log, random, now }: Environment, post: (event: AgentEvent) => void) {
-    this.#links = new Links<EntryToAgent, AgentToEntry, AgentFrame>({
+  constructor (environment: Environment, post: (event: AgentEvent) => void) {
+    const links = new Links<EntryToAgent, AgentToEntry, AgentFrame>({
       connected: entry => post({ type: 'entryConnected', entry }),
       message: (entry, message) => post({ type: 'entryMessage', entry, message }),
       disconnected: entry => post({ type: 'entryDisconnected', entry })
     }, agentFrame)
-    const dial: LinkDial<EntryToAgent, AgentToEntry, EntryFrame, AgentFrame> = {
-      links: this.#links,
-      own,
+    super(links, environment)
+    this.#dial = {
+      links,
+      own: environment.instance,
       open: (client, frames, options) => client.agent(frames, options),
       messagesOf: entryMessages,
-      log
+      log: environment.log
     }
-    this.#dialer = new Dialer(async (destination, signal) => (await dialLink(dial, destination, signal)).wasUp, random, now)
   }
 
-  /** Keeps a link to each of these entries and to no other. */
-  connect (entries: readonly Destination[]): void {
-    this.#links.retain(new Set(entries.map(({ instance }) => instance)))
-    this.#dialer.want(entries)
-  }
-
-  /** Sends a message; dropped when the entry has no link. */
-  send (entry: Instance, message: AgentToEntry): void {
-    this.#links.send(entry, message)
-  }
-
-  /** Entries with a link. */
-  get size (): number {
-    return this.#links.size
-  }
-
-  /** Closes links that have been silent for longer than `silence`, in milliseconds. */
-  sweep (now: number, silence: number): void {
-    this.#links.sweep(now, silence)
-  }
-
-  /** Lets what waits leave and ends the streams in order. */
-  finish (): void {
-    this.#dialer.want([])
-    this.#links.finish()
+  protected override async attempt (destination: Destination, signal: AbortSignal): Promise<boolean> {
+    return (await dialLink(this.#dial, destination, signal)).wasUp
   }
 }
--- a/packages/daemon/src/peers.ts
+++ b/packages/daemon/src/peers.ts
@@ -5,37 +5,32 @@
 import type { PeerFrame } from '@amaranthmast/protocol/inner_pb'
 import type { HandlerContext } from '@connectrpc/connect'
 import type { Destination } from './dialer.ts'
-import { Dialer } from './dialer.ts'
+import { DialledLinks } from './dialledlinks.ts'
 import type { Environment } from './environment.ts'
 import type { LinkDial } from './innerclient.ts'
 import { dialLink, probe } from './innerclient.ts'
 import { serveLink } from './innerlistener.ts'
 import { Links } from './links.ts'
 
-export class Peers {
+export class Peers extends DialledLinks<PeerMessage, PeerMessage, PeerFrame> {
   readonly #own: Instance
   readonly #post: (event: EntryEvent) => void
   readonly #links: Links<PeerMessage, PeerMessage, PeerFrame>
   readonly #dial: LinkDial<PeerMessage, PeerMessage, PeerFrame, PeerFrame>
-  readonly #dialer: Dialer
 
   /** @param post takes the events of all peers */
-  constructor ({ instance: own, log, random, now }: Environment, post: (event: EntryEvent) => void) {
-    this.#own = own
-    this.#post = post
-    this.#links = new Links<PeerMessage, PeerMessage, PeerFrame>({
+  constructor (environment: Environment, post: (event: EntryEvent) => void) {
+    const links = new Links<PeerMessage, PeerMessage, PeerFrame>({
       connected: peer => post({ type: 'peerConnected', peer }),
       message: (peer, message) => post({ type: 'peerMessage', peer, message }),
       disconnected: peer => post({ type: 'peerDisconnected', peer, refused: false })
     }, peerFrame)
-    this.#dial = {
-      links: this.#links,
-      own,
-      open: (client, frames, options) => client.peer(frames, options),
-      messagesOf: peerMessages,
-      log
-    }
-    this.#dialer = new Dialer((destination, signal) => this.#attempt(destination, signal), random, now)
+    super(links, environment)
+    const { instance: own, log } = environment
+    this.#own = own
+    this.#post = post
+    this.#links = links
+    this.#dial = { links, own, open: (client, frames, options) => client.peer(frames, options), messagesOf: peerMessages, log }
   }
 
   /** Serves the stream of a peer that has dialled. */
@@ -43,35 +38,11 @@
     return serveLink(this.#links, this.#own, frames, context, peerMessages)
   }
 
-  /** Keeps a link to each of these entries and to no other. */
-  connect (peers: readonly Destination[]): void {
-    const others = peers.filter(({ instance }) => instance !== this.#own)
-    this.#links.retain(new Set(others.map(({ instance }) => instance)))
-    this.#dialer.want(others)
-  }
-
-  /** Sends a message; dropped when the peer has no link. */
-  send (peer: Instance, message: PeerMessage): void {
-    this.#links.send(peer, message)
-  }
-
-  /** Peers with a link. */
-  get size (): number {
-    return this.#links.size
-  }
-
-  /** Closes links that have been silent for longer than `silence`, in milliseconds. */
-  sweep (now: number, silence: number): void {
-    this.#links.sweep(now, silence)
-  }
-
-  /** Lets what waits leave and ends the streams in order. */
-  finish (): void {
-    this.#dialer.want([])
-    this.#links.finish()
+  override connect (peers: readonly Destination[]): void {
+    super.connect(peers.filter(({ instance }) => instance !== this.#own))
   }
 
-  async #attempt (destination: Destination, signal: AbortSignal): Promise<boolean> {
+  protected override async attempt (destination: Destination, signal: AbortSignal): Promise<boolean> {
     if (this.#own > destination.instance) return await this.#open(destination, signal)
     return await this.#watch(destination, signal)
   }
