Bench and coordination: no circles between files

Types that the sections, the detection fleet and its network, and the policies share stand in files of their own below them (sectiontypes, detectionprocess, target). Behaviour unchanged; their tests pass.

--- a/packages/bench/src/convergencecores.ts
+++ b/packages/bench/src/convergencecores.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_TIMINGS } from '@amaranthmast/coordination/defaults'
 import { DetectionFleet } from './detectionfleet.ts'
 import { quantile, rounded } from './measures.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 
 /** What happens to a fleet that is at rest on version 1. */
 export interface CoreCase {
--- a/packages/bench/src/convergencereports.ts
+++ b/packages/bench/src/convergencereports.ts
@@ -7,7 +7,7 @@
 import { AgentFrameSchema, EntryFrameSchema, PeerFrameSchema } from '@amaranthmast/protocol/inner_pb'
 import { toBinary } from '@bufbuild/protobuf'
 import { rounded } from './measures.ts'
-import type { Row } from './sections.ts'
+import type { Row } from './sectiontypes.ts'
 
 /** Budget of a node for control, in bytes a second, and of a worker in connections. */
 const BUDGET = 5_000
--- a/packages/bench/src/convergencesection.ts
+++ b/packages/bench/src/convergencesection.ts
@@ -3,7 +3,7 @@
 import type { ConvergenceOptions } from './convergencemodel.ts'
 import { Disturbance, runConvergence } from './convergencemodel.ts'
 import { quantile, rounded } from './measures.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 
 /** A fleet, the document that it has, and over how many seeds it is measured. */
 interface FleetSize {
--- a/packages/bench/src/convergencestore.ts
+++ b/packages/bench/src/convergencestore.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_TIMINGS } from '@amaranthmast/coordination/defaults'
 import { DetectionFleet } from './detectionfleet.ts'
 import { rounded } from './measures.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 
 const FLEETS = [
   { entries: 3, agents: 11, steady: 60_000 },
--- a/packages/bench/src/detectionfleet.ts
+++ b/packages/bench/src/detectionfleet.ts
@@ -19,6 +19,7 @@
 import { isMember } from '@amaranthmast/coordination/view'
 import { CONFIGURATION_POLL_MILLISECONDS, TICK_MILLISECONDS, VIEW_POLL_MILLISECONDS } from '@amaranthmast/daemon/defaults'
 import { silenceOf } from '@amaranthmast/daemon/silence'
+import type { FleetProcess } from './detectionprocess.ts'
 import { EventLoop } from './eventloop.ts'
 import { DetectionNetwork } from './detectionnetwork.ts'
 import { DetectionStore } from './detectionstore.ts'
@@ -36,22 +37,6 @@
   makeEntry?: (options: EntryOptions) => Entry
 }
 
-/** One process of the fleet. */
-export interface FleetProcess {
-  instance: Instance
-  alive: boolean
-  pausedUntil: number
-  /** What happened while it was paused. */
-  missed: Array<() => void>
-  entry?: Entry
-  agent?: Agent
-  /** Instances that it keeps a link to. */
-  wanted: Set<Instance>
-  reading: boolean
-  /** Whether its settings name entries to ask for the view when the store does not answer. */
-  seeds?: boolean
-}
-
 /** Messages by kind, and what the fleet saw. */
 export interface FleetCounts {
   messages: Map<string, number>
--- a/packages/bench/src/detectionnetwork.ts
+++ b/packages/bench/src/detectionnetwork.ts
@@ -6,7 +6,7 @@
 import type { Instance } from '@amaranthmast/coordination/messages'
 import { CONNECT_TIMEOUT_MILLISECONDS, OWN_PAUSE_MILLISECONDS, RECONNECT_FIRST_MILLISECONDS, RECONNECT_LAST_MILLISECONDS, SWEEP_MILLISECONDS } from '@amaranthmast/daemon/defaults'
 import type { EventLoop } from './eventloop.ts'
-import type { FleetProcess } from './detectionfleet.ts'
+import type { FleetProcess } from './detectionprocess.ts'
 import { logUniform } from './random.ts'
 
 /** What the network needs of the fleet. */
--- a/packages/bench/src/detectionsection.ts
+++ b/packages/bench/src/detectionsection.ts
@@ -1,10 +1,10 @@
 /** How soon a lost entry or agent is noticed, and how often a live one is taken for lost. */
 import { DEFAULT_TIMINGS } from '@amaranthmast/coordination/defaults'
-import type { FleetProcess } from './detectionfleet.ts'
+import type { FleetProcess } from './detectionprocess.ts'
 import { DetectionFleet } from './detectionfleet.ts'
 import { quantile, rounded } from './measures.ts'
 import { logUniform } from './random.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 
 /** A disturbance of one process that goes on living. */
 interface Upset {
--- a/packages/bench/src/faultsection.ts
+++ b/packages/bench/src/faultsection.ts
@@ -4,7 +4,7 @@
 import { idealResponses } from './ideal.ts'
 import { quantile, rounded } from './measures.ts'
 import { Model } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, profiles, User } from './workload.ts'
 
 const LOAD = 0.7
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,7 +2,7 @@
  * The bench: `npm run bench -- --json`. Prints a table for each section, with `--json` one object
  * with all figures as its last line, and with `--report` a page with plots in report/index.html.
  */
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { processSections, sections } from './sections.ts'
 
 interface BenchOptions extends SectionOptions {
--- a/packages/bench/src/overloadsection.ts
+++ b/packages/bench/src/overloadsection.ts
@@ -2,7 +2,7 @@
 import { countTasks, quantile, rounded } from './measures.ts'
 import { Model } from './model.ts'
 import type { JobRecord } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, profiles, User } from './workload.ts'
 
 const SHARES = { 'provider-a': 55, 'provider-b': 45 }
--- a/packages/bench/src/plots.ts
+++ b/packages/bench/src/plots.ts
@@ -1,5 +1,5 @@
 /** The plots of the report page: which figures of which section go where. */
-import type { Row } from './sections.ts'
+import type { Row } from './sectiontypes.ts'
 
 /** One plot. */
 export interface Plot {
--- a/packages/bench/src/policysection.ts
+++ b/packages/bench/src/policysection.ts
@@ -4,7 +4,7 @@
 import { runLateBinding } from './latebinding.ts'
 import { largestShareError, messageRatio, quantile, rounded } from './measures.ts'
 import { Model } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, profiles, User } from './workload.ts'
 import type { ModelJob } from './workload.ts'
 
--- a/packages/bench/src/processortime.ts
+++ b/packages/bench/src/processortime.ts
@@ -5,7 +5,7 @@
 import type { Assignment, SchedulableTask } from '@amaranthmast/coordination/scheduling'
 import { quantile, rounded } from './measures.ts'
 import { seededRandom } from './random.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, User } from './workload.ts'
 
 const SIZES = [11, 110, 1_100]
--- a/packages/bench/src/processsection.ts
+++ b/packages/bench/src/processsection.ts
@@ -19,7 +19,7 @@
 import { emptyFleetResponse } from './ideal.ts'
 import { quantile, rounded } from './measures.ts'
 import { Model } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import type { ModelJob } from './workload.ts'
 import { configurationFor, profiles, User } from './workload.ts'
 
--- a/packages/bench/src/reportpage.ts
+++ b/packages/bench/src/reportpage.ts
@@ -8,7 +8,7 @@
 
 import type { Plot } from './plots.ts'
 import { plots, rowsOf } from './plots.ts'
-import type { Row } from './sections.ts'
+import type { Row } from './sectiontypes.ts'
 
 const PANEL_HEIGHT = 240
 const PAGE_WIDTH = 960
--- a/packages/bench/src/sections.ts
+++ b/packages/bench/src/sections.ts
@@ -1,4 +1,5 @@
 /** The sections of the bench by name. A further section is a further line of the table. */
+import type { Section } from './sectiontypes.ts'
 import { measureCores } from './convergencecores.ts'
 import { measureReports } from './convergencereports.ts'
 import { measureConvergence } from './convergencesection.ts'
@@ -12,19 +13,6 @@
 import { measureShares } from './sharesection.ts'
 import { measureTenants } from './tenantsection.ts'
 
-/** What every section is given. */
-export interface SectionOptions {
-  seed: number
-  /** Virtual time that a run covers. */
-  seconds: number
-}
-
-/** Figures for one row of a table. */
-export type Row = Record<string, string | number>
-
-/** One section: measures, and returns the rows of its table. */
-export type Section = (options: SectionOptions) => Row[] | Promise<Row[]>
-
 /** Sections that start processes: they run when they are asked for by name, or all figures are. */
 export const processSections: ReadonlySet<string> = new Set(['processes'])
 
--- a/packages/bench/src/sharesection.ts
+++ b/packages/bench/src/sharesection.ts
@@ -2,7 +2,7 @@
 import { largestShareError, rounded } from './measures.ts'
 import { Model } from './model.ts'
 import type { StartRecord } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, profiles, User } from './workload.ts'
 
 const LOAD = 0.4
--- a/packages/bench/src/tenantsection.ts
+++ b/packages/bench/src/tenantsection.ts
@@ -1,7 +1,7 @@
 /** One tenant's burst, and what it does to the response times of another. */
 import { quantile, rounded } from './measures.ts'
 import { Model } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, User } from './workload.ts'
 
 const SHARES = { 'provider-a': 55, 'provider-b': 45 }
--- a/packages/bench/src/timelines.ts
+++ b/packages/bench/src/timelines.ts
@@ -3,7 +3,7 @@
 import { FaultKind } from './faults.ts'
 import { rounded } from './measures.ts'
 import { Model } from './model.ts'
-import type { Row, SectionOptions } from './sections.ts'
+import type { Row, SectionOptions } from './sectiontypes.ts'
 import { configurationFor, makeJobs, User } from './workload.ts'
 
 const USER = User.Magnolia
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -5,7 +5,8 @@
 import type { SchedulableTask } from './scheduling.ts'
 import { SHARE_PATIENCE_PART } from './schedulingdefaults.ts'
 import { ShareSequence } from './shares.ts'
-import type { Fleet, Pool, Target } from './targets.ts'
+import type { Target } from './target.ts'
+import type { Fleet, Pool } from './targets.ts'
 import type { Lane, QueuedTask } from './taskqueue.ts'
 
 interface Route {
--- a/packages/coordination/src/policies.ts
+++ b/packages/coordination/src/policies.ts
@@ -3,7 +3,7 @@
  * to measure against; the default is the one that did best on the same work (see docs/DECISIONS.md).
  */
 import type { IndexedHeap } from './heap.ts'
-import type { Target } from './targets.ts'
+import type { Target } from './target.ts'
 
 /** Names of the policies, as settings give them. */
 export enum PolicyName {
