--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -44,6 +44,7 @@
   readonly #child: ChildProcess
   readonly #log: string[] = []
   readonly #ended: Promise<void>
+  readonly #begunAt = performance.now()
   #readyLineSeen = false
 
   /** @internal Use {@link ProcessGroup.launch}. */
@@ -65,6 +66,11 @@
     this.#collect(this.#child.stderr)
   }
 
+  /** Milliseconds since it was launched. */
+  get age (): number {
+    return performance.now() - this.#begunAt
+  }
+
   get pid (): number {
     return this.#child.pid ?? 0
   }
--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -12,6 +12,9 @@
 /** How long a process that was told to stop may take: its grace and a second. */
 const STOP_LIMIT = 7000
 
+/** Time after which Node itself has come up and runs the program's first line, also on a busy machine, in milliseconds. */
+const BOOT = 400
+
 type Fault = (fleet: SoakFleet, random: SeededRandom) => Promise<void>
 
 function length (random: SeededRandom): number {
@@ -52,7 +55,11 @@
   freezeAgent: async (fleet, random) => await strikeOne(fleet.agents, random, async member => await freeze(member, random)),
   restartEntry: async (fleet, random) => await strikeOne(fleet.entries, random, async member => await restart(fleet, member)),
   restartAgent: async (fleet, random) => await strikeOne(fleet.agents, random, async member => await restart(fleet, member)),
-  hangUp: async (fleet, random) => random.pick([...fleet.entries, ...fleet.agents]).process?.signal('SIGHUP'),
+  hangUp: async (fleet, random) => {
+    const { process } = random.pick([...fleet.entries, ...fleet.agents])
+    // Before Node has come up no program can handle a signal; the platform starts a process that ended then again.
+    if (process !== undefined && process.age > BOOT) process.signal('SIGHUP')
+  },
   resetLinks: async (fleet, random) => {
     const cutter = random.pick(fleet.cutters)
     cutter.cut()
