--- /dev/null
+++ b/packages/dispatch/src/agentcontext.ts
@@ -0,0 +1,29 @@
+/** What the parts of an agent share. */
+import type { AgentEffect } from './agenttypes.ts'
+import type { Timings } from './timings.ts'
+
+/** Guards against two runs of one task. */
+export interface AgentGuards {
+  /** Tasks of an entry out of contact are stopped, and nothing is started for it. */
+  contact: boolean
+  /** A start without an answer is taken back before it counts as not started. */
+  takeBack: boolean
+  /** What a predecessor left at the target is stopped before anything starts. */
+  clearing: boolean
+  /** Contact counts from the sending of the ping, not from the arrival of its echo. */
+  echoAge: boolean
+}
+
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true }
+
+export interface AgentContext {
+  readonly timings: Timings
+  readonly guards: AgentGuards
+  /** A stop of a task takes the target at most this long, in milliseconds. */
+  readonly stop: number
+  /** Milliseconds since 1970. */
+  readonly wallClock: () => number
+  readonly emit: (effect: AgentEffect) => void
+  /** Logs a decision or a change of what is believed. */
+  readonly note: (what: string, fields: Record<string, unknown>) => void
+}
--- /dev/null
+++ b/packages/dispatch/src/entrysessions.ts
@@ -0,0 +1,152 @@
+/** The entries that an agent serves: who is linked, who is in contact, and what each is told. */
+import type { AgentContext } from './agentcontext.ts'
+import type { HeldTasks } from './heldtasks.ts'
+import type { AgentMessage, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd } from './messages.ts'
+import type { TargetWatch } from './targetwatch.ts'
+import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS } from './defaults.ts'
+import { EntrySession, nameOf } from './entrysession.ts'
+
+/** How long the session of an entry that has gone is kept, in milliseconds: it may link again. */
+const SESSION_MEMORY_MILLISECONDS = 10_000
+
+/** Paces are told in hundredths. */
+const PACE_PARTS = 100
+
+export interface EntrySessionsParts {
+  context: AgentContext
+  held: HeldTasks
+  target: TargetWatch
+  /** The target as entries are told of it. */
+  announced: () => TargetFacts | undefined
+  /** Nobody waits for the tasks of a session any more. */
+  stopTasksOf: (session: EntrySession, reason: string, now: number) => void
+}
+
+export class EntrySessions {
+  readonly #parts: EntrySessionsParts
+  readonly #context: AgentContext
+  readonly #held: HeldTasks
+  readonly #sessions = new Map<string, EntrySession>()
+
+  constructor (parts: EntrySessionsParts) {
+    this.#parts = parts
+    this.#context = parts.context
+    this.#held = parts.held
+  }
+
+  /** Entries with a link. */
+  get linked (): number {
+    return [...this.#sessions.values()].filter(session => session.connected).length
+  }
+
+  link (entry: string, now: number): void {
+    for (const session of this.#sessions.values()) {
+      if (session.entry !== entry && nameOf(session.entry) === nameOf(entry)) this.#replaced(session, now)
+    }
+    let session = this.#sessions.get(entry)
+    if (session === undefined) {
+      session = new EntrySession(entry)
+      this.#sessions.set(entry, session)
+    }
+    session.connected = true
+    this.#context.note('entry linked', { entry, tasks: session.tasks })
+    // The ping goes first: its echo must be here before the first start, which is refused without contact.
+    this.#ping(session, now)
+    const { first, ends } = session.unacknowledged()
+    if (ends.length > 0) this.#send(session, { type: 'ends', first, ends, load: this.#load(session, now) })
+    this.#announce(session, now)
+  }
+
+  /** The link may only have been reset: its tasks run on until the contact ends. */
+  unlink (entry: string, now: number): void {
+    const session = this.#sessions.get(entry)
+    if (session === undefined) return
+    session.connected = false
+    session.disconnectedAt = now
+    this.#context.note('entry unlinked', { entry, tasks: session.tasks })
+  }
+
+  /** The session that a message belongs to; undefined when it must not be followed. */
+  sessionFor (entry: string, message: EntryMessage, now: number): EntrySession | undefined {
+    const session = this.#sessions.get(entry)
+    if (session === undefined || !session.connected) return undefined
+    if (message.type !== 'start' || !this.#context.guards.contact || session.inContact(now)) return session
+    // The order was held up, or this process was: the entry counts on it not being followed.
+    this.#context.note('start out of contact', { entry, tasks: message.tasks.length })
+    this.#context.emit({ type: 'unlink', entry })
+    return undefined
+  }
+
+  /** Stops the tasks of entries out of contact. */
+  expire (now: number): void {
+    if (!this.#context.guards.contact) return
+    for (const session of this.#sessions.values()) {
+      if (session.tasks > 0 && !session.inContact(now)) this.#parts.stopTasksOf(session, 'out of contact', now)
+    }
+  }
+
+  loseContact (now: number): void {
+    for (const session of this.#sessions.values()) session.loseContact(now)
+  }
+
+  tick (now: number): void {
+    const { ping, idlePing } = this.#context.timings
+    for (const session of this.#sessions.values()) {
+      const interval = session.tasks > 0 ? ping : idlePing
+      if (session.connected && (now - session.pingedAt >= interval || this.#loadChanged(session, now))) this.#ping(session, now)
+      if (!session.connected && session.tasks === 0 && now - session.disconnectedAt > SESSION_MEMORY_MILLISECONDS) this.#sessions.delete(session.entry)
+    }
+  }
+
+  announceToAll (now: number): void {
+    for (const session of this.#sessions.values()) if (session.connected) this.#announce(session, now)
+  }
+
+  tell (session: EntrySession, end: TaskEnd, now: number): void {
+    const number = session.remember(end)
+    this.#send(session, { type: 'ends', first: number, ends: [end], load: this.#load(session, now) })
+  }
+
+  tellSlow (session: EntrySession, slow: SlowTask): void {
+    this.#send(session, { type: 'slow', tasks: [slow] })
+  }
+
+  /** A new run of the entry is linked: the old one has ended, and nobody waits for its tasks. */
+  #replaced (session: EntrySession, now: number): void {
+    session.connected = false
+    session.disconnectedAt = Number.NEGATIVE_INFINITY
+    this.#parts.stopTasksOf(session, 'the entry was restarted', now)
+  }
+
+  #ping (session: EntrySession, now: number): void {
+    session.pingedAt = now
+    this.#send(session, { type: 'ping', sent: now, load: this.#load(session, now) })
+  }
+
+  #announce (session: EntrySession, now: number): void {
+    const held = this.#held.of(session).map(({ order: { task, attempt } }) => ({ task, attempt }))
+    this.#send(session, { type: 'announce', target: this.#parts.announced(), held, load: this.#load(session, now) })
+  }
+
+  /** Room that one entry's tasks leave is of use to the others only when they hear of it. */
+  #loadChanged (session: EntrySession, now: number): boolean {
+    if (!session.waiting) return false
+    const capacity = this.#parts.target.facts?.capacity.cpu ?? 0
+    const change = Math.abs(this.#held.used.cpu - session.used.cpu - session.toldOthers)
+    return change > LOAD_CHANGE_PART * capacity && now - session.toldAt >= LOAD_INTERVAL_MILLISECONDS * this.#sessions.size
+  }
+
+  #load (session: EntrySession, now: number): Load {
+    const { used } = this.#held
+    session.toldOthers = used.cpu - session.used.cpu
+    session.toldAt = now
+    return {
+      pace: Math.round(this.#parts.target.pace.value(now) * PACE_PARTS) / PACE_PARTS,
+      others: { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
+    }
+  }
+
+  #send (session: EntrySession, message: AgentMessage): void {
+    if (session.connected) this.#context.emit({ type: 'send', entry: session.entry, message })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/targetwatch.ts
@@ -0,0 +1,172 @@
+/** The target beside an agent: which life of it is there, whether it is clear, its lease, and when it is looked at. */
+import type { AgentContext } from './agentcontext.ts'
+import type { AgentEvent } from './agenttypes.ts'
+import type { HeldTasks } from './heldtasks.ts'
+import type { TargetFacts } from './messages.ts'
+import { IDLE_LOOK_MILLISECONDS, LOOK_WAIT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
+import { Stage } from './heldtasks.ts'
+import { Cause } from './messages.ts'
+import { TargetPace } from './progress.ts'
+import { TargetLease } from './targetlease.ts'
+
+/** Shortest time between two looks while the first was not answered or the target is not clear, in milliseconds. */
+const LOOK_RETRY_MILLISECONDS = 20
+
+/** How much a token is raised that the target refused, at least. */
+const TOKEN_STEP = 1000
+
+/** What an announcement of the target tells. */
+export enum Sighting {
+  Same = 'same',
+  /** It begins to leave, or takes work again. */
+  Changed = 'changed',
+  NewInstance = 'newInstance'
+}
+
+export class TargetWatch {
+  readonly #context: AgentContext
+  readonly #held: HeldTasks
+  #lease: TargetLease
+  #pace = new TargetPace()
+  #facts: TargetFacts | undefined
+  /** Whether nothing of a predecessor runs there any more. */
+  #cleared = false
+  #token: number
+  #acknowledged = 0
+  #lookInFlight = false
+  /** Whether the last look was answered, and by a target that is clear: else the next one waits a little. */
+  #lookAnswered = true
+  #lookedAt = Number.NEGATIVE_INFINITY
+  #lastInstance = ''
+
+  constructor (context: AgentContext, held: HeldTasks) {
+    this.#context = context
+    this.#held = held
+    this.#lease = new TargetLease(context.timings)
+    this.#token = Math.floor(context.wallClock())
+  }
+
+  get facts (): TargetFacts | undefined {
+    return this.#facts
+  }
+
+  get cleared (): boolean {
+    return this.#cleared
+  }
+
+  get lease (): TargetLease {
+    return this.#lease
+  }
+
+  get pace (): TargetPace {
+    return this.#pace
+  }
+
+  /** Whether an answer is from the life of the target that is there now. */
+  is (instance: string): boolean {
+    return instance === this.#facts?.instance
+  }
+
+  /** What every call to the target carries. */
+  order (): { instance: string, token: number } {
+    return { instance: this.#facts?.instance ?? this.#lastInstance, token: this.#token }
+  }
+
+  /** Why nothing may start there now; `Cause.None` when it may. */
+  obstacle (): Cause {
+    if (this.#facts?.leaving === true) return Cause.Leaving
+    if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
+    return this.#lease.silent ? Cause.Unreachable : Cause.None
+  }
+
+  /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
+  seen (facts: TargetFacts): Sighting {
+    if (this.#facts?.instance !== facts.instance) return Sighting.NewInstance
+    const changed = this.#facts.leaving !== facts.leaving
+    this.#facts = facts
+    if (!changed) return Sighting.Same
+    this.#context.note('target changed', { instance: facts.instance, leaving: facts.leaving })
+    return Sighting.Changed
+  }
+
+  begin (facts: TargetFacts, clock: number, now: number): void {
+    this.#facts = facts
+    this.#lastInstance = facts.instance
+    this.#lease = new TargetLease(this.#context.timings)
+    this.#pace = new TargetPace()
+    this.#lease.noteClock(clock, now)
+    this.#cleared = !this.#context.guards.clearing
+    this.#acknowledged = 0
+    this.#lookInFlight = false
+    this.#context.note('target found', { instance: facts.instance, service: facts.service, capacity: facts.capacity, token: this.#token })
+  }
+
+  end (reason: string): void {
+    this.#context.note('target lost', { instance: this.#facts?.instance, reason, tasks: this.#held.size })
+    this.#facts = undefined
+    this.#cleared = false
+    this.#lookInFlight = false
+  }
+
+  /** Another process holds a higher token: only a predecessor whose clock was ahead can have used one. */
+  raiseToken (): void {
+    const before = this.#token
+    this.#token = Math.max(Math.floor(this.#context.wallClock()), before + Math.max(TOKEN_STEP, Math.floor(before / TOKEN_STEP)))
+    this.#cleared = !this.#context.guards.clearing
+    this.#context.note('fenced, token raised', { before, token: this.#token })
+  }
+
+  acknowledge (number: number): void {
+    this.#acknowledged = Math.max(this.#acknowledged, number)
+  }
+
+  lookIfDue (now: number): void {
+    if (this.#facts === undefined || this.#lookInFlight) return
+    if (!this.#lookAnswered && now - this.#lookedAt < LOOK_RETRY_MILLISECONDS) return
+    const busy = this.#held.size > 0
+    const urgent = busy || !this.#cleared || this.#lease.silent
+    if (!urgent && now - this.#lookedAt < IDLE_LOOK_MILLISECONDS) return
+    const deadline = busy && this.#mayRenew() ? this.#lease.renew(now) : undefined
+    const wait = busy && this.#cleared && !this.#lease.silent ? LOOK_WAIT_MILLISECONDS : 0
+    this.#lookInFlight = true
+    this.#lookAnswered = false
+    this.#lookedAt = now
+    this.look(deadline, wait, now)
+  }
+
+  look (deadline: number | undefined, wait: number, now: number): void {
+    this.#context.emit({ type: 'look', ...this.order(), sent: now, deadline, acknowledged: this.#acknowledged, wait })
+  }
+
+  /** A look was answered; `settle` follows when what it lists has been taken in. */
+  answered ({ instance, sent, clock }: Extract<AgentEvent, { type: 'looked' }>, now: number): void {
+    if (sent === this.#lookedAt) this.#lookInFlight = false
+    if (this.#lease.silent) this.#context.note('target answers again', { instance })
+    this.#lease.noteAnswer(clock, now)
+  }
+
+  /** Tells whether the target has just become clear. */
+  settle (runs: number): boolean {
+    const clears = !this.#cleared && runs === 0
+    if (clears) {
+      this.#cleared = true
+      this.#context.note('target clear', { instance: this.#facts?.instance })
+    }
+    this.#lookAnswered = this.#cleared
+    return clears
+  }
+
+  lookFailed (sent: number): void {
+    if (sent === this.#lookedAt) this.#lookInFlight = false
+  }
+
+  noteSilence (): void {
+    if (!this.#lease.silent) this.#context.note('target silent', { instance: this.#facts?.instance, tasks: this.#held.size })
+    this.#lease.noteSilence()
+  }
+
+  /** A run that several orders did not stop ends with the lease, at the price of those beside it. */
+  #mayRenew (): boolean {
+    return !this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/taskruns.ts
@@ -0,0 +1,243 @@
+/** The life of each task at the target: started, seen running, stopped, taken back, ended. */
+import type { AgentContext } from './agentcontext.ts'
+import type { AgentEvent, EndedRun } from './agenttypes.ts'
+import type { EntrySession } from './entrysession.ts'
+import type { HeldTask, HeldTasks } from './heldtasks.ts'
+import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
+import type { TargetWatch } from './targetwatch.ts'
+import { RunEnd, StartAnswer } from './agenttypes.ts'
+import { STOP_TIMEOUT_MILLISECONDS } from './defaults.ts'
+import { Stage } from './heldtasks.ts'
+import { Cause, Outcome } from './messages.ts'
+import { noteProgress, slowRemaining } from './progress.ts'
+import { fits } from './resources.ts'
+
+/** Run numbers skipped after a refusal as old, times the refusals so far. */
+const RUN_STEP = 8
+
+/** Refusals as old after which a start is given up. */
+const OLD_RUNS_LIMIT = 4
+
+/** Ends that a target lists in one look at most: with so many, others may be left. */
+const ENDS_PER_LOOK = 500
+
+const WHOLE_PERCENT = 100
+
+export interface TaskRunsParts {
+  context: AgentContext
+  held: HeldTasks
+  target: TargetWatch
+  /** Why the agent as a whole starts nothing; `Cause.None` when it does. */
+  obstacle: () => Cause
+  tell: (session: EntrySession, end: TaskEnd, now: number) => void
+  tellSlow: (session: EntrySession, slow: SlowTask) => void
+  /** The target is gone for certain. */
+  targetLost: (reason: string, now: number) => void
+}
+
+type StartHandlers = Record<StartAnswer, (held: HeldTask, now: number) => void>
+
+export class TaskRuns {
+  readonly #parts: TaskRunsParts
+  readonly #context: AgentContext
+  readonly #held: HeldTasks
+  readonly #target: TargetWatch
+
+  readonly #startAnswers: StartHandlers = {
+    [StartAnswer.Started]: (held, now) => this.#confirmed(held, now),
+    [StartAnswer.Fenced]: (held, now) => this.#fenced(held, now),
+    [StartAnswer.OldRun]: (held, now) => this.#tryHigherRun(held, now),
+    [StartAnswer.Late]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Unreachable, now),
+    [StartAnswer.Full]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Full, now),
+    [StartAnswer.Unhealthy]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Unhealthy, now),
+    [StartAnswer.Rejected]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Rejected, now),
+    [StartAnswer.OtherInstance]: (_held, now) => this.#parts.targetLost('another instance answers', now),
+    [StartAnswer.NoListener]: (_held, now) => this.#parts.targetLost('nothing listens', now),
+    [StartAnswer.Silent]: (held, now) => this.#startUnanswered(held, now)
+  }
+
+  constructor (parts: TaskRunsParts) {
+    this.#parts = parts
+    this.#context = parts.context
+    this.#held = parts.held
+    this.#target = parts.target
+  }
+
+  // Starting
+
+  startOrdered (session: EntrySession, order: TaskOrder, payload: string, now: number): void {
+    const held = this.#held.get(order.task)
+    if (held?.session === session && held.order.attempt === order.attempt) return
+    const obstacle = held === undefined ? this.#parts.obstacle() : Cause.Rejected
+    if (obstacle !== Cause.None) return this.#refuse(session, order, obstacle, now)
+    if (!this.#fits(order)) return this.#refuse(session, order, Cause.Full, now)
+    this.#start(this.#held.add(order, payload, session, now), now)
+  }
+
+  startAnswered ({ instance, task, run, answer }: Extract<AgentEvent, { type: 'startAnswered' }>, now: number): void {
+    const held = this.#held.get(task)
+    if (held === undefined || held.run !== run || !this.#target.is(instance)) return
+    if (answer !== StartAnswer.Started) this.#context.note('start refused', { task, run, answer, instance })
+    this.#startAnswers[answer](held, now)
+  }
+
+  #fits (order: TaskOrder): boolean {
+    const capacity = this.#target.facts?.capacity
+    if (capacity === undefined) return false
+    const { used } = this.#held
+    return fits(order.needs, { cpu: capacity.cpu - used.cpu, memory: capacity.memory - used.memory, accelerators: capacity.accelerators - used.accelerators })
+  }
+
+  #start (held: HeldTask, now: number): void {
+    const deadline = this.#target.lease.renew(now)
+    if (deadline === undefined) return this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+    held.startedAt = now
+    held.advancedAt = now
+    this.#context.emit({ type: 'start', ...this.#target.order(), task: held.order.task, run: held.run, payload: held.payload, deadline })
+  }
+
+  #refuse (session: EntrySession, order: TaskOrder, cause: Cause, now: number): void {
+    this.#parts.tell(session, { task: order.task, attempt: order.attempt, outcome: Outcome.NotStarted, cause, ran: 0 }, now)
+  }
+
+  #confirmed (held: HeldTask, now: number): void {
+    held.confirmedAt ??= now
+    if (held.stage === Stage.Starting) held.stage = Stage.Running
+  }
+
+  /** The order may still be carried out, or have been: the run is forbidden before the task counts as gone. */
+  #startUnanswered (held: HeldTask, now: number): void {
+    if (held.stage !== Stage.Starting) return
+    if (this.#context.guards.takeBack) this.stop(held, now)
+    else this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+  }
+
+  /**
+   * The number belongs to a run that ended or was stopped there before. When it was stopped by this
+   * agent a moment ago, the refusal only says that the stop was faster than the start.
+   */
+  #tryHigherRun (held: HeldTask, now: number): void {
+    if (held.stage === Stage.Stopping) return this.finish(held, Outcome.Gone, Cause.Stopped, now)
+    held.stops += 1
+    if (held.stops > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
+    held.run += RUN_STEP * held.stops
+    this.#held.noteRun(held)
+    this.#start(held, now)
+  }
+
+  #fenced (held: HeldTask, now: number): void {
+    this.#target.raiseToken()
+    this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+  }
+
+  // Stopping
+
+  stopAsked (session: EntrySession, { task, attempt }: TaskReference, now: number): void {
+    const held = this.#held.get(task)
+    if (held?.session === session && held.order.attempt === attempt && held.stage !== Stage.Stopping) this.stop(held, now)
+  }
+
+  stopTasksOf (session: EntrySession, reason: string, now: number): void {
+    const tasks = this.#held.of(session).filter(held => held.stage !== Stage.Stopping)
+    if (tasks.length === 0) return
+    this.#context.note('tasks of an entry stopped', { entry: session.entry, reason, tasks: tasks.length })
+    for (const held of tasks) this.stop(held, now)
+  }
+
+  stop (held: HeldTask, now: number): void {
+    held.stage = Stage.Stopping
+    held.stopSentAt = now
+    held.stops += 1
+    this.#context.emit({ type: 'stop', ...this.#target.order(), task: held.order.task, run: held.run })
+  }
+
+  stopAnswered ({ instance, task, run, answered }: Extract<AgentEvent, { type: 'stopAnswered' }>, now: number): void {
+    const held = this.#held.get(task)
+    if (held === undefined || held.run !== run || !this.#target.is(instance) || !answered) return
+    if (held.stopConfirmedAt !== undefined) return
+    held.stopConfirmedAt = now
+    // The look in flight may wait for long; whether a start that was not answered has begun is asked at once.
+    if (held.confirmedAt === undefined) this.#target.look(undefined, 0, now)
+  }
+
+  /** Sends stops again that got no answer. */
+  repeatStops (now: number): void {
+    for (const held of this.#held.all()) {
+      if (held.stage === Stage.Stopping && held.stopConfirmedAt === undefined && now - held.stopSentAt >= STOP_TIMEOUT_MILLISECONDS) this.stop(held, now)
+    }
+  }
+
+  // What a look lists
+
+  looked ({ sent, running, ended }: Extract<AgentEvent, { type: 'looked' }>, now: number): void {
+    for (const end of ended) this.#runEnded(end, now)
+    const runs = new Map(running.map(({ task, run }) => [task, run]))
+    for (const { task, run, percent } of running) {
+      const held = this.#held.get(task)
+      if (held !== undefined && held.run === run) this.#runs(held, percent, now)
+      else this.#stray(task, run)
+    }
+    if (ended.length < ENDS_PER_LOOK) {
+      for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
+    }
+    this.#reportSlow(now)
+  }
+
+  #runEnded ({ number, task, run, end }: EndedRun, now: number): void {
+    this.#target.acknowledge(number)
+    const held = this.#held.get(task)
+    if (held === undefined || held.run !== run) return
+    if (end === RunEnd.Done) this.#target.pace.observe(held, WHOLE_PERCENT, now)
+    if (end === RunEnd.Done) return this.finish(held, Outcome.Done, Cause.None, now)
+    if (end === RunEnd.Failed) return this.finish(held, Outcome.Failed, Cause.None, now)
+    this.finish(held, Outcome.Gone, end === RunEnd.Lapsed ? Cause.Lapsed : Cause.Stopped, now)
+  }
+
+  #runs (held: HeldTask, percent: number, now: number): void {
+    this.#confirmed(held, now)
+    this.#target.pace.observe(held, percent, now)
+    noteProgress(held, percent, now)
+  }
+
+  /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. */
+  #stray (task: string, run: number): void {
+    this.#context.note('stray run stopped', { task, run })
+    this.#context.emit({ type: 'stop', ...this.#target.order(), task, run })
+  }
+
+  /** A task that the target neither runs nor lists as ended, though it had answered the order before the look. */
+  #absent (held: HeldTask, sent: number, now: number): void {
+    if (held.stage === Stage.Running && held.confirmedAt !== undefined && held.confirmedAt < sent) {
+      return this.finish(held, Outcome.Gone, Cause.Lapsed, now)
+    }
+    if (held.stage !== Stage.Stopping || held.stopConfirmedAt === undefined) return
+    // One that was never seen running has not begun, and the stop forbids that it does.
+    if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+    if (sent > held.stopConfirmedAt + this.#context.stop) this.finish(held, Outcome.Gone, Cause.Stopped, now)
+  }
+
+  #reportSlow (now: number): void {
+    const pace = this.#target.pace.value(now)
+    for (const held of this.#held.all()) {
+      if (held.stage !== Stage.Running) continue
+      const remaining = slowRemaining(held, pace, now)
+      if (remaining === undefined) continue
+      held.reportedSlowAt = now
+      const { task, attempt } = held.order
+      this.#parts.tellSlow(held.session, { task, attempt, remaining })
+    }
+  }
+
+  // Ends
+
+  finishAll (cause: Cause, now: number): void {
+    for (const held of this.#held.all()) this.finish(held, Outcome.Gone, cause, now)
+  }
+
+  finish (held: HeldTask, outcome: Outcome, cause: Cause, now: number): void {
+    this.#held.remove(held)
+    const { task, attempt } = held.order
+    if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, entry: held.session.entry, age: Math.round(now - held.startedAt) })
+    this.#parts.tell(held.session, { task, attempt, outcome, cause, ran: Math.max(0, now - held.startedAt) }, now)
+  }
+}
