--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -8,23 +8,22 @@
  */
 import type { Answer, EntryEffect, EntryEvent } from './entrytypes.ts'
 import type { AgentView, Placement } from './fleetview.ts'
-import type { FleetGuards, PlannedStart } from './fleet.ts'
-import type { JobRequest, Step, Task } from './job.ts'
-import type { PlacementRequest } from './placement.ts'
+import type { FleetGuards } from './fleet.ts'
+import type { JobRequest, Step } from './job.ts'
 import type { SlowTask, TaskEnd } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
 import type { Timings } from './timings.ts'
 import { RunTimeEstimates } from '@amaranthmast/coordination/estimates'
 import {
   ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LATE_FACTOR, LATE_TOLERANCE_PART, LONGEST_RETRY_AFTER_MILLISECONDS,
-  MOVE_GAIN_MILLISECONDS, REFUSALS_LIMIT, SCAN_LIMIT, SHORTEST_RETRY_AFTER_MILLISECONDS
+  MOVE_GAIN_MILLISECONDS, REFUSALS_LIMIT, SHORTEST_RETRY_AFTER_MILLISECONDS
 } from './defaults.ts'
 import { AnswerKind, Reason } from './entrytypes.ts'
 import { ALL_FLEET_GUARDS, Fleet } from './fleet.ts'
 import { Job, JobState, longestChain, TaskState } from './job.ts'
 import { JobQueue } from './jobqueue.ts'
 import { Outcome } from './messages.ts'
-import { choose } from './placement.ts'
+import { Placing } from './placing.ts'
 import { NEVER } from './progress.ts'
 import { fits } from './resources.ts'
 
@@ -55,6 +54,7 @@
 export class Entry {
   readonly #options: EntryOptions
   readonly #fleet: Fleet
+  readonly #placing: Placing
   readonly #estimates = new RunTimeEstimates()
   readonly #jobs = new Map<string, Job>()
   readonly #byRequest = new Map<number, Job>()
@@ -92,6 +92,7 @@
       ended: (agent, placement, end, now) => this.#taskEnded(agent, placement, end, now),
       slow: (agent, placement, slow, now) => this.#taskSlow(agent, placement, slow, now)
     })
+    this.#placing = new Placing(this.#fleet, options.dataCentre, (what, fields) => this.#note(what, fields))
   }
 
   /** Takes one event in and returns what is to be done for it, in order. */
@@ -99,7 +100,7 @@
     this.#effects = []
     const handler = this.#handlers[event.type] as (event: EntryEvent, now: number) => void
     handler(event, now)
-    for (const [service, queue] of this.#queues) if (queue.size > 0) this.#place(service, queue, now)
+    for (const [service, queue] of this.#queues) if (queue.size > 0) this.#placing.place(service, queue, now)
     return this.#effects
   }
 
@@ -269,50 +270,6 @@
     return saturated && now > job.startBy + tolerance ? Reason.Overload : Reason.None
   }
 
-  // Placing
-
-  #place (service: string, queue: JobQueue, now: number): void {
-    const candidates = this.#fleet.usable(service, now).filter(agent => agent.free.cpu > 0)
-    const waiting: Job[] = []
-    while (waiting.length < SCAN_LIMIT) {
-      const job = queue.take()
-      if (job === undefined) break
-      this.#placeJob(job, candidates, now)
-      if (job.state !== JobState.Open || job.queued().length === 0) continue
-      waiting.push(job)
-      if (candidates.length === 0) break
-    }
-    for (const job of waiting) queue.add(job, now)
-  }
-
-  #placeJob (job: Job, candidates: AgentView[], now: number): void {
-    const starts = new Map<AgentView, PlannedStart[]>()
-    for (const task of job.queued()) {
-      const agent = choose(this.#requestFor(job, task), candidates)
-      if (agent === undefined) continue
-      const start = plan(job, task)
-      this.#fleet.reserve(agent, start, now)
-      const planned = starts.get(agent)
-      if (planned === undefined) starts.set(agent, [start])
-      else planned.push(start)
-    }
-    if (starts.size === 0) return
-    job.started = true
-    job.offeredAt ??= now
-    for (const [agent, planned] of starts) this.#fleet.send(agent, job, planned)
-    this.#note('tasks placed', { job: job.request.id, at: [...starts].map(([agent, planned]) => [agent.name, planned.length, Math.round(now - agent.heardAt)]), waited: Math.round(now - job.arrivedAt), left: job.queued().length })
-  }
-
-  #requestFor (job: Job, task: Task): PlacementRequest {
-    return {
-      step: job.request.steps[task.step] as Step,
-      expected: job.expected[task.step] ?? 0,
-      avoid: task.avoid,
-      dataCentre: this.#options.dataCentre,
-      placedAt: agent => countOf(agent, job, task.step)
-    }
-  }
-
   // Ends
 
   #taskEnded (agent: AgentView, placement: Placement, end: TaskEnd, now: number): void {
@@ -408,16 +365,3 @@
 function unknown (): Answer {
   return { kind: AnswerKind.Unknown, reason: Reason.None, retryAfter: 0 }
 }
-
-function plan (job: Job, task: Task): PlannedStart {
-  task.state = TaskState.Placed
-  task.attempt += 1
-  job.placed += 1
-  return { task, needs: (job.request.steps[task.step] as Step).needs, expected: job.expected[task.step] ?? 0 }
-}
-
-function countOf (agent: AgentView, job: Job, step: number): number {
-  let count = 0
-  for (const { task } of agent.placements.values()) if (task.job === job && task.step === step) count += 1
-  return count
-}
