--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,5 +3,5 @@
 export default neostandard({
   ts: true,
   noJsx: true,
-  ignores: ['dist/**', 'report/**', 'packages/protocol/src/*_pb.ts']
+  ignores: ['dist/**', 'target/**', 'report/**', 'packages/protocol/src/*_pb.ts']
 })
