--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -16,7 +16,7 @@
   entries?: number
   agents?: number
   /**
-   * Every eighth task outlasts the pause of a caller that comes back, so that what a lost entry left running is still there.
+   * The tasks of every eighth job outlast the pause of a caller that comes back, so that what a lost entry left running is still there.
    * @default false
    */
   long?: boolean
@@ -44,7 +44,7 @@
 /** The same with long tasks among them: the mean run time is then 0.67 s. */
 const LONG_JOB_INTERVAL = 160
 
-/** Every so many tasks one is long, and how much longer, in milliseconds: a caller comes back after 1,300. */
+/** One of so many jobs has long tasks, and how much longer they are, in milliseconds: a caller comes back after 1,300. */
 const LONG_EVERY = 8
 const LONG_EXTRA = 1400
 
