--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -1,6 +1,7 @@
 /** Faults from outside: signals, links, the store and the workers. Each undoes itself after a while. */
 import type { Member, SoakFleet } from './soakfleet.ts'
 import type { SeededRandom } from '@amaranthmast/standins/random'
+import { readFileSync } from 'node:fs'
 import { setTimeout as pause } from 'node:timers/promises'
 import { LinkState } from '@amaranthmast/standins/cutter'
 import { Outage } from '@amaranthmast/standins/fleetstore'
@@ -12,8 +13,8 @@
 /** How long a process that was told to stop may take: its grace and a second. */
 const STOP_LIMIT = 7000
 
-/** Time after which Node itself has come up and runs the program's first line, also on a busy machine, in milliseconds. */
-const BOOT = 400
+/** Bit of SIGHUP among the signals that a process handles. */
+const SIGHUP_BIT = 1n
 
 type Fault = (fleet: SoakFleet, random: SeededRandom) => Promise<void>
 
@@ -21,6 +22,17 @@
   return random.logarithmic(SHORTEST, LONGEST)
 }
 
+/**
+ * Whether the process handles SIGHUP: Node has come up and has run the program's first lines. Before that no program can
+ * handle a signal, and the platform starts a process that ended then again. How long it takes depends on what else the
+ * machine does: beside 20 busy processes more than 400 ms.
+ */
+export function handlesHangUp (pid: number): boolean {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  const handled = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? '0'
+  return (BigInt(`0x${handled}`) & SIGHUP_BIT) !== 0n
+}
+
 async function kill (fleet: SoakFleet, member: Member, random: SeededRandom): Promise<void> {
   member.struck = true
   await member.process?.kill()
@@ -57,8 +69,7 @@
   restartAgent: async (fleet, random) => await strikeOne(fleet.agents, random, async member => await restart(fleet, member)),
   hangUp: async (fleet, random) => {
     const { process } = random.pick([...fleet.entries, ...fleet.agents])
-    // Before Node has come up no program can handle a signal; the platform starts a process that ended then again.
-    if (process !== undefined && process.age > BOOT) process.signal('SIGHUP')
+    if (process?.isRunning === true && handlesHangUp(process.pid)) process.signal('SIGHUP')
   },
   resetLinks: async (fleet, random) => {
     const cutter = random.pick(fleet.cutters)
