The age of a launched process goes: nothing asks for it any more

Cause: the soak now asks the system whether a process handles SIGHUP, and no longer how old it is; the getter and its field were left. Behaviour stays.

--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -44,7 +44,6 @@
   readonly #child: ChildProcess
   readonly #log: string[] = []
   readonly #ended: Promise<void>
-  readonly #begunAt = performance.now()
   #readyLineSeen = false
 
   /** @internal Use {@link ProcessGroup.launch}. */
@@ -66,11 +65,6 @@
     this.#collect(this.#child.stderr)
   }
 
-  /** Milliseconds since it was launched. */
-  get age (): number {
-    return performance.now() - this.#begunAt
-  }
-
   get pid (): number {
     return this.#child.pid ?? 0
   }
