Entries whose requests are answered slowly choose by themselves

Cause: on processors of 0.12 cores an answer on room takes 20 to 60 ms, more than a refused start costs. Change: entries measure it (15 ms, 8 ms to come back); an allocator looks at as many waiting jobs as the entries did.

--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -223,3 +223,15 @@
  * of 1 to 5 ms each. Emulated with agents of 0.15 cores: credit of the widest kind of job 0.829 -> 0.861.
  */
 export const SPREAD_PENALTY_MILLISECONDS = 10
+
+/**
+ * Time of an answer on room, in the mean of the last ones, from which an entry chooses by itself again, and below which it
+ * asks again. A refused start costs about one round trip to an agent; on processors of 0.12 cores answers took 20 to 60 ms,
+ * and asking cost more than a quarter of the starts refused.
+ */
+export const SLOW_ANSWER_MILLISECONDS = 15
+export const QUICK_ANSWER_MILLISECONDS = 8
+
+/** Weight of the newest answer in that mean, and the pause between two requests that only measure it. */
+export const ANSWER_TIME_RATE = 0.125
+export const ANSWER_PROBE_MILLISECONDS = 250
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -45,7 +45,8 @@
     const waiting: Job[] = []
     const asking: RoomRequest[] = []
     const { scanLimit } = this.#parts.policy
-    while (waiting.length + asking.length < scanLimit) {
+    const limit = scanLimit * (1 + requests.peers)
+    while (waiting.length + asking.length < limit) {
       const request = requests.nextOrder < (jobs?.nextOrder ?? Infinity) ? requests.take() : undefined
       if (request !== undefined) {
         this.#grant(request, candidates.byGroup.get(request.group) ?? [], now)
--- a/packages/dispatch/src/requestqueue.ts
+++ b/packages/dispatch/src/requestqueue.ts
@@ -9,6 +9,11 @@
     return this.#heap.size
   }
 
+  /** Entries whose requests wait. */
+  get peers (): number {
+    return new Set(this.#heap.values().map(({ peer }) => peer)).size
+  }
+
   /** Order of the next request; infinite when there is none. */
   get nextOrder (): number {
     return this.#heap.peekKey() ?? Infinity
--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -14,7 +14,10 @@
 import type { Candidates } from './placing.ts'
 import type { Policy } from './policy.ts'
 import type { Grant, MemberFacts, PeerMessage, RoomStep } from './roommessages.ts'
-import { ALLOCATOR_SILENCE_MILLISECONDS, FAR_ROOM_FACTOR, MEMBER_INTERVAL_MILLISECONDS, PEER_SILENCE_MILLISECONDS, ROOM_CHANGE_PART, ROOM_INTERVAL_MILLISECONDS, SETTLING_MILLISECONDS } from './defaults.ts'
+import {
+  ALLOCATOR_SILENCE_MILLISECONDS, ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, MEMBER_INTERVAL_MILLISECONDS, PEER_SILENCE_MILLISECONDS, QUICK_ANSWER_MILLISECONDS,
+  ROOM_CHANGE_PART, ROOM_INTERVAL_MILLISECONDS, SETTLING_MILLISECONDS, SLOW_ANSWER_MILLISECONDS
+} from './defaults.ts'
 import { TargetGroups } from './groups.ts'
 import { JobState, TaskState } from './job.ts'
 import { RoomRole } from './messages.ts'
@@ -80,6 +83,11 @@
   /** Groups that had no room for a job. */
   readonly #tried = new Map<Job, Set<string>>()
   readonly #rooms = new Map<string, GroupRoom>()
+  /** Mean time of answers on room, in milliseconds. */
+  #answerTime = 0
+  /** Answers take so long that this entry chooses by itself. */
+  #answersSlow = false
+  #probedAt = Number.NEGATIVE_INFINITY
   // As the entry that is asked
   readonly #requests = new Map<string, RoomRequest>()
   readonly #requestQueues = new Map<string, RequestQueue>()
@@ -114,7 +122,7 @@
 
   /** Whether this entry chooses targets for its own jobs, and so wants to hear of their load. */
   get choosesItself (): boolean {
-    return !this.#asksFor(this.#home)
+    return this.#answersSlow || !this.#asksFor(this.#home)
   }
 
   /** Whether the job waits for room that other jobs want as well: an answer that is merely under way is no reason to refuse it. */
@@ -167,7 +175,7 @@
 
   /** Has all queued tasks placed or asked for. */
   settle (now: number): void {
-    const asks = this.#asksFor(this.#home)
+    const asks = this.#asksNow(now)
     if (asks) {
       for (const job of this.#toAsk) this.#ask(job, now)
       this.#toAsk.clear()
@@ -184,6 +192,25 @@
     this.#toAsk.clear()
   }
 
+  /** While answers are slow, now and then a request measures whether they still are. */
+  #asksNow (now: number): boolean {
+    if (!this.#asksFor(this.#home)) return false
+    if (!this.#answersSlow) return true
+    if (this.#toAsk.size === 0 || now - this.#probedAt < ANSWER_PROBE_MILLISECONDS) return false
+    this.#probedAt = now
+    return true
+  }
+
+  #noteAnswered ({ at, crowded }: Asked, now: number): void {
+    if (crowded) return
+    this.#answerTime += (now - at - this.#answerTime) * ANSWER_TIME_RATE
+    const slow = this.#answerTime > (this.#answersSlow ? QUICK_ANSWER_MILLISECONDS : SLOW_ANSWER_MILLISECONDS)
+    if (slow === this.#answersSlow) return
+    this.#answersSlow = slow
+    this.#note(slow ? 'answers on room are slow' : 'answers on room are quick again', { milliseconds: Math.round(this.#answerTime) })
+    this.#allocatorsChanged()
+  }
+
   // Who gives out what
 
   /** Whether another entry gives out the room of the group. */
@@ -239,17 +266,18 @@
   #allocatorsChanged (): void {
     this.#parts.fleet.setRoles(dataCentre => this.#roleFor(this.#groups.of(dataCentre)))
     for (const [job, { peer, group }] of this.#asked) {
-      if (this.#allocators.get(group) === peer && this.#peers.has(peer)) continue
+      if (!this.#answersSlow && this.#allocators.get(group) === peer && this.#peers.has(peer)) continue
       this.#withdraw(job)
       this.#toAsk.add(job)
     }
-    if (!this.#asksFor(this.#home)) return
+    if (this.choosesItself) return
     for (const queue of this.#parts.queues.values()) for (const job of queue.jobs()) if (!this.#asked.has(job)) this.#toAsk.add(job)
   }
 
   #roleFor (group: string): RoomRole {
     const allocator = this.#allocators.get(group)
     if (allocator === undefined || this.#peers.names.length === 0) return RoomRole.Chooses
+    if (this.#answersSlow && allocator !== this.#parts.name) return RoomRole.Chooses
     return allocator === this.#parts.name ? RoomRole.Allocates : RoomRole.Asks
   }
 
@@ -265,7 +293,7 @@
         if (known === undefined) byGroup.set(group, [agent])
         else known.push(agent)
       }
-      const alone = this.#allocators.get(this.#home) === undefined
+      const alone = this.#allocators.get(this.#home) === undefined || (this.#answersSlow && this.#asksFor(this.#home))
       const own = reachable.filter(agent => agent.usable(now) && (alone || this.#allocators.get(this.#groups.of(agent.dataCentre ?? '')) === name))
       return { own, byGroup }
     }
@@ -335,6 +363,8 @@
 
   #granted (peer: string, id: string, grants: readonly Grant[], now: number): void {
     const job = this.#parts.jobOf(id)
+    const asked = job === undefined ? undefined : this.#asked.get(job)
+    if (asked?.peer === peer) this.#noteAnswered(asked, now)
     const unused: Grant[] = []
     const places: Array<{ task: Task, agent: AgentView }> = []
     const planned = new Map<AgentView, number>()
@@ -386,7 +416,7 @@
       this.#tried.set(job, new Set([this.#home]))
       this.#toAsk.add(job)
     }
-    if (this.#asksFor(this.#home) || this.#groups.names.length < 2) return
+    if (!this.choosesItself || this.#groups.names.length < 2) return
     for (const queue of this.#parts.queues.values()) {
       for (const job of queue.jobs()) {
         if (this.#asked.has(job)) continue
--- a/packages/dispatch/test/roomsharing.test.ts
+++ b/packages/dispatch/test/roomsharing.test.ts
@@ -193,3 +193,26 @@
   expect(grants(bench).length).toEqual(4)
   expect(messages(bench, 'other', 'declined').map(({ job, free }) => [job, free])).toEqual([['job', 0]])
 })
+
+// On processors of 0.12 cores an answer on room takes 20 to 60 ms, more than a refused start costs: jobs with little time
+// were late for it.
+test('an entry whose requests are answered slowly chooses by itself, and asks again when answers are quick', () => {
+  const bench = asking('one', 'two')
+  const answerAfter = (job: string, milliseconds: number): void => {
+    bench.submit(job)
+    bench.now += milliseconds
+    bench.hear('chief', { type: 'grant', job, grants: [{ task: `${job}.0.0`, agent: 'one' }] })
+    bench.end('one', `${job}.0.0`)
+  }
+  for (let number = 0; number < 20; number += 1) answerAfter(`slow${number}`, 40)
+  bench.take()
+  bench.submit('direct')
+  expect(bench.starts().length).toEqual(1)
+  for (let number = 0; number < 30; number += 1) {
+    bench.pass(250, ['one', 'two'])
+    answerAfter(`quick${number}`, 2)
+  }
+  bench.take()
+  bench.submit('asked')
+  expect(messages(bench, 'chief', 'ask').map(({ job }) => job)).toEqual(['asked'])
+})
