--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -6,14 +6,12 @@
  * entry keeps nothing that must survive it: agents stop the tasks of an entry that is gone before
  * the caller comes back.
  */
-import type { Answer, EntryEffect, EntryEvent } from './entrytypes.ts'
+import type { Answer, EntryEffect, EntryEvent, EntryOptions, EntryStatus } from './entrytypes.ts'
 import type { AgentView, Placement } from './fleetview.ts'
-import type { FleetGuards } from './fleet.ts'
 import type { JobRequest, Step } from './job.ts'
 import type { SlowTask, TaskEnd } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
 import type { Policy } from './policy.ts'
-import type { Timings } from './timings.ts'
 import { RunTimeEstimates } from '@amaranthmast/coordination/estimates'
 import {
   ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LATE_FACTOR, LONGEST_RETRY_AFTER_MILLISECONDS,
@@ -30,21 +28,6 @@
 import { RoomSharing } from './roomsharing.ts'
 import { fits } from './resources.ts'
 
-export interface EntryOptions {
-  /** Name of this entry, by which the others know it. */
-  name: string
-  /** Speed of its processor against the other entries', in doublings. @default 0 */
-  strength?: number
-  dataCentre: string
-  timings: Timings
-  /** After the order to stop, the process ends within this time, in milliseconds. */
-  grace: number
-  /** Guards switched off, to show that a proof fails without them. @internal */
-  guards?: FleetGuards
-  /** Mechanisms that are set otherwise, to measure what they gain. @internal */
-  policy?: Partial<Policy>
-}
-
 type Handlers = {
   [Type in EntryEvent['type']]: (event: Extract<EntryEvent, { type: Type }>, now: number) => void
 }
@@ -59,14 +42,6 @@
  */
 const STOP_ESTIMATE_FACTOR = 1.4
 
-/** Figures for status pages. */
-export interface EntryStatus {
-  configuration: number
-  agents: number
-  open: number
-  queued: number
-}
-
 export class Entry {
   readonly #options: EntryOptions
   readonly #policy: Policy
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -1,8 +1,11 @@
 /** Events and effects of an entry. */
+import type { FleetGuards } from './fleet.ts'
 import type { JobRequest } from './job.ts'
 import type { AgentMessage, EntryMessage } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
+import type { Policy } from './policy.ts'
 import type { PeerMessage } from './roommessages.ts'
+import type { Timings } from './timings.ts'
 
 /** How a request about a job is answered. */
 export enum AnswerKind {
@@ -71,3 +74,26 @@
   | { type: 'jobEnded', queue: string, kind: AnswerKind, reason: Reason, milliseconds: number, waited: number }
   /** A decision or a change of what is believed, for the log. */
   | { type: 'note', what: string, fields: Record<string, unknown> }
+
+export interface EntryOptions {
+  /** Name of this entry, by which the others know it. */
+  name: string
+  /** Speed of its processor against the other entries', in doublings. @default 0 */
+  strength?: number
+  dataCentre: string
+  timings: Timings
+  /** After the order to stop, the process ends within this time, in milliseconds. */
+  grace: number
+  /** Guards switched off, to show that a proof fails without them. @internal */
+  guards?: FleetGuards
+  /** Mechanisms that are set otherwise, to measure what they gain. @internal */
+  policy?: Partial<Policy>
+}
+
+/** Figures for status pages. */
+export interface EntryStatus {
+  configuration: number
+  agents: number
+  open: number
+  queued: number
+}
