--- a/packages/emulator/test/day.test.ts
+++ b/packages/emulator/test/day.test.ts
@@ -71,16 +71,23 @@
   [TroubleKind.Poison, 0.9]
 ]
 
-/** One day turns on a dozen jobs of the longest kind: its figure swings by 0.2 from seed to seed. */
-const SURVIVED_SEEDS = 12
+for (const [kind, least] of SURVIVED) {
+  test(`a day with ${kind} is served for the most part`, () => {
+    const { verdicts } = playDay(shortExperiment({ load: 0.5, seconds: 6, troubles: [trouble(kind, { for: 2 })] }), 6, {})
+    expect(Math.min(...Object.values(creditByKind(verdicts))) >= least).toEqual(true)
+  })
+}
+
+/** One day turns on a dozen jobs of the longest kind; the mean of these moves by 0.02 between equal policies. */
+const SEEDS = 12
 
 for (const [kind, least] of SURVIVED) {
-  test(`days with ${kind} are served for the most part`, () => {
+  test(`days with ${kind} are served for the most part, in the mean`, () => {
     let sum = 0
-    for (let seed = 1; seed <= SURVIVED_SEEDS; seed += 1) {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
       const { verdicts } = playDay(shortExperiment({ load: 0.5, seconds: 6, troubles: [trouble(kind, { for: 2 })] }), seed, {})
       sum += Math.min(...Object.values(creditByKind(verdicts)))
     }
-    expect(sum / SURVIVED_SEEDS >= least).toEqual(true)
+    expect(sum / SEEDS >= least).toEqual(true)
   })
 }
