Operators' file and tool: a data centre is evacuated as a rack is drained

Cause: the product's own interface knew drains of targets, racks and providers, and no way to empty a data centre. Change: `draining.dataCentres`, `drain data-centre NAME [--undo]`, shown by plan, status and the size metric. Tests: the scheduler gives an evacuated data centre nothing, the difference names it, the tool lists the choice.

--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -166,6 +166,6 @@
     services: Object.fromEntries(profiles[user].services.map(service => [service, { shares }])),
     providers: { 'provider-a': { expectedTargets: 0 }, 'provider-b': { expectedTargets: 0 } },
     tenants: { [user]: unlimited, ...tenants },
-    draining: { targets: [], racks: [], providers: [] }
+    draining: { targets: [], racks: [], dataCentres: [], providers: [] }
   }
 }
--- a/packages/cli/src/drain.ts
+++ b/packages/cli/src/drain.ts
@@ -1,5 +1,5 @@
 /**
- * `drain KIND NAME`: takes a target, a rack or a provider out of service, or puts it back. It is an
+ * `drain KIND NAME`: takes a target, a rack, a data centre or a provider out of service, or puts it back. It is an
  * apply of the draining lists: compared and swapped like any other, and part of the history.
  */
 import type { ConfigurationFile } from '@amaranthmast/settings/configurationfile'
@@ -59,7 +59,7 @@
 /** The command. */
 export const drain: Command = {
   usage: 'drain <kind> <name>',
-  summary: 'Give a target, a rack or a provider no new work; what runs is finished',
+  summary: 'Give a target, a rack, a data centre or a provider no new work; what runs is finished',
   options: [...STORE_OPTIONS, 'undo', 'wait', 'wait-seconds', 'status'],
   positionals: {
     kind: { describe: 'What is drained', type: 'string', choices: Object.values(DrainKind) },
@@ -67,6 +67,7 @@
   },
   examples: [
     ['$0 drain rack r1 --wait', 'take a rack out of service'],
+    ['$0 drain data-centre gulf-1 --wait', 'evacuate a data centre'],
     ['$0 drain target agent-3 --undo', 'put a target back']
   ],
   run: (context, options) => new ResultAsync(drainPart(context, options))
--- a/packages/cli/src/get.ts
+++ b/packages/cli/src/get.ts
@@ -11,7 +11,7 @@
 
 /** What is printed before the first apply: a valid file to begin with. */
 const FIRST_FILE: ConfigurationFile = {
-  editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], providers: [] }
+  editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], dataCentres: [], providers: [] }
 }
 
 async function getFile (context: Context, { past }: Arguments): Promise<Result<Report, ToolError>> {
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -1,5 +1,6 @@
 /** `status`: which version is in force where, who is a member, and the shares wanted against received. */
 import type { ConfigurationFile, StoredConfiguration } from '@amaranthmast/settings/configurationfile'
+import { DRAIN_FIELDS, DrainKind } from '@amaranthmast/settings/difference'
 import type { Result } from 'neverthrow'
 import { ok, ResultAsync } from 'neverthrow'
 import type { Command, Context, Report } from './command.ts'
@@ -146,8 +147,8 @@
 /** A drain stays until it is undone, and is easily forgotten. */
 function drainsOf (stored: StoredConfiguration | undefined): string[] {
   if (stored === undefined) return []
-  const { targets, racks, providers } = stored.document.draining
-  return [...targets.map((name) => `target ${name}`), ...racks.map((name) => `rack ${name}`), ...providers.map((name) => `provider ${name}`)]
+  const { draining } = stored.document
+  return Object.values(DrainKind).flatMap((kind) => draining[DRAIN_FIELDS[kind]].map((name) => `${kind} ${name}`))
 }
 
 function section (title: string, lines: readonly string[]): string[] {
--- a/packages/cli/test/program.test.ts
+++ b/packages/cli/test/program.test.ts
@@ -23,7 +23,7 @@
   { words: ['aply'], text: 'Did you mean apply?' },
   { words: ['apply'], text: 'Not enough non-option arguments' },
   { words: ['apply', 'f', '--wiat'], text: 'Unknown argument: wiat' },
-  { words: ['drain', 'worker', 'r1'], text: 'Choices: "target", "rack", "provider"' },
+  { words: ['drain', 'worker', 'r1'], text: 'Choices: "target", "rack", "data-centre", "provider"' },
   { words: ['history', '--limit', 'x'], text: 'limit must be a number of at least 0' },
   { words: ['history', '--store', '127.0.0.1:2379'], text: 'store must be a http or https address, not "127.0.0.1:2379"' }
 ]
@@ -59,7 +59,7 @@
   const byEnvironment = await run(['get', '--json'], { AMARANTHMAST_STORE: store.endpoint })
   const byOption = await run(['get', '--store', store.endpoint, '--json'])
   expect(byEnvironment).toEqual(byOption)
-  expect(JSON.parse(byOption.out)).toEqual({ editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], providers: [] } })
+  expect(JSON.parse(byOption.out)).toEqual({ editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], dataCentres: [], providers: [] } })
 })
 
 test('a variable of another command is no fault', async () => {
--- a/packages/coordination/explore/fakescheduler.ts
+++ b/packages/coordination/explore/fakescheduler.ts
@@ -98,7 +98,7 @@
   }
 
   status (): SchedulerStatus {
-    return { queued: this.#queue.size, outstanding: 0, dispatched: {}, health: {} }
+    return { queued: this.#queue.size, outstanding: 0, dispatched: {}, health: {}, evacuated: 0 }
   }
 
   #hold (): number {
--- a/packages/coordination/explore/world.ts
+++ b/packages/coordination/explore/world.ts
@@ -42,7 +42,7 @@
   services: { [SERVICE]: { shares: { provider: 100 } } },
   providers: { provider: { expectedTargets: 2 } },
   tenants: { [TENANT]: { tasksPerSecond: 0, burst: 0, slots: 0, weight: 1 } },
-  draining: { targets: [], racks: [], providers: [] }
+  draining: { targets: [], racks: [], dataCentres: [], providers: [] }
 }
 
 export class World {
--- a/packages/coordination/src/configuration.ts
+++ b/packages/coordination/src/configuration.ts
@@ -31,6 +31,8 @@
 export interface DrainConfiguration {
   targets: readonly string[]
   racks: readonly string[]
+  /** Evacuated data centres. */
+  dataCentres: readonly string[]
   providers: readonly string[]
 }
 
@@ -50,5 +52,5 @@
   services: {},
   providers: {},
   tenants: {},
-  draining: { targets: [], racks: [], providers: [] }
+  draining: { targets: [], racks: [], dataCentres: [], providers: [] }
 }
--- a/packages/coordination/src/scheduler.ts
+++ b/packages/coordination/src/scheduler.ts
@@ -175,7 +175,7 @@
     for (const target of this.#fleet.targets()) {
       if (target.up) health[target.description.target] = target.health.weight(this.#now)
     }
-    return { queued: this.#queue.size, outstanding: this.#outstanding.size, dispatched: this.#dispatched, health }
+    return { queued: this.#queue.size, outstanding: this.#outstanding.size, dispatched: this.#dispatched, health, evacuated: this.#fleet.evacuated }
   }
 
   /** Queues a task at its first place; false when it was never refused. */
--- a/packages/coordination/src/scheduling.ts
+++ b/packages/coordination/src/scheduling.ts
@@ -47,6 +47,8 @@
   dispatched: Record<string, Record<string, number>>
   /** By target: its health weight, 0 when ejected, 1 when fully trusted. */
   health: Record<string, number>
+  /** Data centres that are evacuated. */
+  evacuated: number
 }
 
 /** Decides who runs next, where. Every instant is a reading of the clock of the caller. */
--- a/packages/coordination/src/targets.ts
+++ b/packages/coordination/src/targets.ts
@@ -65,7 +65,7 @@
   readonly #wakeUps = new IndexedHeap<Target>()
   readonly #usable = new Set<Target>()
   readonly #fleetHealth = new FleetHealth()
-  #draining: DrainConfiguration = { targets: [], racks: [], providers: [] }
+  #draining: DrainConfiguration = { targets: [], racks: [], dataCentres: [], providers: [] }
   #entries = 1
   /** Rises when a pool is added: routes computed before are out of date. */
   generation = 0
@@ -75,6 +75,11 @@
     this.#random = random
   }
 
+  /** Number of evacuated data centres. */
+  get evacuated (): number {
+    return this.#draining.dataCentres.length
+  }
+
   configure (draining: DrainConfiguration, now: number): void {
     this.#draining = draining
     for (const target of this.#targets.values()) {
@@ -252,8 +257,8 @@
   }
 
   #isDrained (description: TargetDescription): boolean {
-    const { targets, racks, providers } = this.#draining
+    const { targets, racks, dataCentres, providers } = this.#draining
     return targets.includes(description.target) || racks.includes(description.rack) ||
-      providers.includes(description.provider)
+      dataCentres.includes(description.dataCentre) || providers.includes(description.provider)
   }
 }
--- a/packages/coordination/test/scheduler.test.ts
+++ b/packages/coordination/test/scheduler.test.ts
@@ -13,7 +13,7 @@
   services: { check: { shares: { a: 50, b: 50 } }, record: { shares: { a: 100 } } },
   providers: {},
   tenants: { team: unlimited, other: unlimited },
-  draining: { targets: [], racks: [], providers: [] }
+  draining: { targets: [], racks: [], dataCentres: [], providers: [] }
 }
 
 /** Pseudo-random numbers that are the same in each run. */
@@ -101,13 +101,14 @@
 const gone = [
   { how: 'its agent is cut off', make: (scheduler: TaskScheduler) => scheduler.targetDown('b1#1', 1) },
   { how: 'it says that it is leaving', make: (scheduler: TaskScheduler) => scheduler.targetReport('b1#1', { ...report(), leaving: true }, 1) },
-  { how: 'its target is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: ['b1'], racks: [], providers: [] } }, 1) },
-  { how: 'its rack is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: [], racks: ['rack-b1'], providers: [] } }, 1) },
-  { how: 'its provider is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: [], racks: [], providers: ['b'] } }, 1) }
+  { how: 'its target is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: ['b1'], racks: [], dataCentres: [], providers: [] } }, 1) },
+  { how: 'its rack is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: [], racks: ['rack-b1'], dataCentres: [], providers: [] } }, 1) },
+  { how: 'its data centre is evacuated', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: [], racks: [], dataCentres: ['centre-b'], providers: [] } }, 1) },
+  { how: 'its provider is drained', make: (scheduler: TaskScheduler) => scheduler.configure({ ...configuration, draining: { targets: [], racks: [], dataCentres: [], providers: ['b'] } }, 1) }
 ]
 for (const { how, make } of gone) {
   test(`a provider gets nothing and the other takes its share at once when ${how}`, () => {
-    const scheduler = schedulerWith(['a1', 'b1'].map(target => describe(target)))
+    const scheduler = schedulerWith(['a1', 'b1'].map(target => describe(target, { dataCentre: `centre-${target[0]}` })))
     warmUp(scheduler)
     make(scheduler)
     scheduler.enqueue(tasks('job', 8), 1)
--- a/packages/daemon/src/entrydaemon.ts
+++ b/packages/daemon/src/entrydaemon.ts
@@ -171,7 +171,7 @@
   }
 
   #sizes (): Record<string, number> {
-    return { callers: this.#callers.size, agents: this.#agents.size, peers: this.#peers.size }
+    return { callers: this.#callers.size, agents: this.#agents.size, peers: this.#peers.size, evacuated: this.#entry.status().scheduler.evacuated }
   }
 
   #exposed (): string {
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -27,7 +27,7 @@
   expose (exposition: Exposition, state: string, sizes: Readonly<Record<string, number>>): void {
     const { user, system } = process.cpuUsage()
     exposition.gauge('amaranthmast_state', 'Life state of the daemon', [{ labels: { state }, value: 1 }])
-    exposition.gauge('amaranthmast_size', 'Links, waiting callers and calls in progress',
+    exposition.gauge('amaranthmast_size', 'Links, waiting callers, calls in progress, evacuated data centres',
       Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposition.counter('amaranthmast_messages_total', 'Messages of the inner protocol', this.#messages.samples())
     exposition.counter('process_cpu_seconds_total', 'Processor time used', [{ labels: {}, value: (user + system) / MICROSECONDS_PER_SECOND }])
--- a/packages/settings/src/configurationfile.ts
+++ b/packages/settings/src/configurationfile.ts
@@ -59,6 +59,7 @@
   draining: z.prefault(z.strictObject({
     targets: drainListSchema('target', 'agent-3'),
     racks: drainListSchema('rack', 'r1'),
+    dataCentres: drainListSchema('data centre', 'gulf-1'),
     providers: drainListSchema('provider', 'provider-a')
   }), {})
 })
--- a/packages/settings/src/difference.ts
+++ b/packages/settings/src/difference.ts
@@ -5,6 +5,8 @@
 export enum DrainKind {
   Target = 'target',
   Rack = 'rack',
+  /** Evacuates it. */
+  DataCentre = 'data-centre',
   Provider = 'provider'
 }
 
@@ -12,6 +14,7 @@
 export const DRAIN_FIELDS = {
   [DrainKind.Target]: 'targets',
   [DrainKind.Rack]: 'racks',
+  [DrainKind.DataCentre]: 'dataCentres',
   [DrainKind.Provider]: 'providers'
 } as const
 
@@ -35,7 +38,7 @@
 const QUOTA_FIELDS: readonly QuotaField[] = ['tasksPerSecond', 'burst', 'slots', 'weight']
 
 const EMPTY_FILE: ConfigurationFile = {
-  editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], providers: [] }
+  editedFrom: 0, services: {}, providers: {}, tenants: {}, draining: { targets: [], racks: [], dataCentres: [], providers: [] }
 }
 
 /** Every change from one file to another; `editedFrom` and the order of names do not count. */
--- a/packages/settings/test/configurationfile.test.ts
+++ b/packages/settings/test/configurationfile.test.ts
@@ -27,7 +27,7 @@
   expect(checkConfigurationFile(FILE)._unsafeUnwrap()).toLooseEqual({
     ...FILE,
     tenants: { magnolia: { tasksPerSecond: 0, burst: 0, slots: 0, weight: 1 } },
-    draining: { targets: [], racks: [], providers: ['provider-b'] }
+    draining: { targets: [], racks: [], dataCentres: [], providers: ['provider-b'] }
   })
 })
 
--- a/packages/settings/test/difference.test.ts
+++ b/packages/settings/test/difference.test.ts
@@ -9,7 +9,7 @@
   services: { 'label-check': { shares: { 'provider-a': 60, 'provider-b': 40 } } },
   providers: { 'provider-a': { expectedTargets: 3 }, 'provider-b': { expectedTargets: 2 } },
   tenants: { magnolia: { tasksPerSecond: 0, burst: 0, slots: 40, weight: 1 } },
-  draining: { targets: [], racks: ['r1'], providers: [] }
+  draining: { targets: [], racks: ['r1'], dataCentres: [], providers: [] }
 }
 
 const CASES: Array<{ story: string, after: Partial<ConfigurationFile>, lines: string[] }> = [
@@ -41,8 +41,8 @@
   },
   {
     story: 'drains',
-    after: { draining: { targets: ['agent-3'], racks: [], providers: ['provider-a'] } },
-    lines: ['! drain target agent-3: no new work, what runs is finished', '! end the drain of rack r1: it receives work again', '! drain provider provider-a: no new work, what runs is finished']
+    after: { draining: { targets: ['agent-3'], racks: [], dataCentres: ['gulf-1'], providers: ['provider-a'] } },
+    lines: ['! drain target agent-3: no new work, what runs is finished', '! end the drain of rack r1: it receives work again', '! drain data-centre gulf-1: no new work, what runs is finished', '! drain provider provider-a: no new work, what runs is finished']
   }
 ]
 
