--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -29,6 +29,9 @@
 const FASTEST_CALL = 0.2
 const CALL_SPREAD = 2
 
+/** Least time to the next end, in milliseconds: rounded to the same instant, it would be waited for at it for ever. */
+const ROUNDING = 1e-6
+
 /** An order that is carried out late is so by this much, in milliseconds. */
 const LATE_LEAST = 2000
 const LATE_SPREAD = 10_000
@@ -260,7 +263,7 @@
   #wakeIfDue (): void {
     if (!this.#traits.looksWait || !this.#up) return
     const { now } = this.#timeline
-    const at = Math.max(now, this.#clockSince + this.#worker.nextEnd() / this.#traits.clockRate)
+    const at = Math.max(now + ROUNDING, this.#clockSince + this.#worker.nextEnd() / this.#traits.clockRate)
     if (at === Infinity || at === this.#wakeAt) return this.#answerWaiting()
     this.#wakeAt = at
     this.#timeline.after(at - now, () => {
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -30,6 +30,10 @@
 /** Pause between looks for links that are missing, in milliseconds. */
 const DIAL_AGAIN = 60
 
+/** How soon a process reads a change of the operators, and how often it reads without one, in milliseconds. */
+const WATCH = 10
+const READ_AGAIN = 1000
+
 /** Messages travel up to this much longer than the link's delay, in milliseconds. */
 const JITTER = 0.3
 
@@ -56,6 +60,9 @@
   readonly #connections: Connections
   readonly #peers: PeerLinks
   readonly #jobs: ReadonlyMap<string, JobPlan>
+  readonly #evacuated = new Set<string>()
+  /** Of the operators' store; 0 before they have written. */
+  #revision = 0
   /** Parts of tasks that fail at a target. */
   readonly #failing = new Map<number, number>()
 
@@ -75,6 +82,10 @@
     this.#dialAll()
   }
 
+  get dataCentres (): readonly string[] {
+    return this.#plan.dataCentres
+  }
+
   get entryLoads (): number[] {
     return this.entries.map(({ used }) => used / this.#timeline.now * MILLISECONDS_PER_SECOND)
   }
@@ -110,6 +121,34 @@
     })
   }
 
+  /** Nothing more may be started in the data centre for a while. */
+  evacuate (dataCentre: string, milliseconds: number): void {
+    const first = this.#revision === 0
+    this.#evacuated.add(dataCentre)
+    this.#operatorsWrote()
+    if (first) this.#readAgain()
+    this.#timeline.after(milliseconds, () => {
+      this.#evacuated.delete(dataCentre)
+      this.#operatorsWrote()
+    })
+  }
+
+  #operatorsWrote (): void {
+    this.#revision += 1
+    this.#timeline.after(WATCH, () => { for (const entry of this.entries) this.#read(entry) })
+  }
+
+  #read (entry: EntryProcess): void {
+    if (this.#revision > 0) entry.post({ type: 'evacuationsRead', state: { revision: this.#revision, dataCentres: [...this.#evacuated] } })
+  }
+
+  #readAgain (): void {
+    this.#timeline.after(READ_AGAIN, () => {
+      for (const entry of this.entries) this.#read(entry)
+      this.#readAgain()
+    })
+  }
+
   cutEntry (index: number, milliseconds: number): void {
     this.#peers.cut(index, milliseconds)
     for (const agent of this.agents.keys()) this.#connections.cut(pairOf(index, agent), milliseconds)
@@ -146,6 +185,7 @@
   #startEntry (index: number): void {
     const entry = this.entries[index] as EntryProcess
     entry.start()
+    this.#read(entry)
     entry.post({ type: 'configured', configuration: { version: 1, queues: this.#plan.queues, limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
 
--- a/packages/emulator/src/troubles.ts
+++ b/packages/emulator/src/troubles.ts
@@ -39,6 +39,13 @@
   [TroubleKind.Crash]: ({ fleet, random }, { share, lasts }) => {
     for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.crash(lasts)
   },
+  [TroubleKind.Restart]: ({ fleet, random }, { share, lasts }) => {
+    for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.crash(lasts, true)
+  },
+  [TroubleKind.Evacuate]: ({ fleet, random }, { share, lasts }) => {
+    const { dataCentres } = fleet
+    for (const index of some(dataCentres.length, share, random)) fleet.evacuate(dataCentres[index] as string, lasts)
+  },
   [TroubleKind.Leave]: ({ fleet, random }, { share }) => {
     for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(LEAVING_MILLISECONDS)
   },
--- a/packages/emulator/src/troubletypes.ts
+++ b/packages/emulator/src/troubletypes.ts
@@ -14,6 +14,8 @@
   LostAnswers = 'lostAnswers',
   /** A share of the targets crashes and is back after the time. */
   Crash = 'crash',
+  /** A share of the targets crashes and is back after the time under its name, knowing nothing of before. */
+  Restart = 'restart',
   /** A share of the targets leaves for good. */
   Leave = 'leave',
   /** A share of the entries is cut off from all agents. */
@@ -26,6 +28,8 @@
   FreezeEntries = 'freezeEntries',
   /** All machines lose power. */
   PowerLoss = 'powerLoss',
+  /** A share of the data centres is evacuated. */
+  Evacuate = 'evacuate',
   /** A share of the callers leaves after `factor` times the objective. */
   GiveUp = 'giveUp',
   /** A part of the jobs has a task that always fails. */
--- a/packages/emulator/test/day.test.ts
+++ b/packages/emulator/test/day.test.ts
@@ -61,6 +61,8 @@
   [TroubleKind.Fail, 0.85],
   [TroubleKind.LostAnswers, 0.95],
   [TroubleKind.Crash, 0.9],
+  [TroubleKind.Restart, 0.9],
+  [TroubleKind.Evacuate, 0.9],
   [TroubleKind.Leave, 0.95],
   [TroubleKind.CutEntries, 0.6],
   [TroubleKind.KillEntries, 0.9],
