Soak: evacuations and workers that start again under their id among its faults

Cause: neither was played from outside the real programs. Change: with `operators` (on in the tool, off for the older seeds, which keep their faults) the workers stand in two data centres and state their start; evacuations are asked for and taken back, alone and while the store is away, workers start again under their id, twice within 100 ms. At the end one data centre is evacuated: nothing may start there, and work must return when that is taken back.

--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -83,6 +83,10 @@
     return this.#done
   }
 
+  get dataCentre (): string {
+    return this.#options.dataCentre
+  }
+
   get instance (): string {
     return this.#instance
   }
--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -3,7 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { SeededRandom } from '@amaranthmast/standins/random'
 import { Fate, SoakCallers } from './soakcallers.ts'
-import { FAULTS } from './soakfaults.ts'
+import { FAULTS, OPERATOR_FAULTS } from './soakfaults.ts'
 import { SoakFleet } from './soakfleet.ts'
 
 export interface SoakOptions {
@@ -20,6 +20,8 @@
    * @default false
    */
   long?: boolean
+  /** Evacuations, and workers that start again under their id, among the faults. @default false */
+  operators?: boolean
 }
 
 export interface SoakResult {
@@ -56,16 +58,23 @@
 /** Number of the first job after the faults. */
 const QUIET_JOBS = 0x100000
 
+/** Number of the first job after an evacuation was taken back. */
+const RETURN_JOBS = 0x200000
+
 const LOOK_INTERVAL = 4
 
+/** With half of the targets evacuated jobs come this much more seldom. */
+const EVACUATED_INTERVAL_FACTOR = 2.5
+const EVACUATED_AT_END = 'two'
+
 /** Part of the jobs that must be completed once all faults are over. */
 const SERVED_PART = 0.95
 
 export async function soak (options: SoakOptions): Promise<SoakResult> {
-  const { seed, program, entries = 3, agents = 4, long = false } = options
+  const { seed, program, entries = 3, agents = 4, long = false, operators = false } = options
   const interval = long ? LONG_JOB_INTERVAL : JOB_INTERVAL
   const random = new SeededRandom(seed)
-  const fleet = new SoakFleet(program)
+  const fleet = new SoakFleet(program, operators)
   const findings: string[] = []
   const struck: string[] = []
   await fleet.start(entries, agents, task => durationOf(numberOf(task), long))
@@ -76,8 +85,9 @@
   await strikeFor(options, fleet, random, struck)
   await calling
   await callers.settled()
+  fleet.evacuate(EVACUATED_AT_END, operators)
   await pause(RECOVERY)
-  findings.push(...await afterwards(fleet, random, interval))
+  findings.push(...await (operators ? evacuated(fleet, random, interval) : afterwards(fleet, random, interval)))
   clearInterval(watch)
   findings.push(...judge(fleet, callers.told), ...ended(fleet))
   const logs = Object.fromEntries([...fleet.entries, ...fleet.agents].map(({ name, process }) => [name, process?.log ?? []]))
@@ -96,13 +106,13 @@
   return long && job % LONG_EVERY === 0 ? short + LONG_EXTRA : short
 }
 
-async function strikeFor ({ faults, kinds = Object.keys(FAULTS) }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
+async function strikeFor ({ faults, operators = false, kinds = Object.keys(operators ? OPERATOR_FAULTS : FAULTS) }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
   const began = performance.now()
   const running: Array<Promise<void>> = []
   while (performance.now() - began < faults) {
     const kind = random.pick(kinds)
     struck.push(`${Math.round(performance.now() - began)} ${kind}`)
-    running.push(FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
+    running.push(OPERATOR_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
     await pause(random.next() * 2 * FAULT_INTERVAL)
   }
   await Promise.all(running)
@@ -122,6 +132,20 @@
   return found
 }
 
+/** Nothing starts in a data centre that was evacuated after the faults, and something does once that is taken back. */
+async function evacuated (fleet: SoakFleet, random: SeededRandom, interval: number): Promise<string[]> {
+  const before = fleet.startsIn(EVACUATED_AT_END)
+  const findings = await afterwards(fleet, random, interval * EVACUATED_INTERVAL_FACTOR)
+  const started = fleet.startsIn(EVACUATED_AT_END) - before
+  if (started > 0) findings.push(`${started} tasks started in an evacuated data centre`)
+  fleet.evacuate(EVACUATED_AT_END, false)
+  const callers = new SoakCallers(fleet, random, RETURN_JOBS, true)
+  await callers.run(RECOVERY, interval)
+  await callers.settled()
+  if (fleet.startsIn(EVACUATED_AT_END) === before) findings.push('nothing starts in the data centre whose evacuation was taken back')
+  return findings
+}
+
 /**
  * With every fault over, jobs are served through each entry, and each has the newest configuration. Callers come back when
  * they are told to: jobs come at random, and for a moment there can be more of them than four targets have room for.
--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -5,6 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { LinkState } from '@amaranthmast/standins/cutter'
 import { Outage } from '@amaranthmast/standins/fleetstore'
+import { DATA_CENTRES } from './soakfleet.ts'
 
 /** Shortest and longest time of a fault, in milliseconds: below and above every limit of the leases. */
 const SHORTEST = 200
@@ -119,6 +120,30 @@
   }
 }
 
+/** The same, evacuations and workers that start again under their id. Apart, so that a seed without them keeps its faults. */
+export const OPERATOR_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  evacuate: async (fleet, random) => {
+    const dataCentre = random.pick(DATA_CENTRES)
+    fleet.evacuate(dataCentre, true)
+    await pause(length(random))
+    fleet.evacuate(dataCentre, false)
+  },
+  evacuateAndStoreOutage: async (fleet, random) => {
+    fleet.evacuate(random.pick(DATA_CENTRES), true)
+    fleet.store.compact()
+    await FAULTS['storeOutage']?.(fleet, random)
+    for (const dataCentre of DATA_CENTRES) fleet.evacuate(dataCentre, false)
+  },
+  restartWorker: async (fleet, random) => random.pick(fleet.workers).restart(),
+  restartWorkerTwice: async (fleet, random) => {
+    const worker = random.pick(fleet.workers)
+    worker.restart()
+    await pause(random.next() * 100)
+    worker.restart()
+  }
+}
+
 async function strikeOne (members: readonly Member[], random: SeededRandom, fault: (member: Member) => Promise<void>): Promise<void> {
   const member = random.pick(members)
   await strike(member, async () => await fault(member))
--- a/packages/trials/src/soakfleet.ts
+++ b/packages/trials/src/soakfleet.ts
@@ -13,6 +13,9 @@
 const HOST = '127.0.0.1'
 const PREFIX = '/checks/'
 
+/** Of the workers, in turn. */
+export const DATA_CENTRES = ['one', 'two']
+
 /** The bounds of the users' sites. */
 const BOUNDS = { graceSeconds: 6, drainMilliseconds: 2000, stopMilliseconds: 50, longestLeaseMilliseconds: 1000, resubmissionMilliseconds: 1300 }
 
@@ -37,12 +40,17 @@
   readonly #ports = new PortPicker()
   readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'))
   readonly #program: string
+  readonly #operators: boolean
   #storeAddress = ''
   #version = 0
 
-  /** @param program path of the built program */
-  constructor (program: string) {
+  /**
+   * @param program path of the built program
+   * @param operators two data centres, and workers that state their start
+   */
+  constructor (program: string, operators = false) {
     this.#program = program
+    this.#operators = operators
   }
 
   async start (entries: number, agents: number, duration: (task: string) => number): Promise<void> {
@@ -60,6 +68,17 @@
     return this.#version
   }
 
+  /** Asks that nothing be started in a data centre, or takes that back. */
+  evacuate (dataCentre: string, evacuated: boolean): void {
+    if (evacuated) this.store.put(`op/evacuate/${dataCentre}`, '{}')
+    else this.store.remove(`op/evacuate/${dataCentre}`)
+  }
+
+  /** Starts at the workers of a data centre so far. */
+  startsIn (dataCentre: string): number {
+    return this.workers.filter(worker => worker.dataCentre === dataCentre).reduce((sum, { started }) => sum + started.length, 0)
+  }
+
   urlOf (entry: Member, id: string, queue = PREFIX): string {
     return `http://${entry.address}${queue}${id}`
   }
@@ -91,7 +110,8 @@
   async #addAgent (index: number, duration: (task: string) => number): Promise<void> {
     const announcements = `${HOST}:${await this.#ports.pick()}`
     const linkPort = await this.#ports.pick()
-    const worker = new FleetWorker({ service: 'checks', dataCentre: 'one', cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
+    const dataCentre = this.#operators ? DATA_CENTRES[index % DATA_CENTRES.length] as string : 'one'
+    const worker = new FleetWorker({ service: 'checks', dataCentre, statesStart: this.#operators, cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
     const target = { address: await worker.listen(HOST), service: 'checks' }
     const cutter = new LinkCutter(linkPort)
     const relayed = await cutter.listen(await this.#ports.pick())
--- a/packages/trials/src/soakmain.ts
+++ b/packages/trials/src/soakmain.ts
@@ -19,6 +19,7 @@
   .option('faults', { type: 'number', default: 10_000, describe: 'how long faults strike in one seed, in milliseconds' })
   .option('kinds', { type: 'string', describe: 'kinds of faults, separated by commas' })
   .option('long', { type: 'boolean', default: false, describe: 'every eighth job has tasks that outlast the pause of its caller' })
+  .option('operators', { type: 'boolean', default: true, describe: 'evacuations, and workers that start again under their id, among the faults' })
   .option('program', { type: 'string', default: 'dist/amaranthmast-fleet.js', describe: 'the built program' })
   .strict()
   .parseSync()
@@ -28,7 +29,7 @@
 let failed = 0
 let played = 0
 for (let seed = settings.seed; settings.seeds === undefined ? performance.now() < end : played < settings.seeds; seed += 1) {
-  const result = await soak({ seed, program: settings.program, faults: settings.faults, long: settings.long, ...(kinds === undefined ? {} : { kinds }) })
+  const result = await soak({ seed, program: settings.program, faults: settings.faults, long: settings.long, operators: settings.operators, ...(kinds === undefined ? {} : { kinds }) })
   played += 1
   console.log(`seed ${seed}: ${JSON.stringify(result.jobs)}, ${result.struck.length} faults, ${result.findings.length} findings`)
   for (const finding of result.findings) console.log(`  ${finding}`)
--- a/packages/trials/test/soak.test.ts
+++ b/packages/trials/test/soak.test.ts
@@ -26,3 +26,11 @@
   const { findings } = await soak({ seed: 715, program: 'dist/amaranthmast-fleet.js', faults: 10_000 })
   expect(findings).toEqual([])
 })
+
+// The operators evacuate data centres and take that back, workers start again under their id, and all else fails as above.
+// Nothing may start in a data centre that is evacuated, and work returns to it afterwards.
+test('evacuations hold and workers may start again under their id', { timeout: 90_000 }, async () => {
+  const { findings, jobs } = await soak({ seed: 22, program: 'dist/amaranthmast-fleet.js', faults: 6000, operators: true })
+  expect(findings).toEqual([])
+  expect(jobs['completed'] ?? 0).toBeGreaterThan(0)
+})
