A restarted agent knows its target from its earlier run

Cause: an agent heard of the target beside it with the next heartbeat, up to 1.5 s after its start. Ruled out: asking the target itself (it says what runs, not its capacity); entries that hand over what they knew (they are killed as well). Without the store, or with another life there, all is as before.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -53,6 +53,7 @@
     look: effect => this.#target.look(effect),
     send: ({ entry, message }) => this.#listener.link(nameOf(entry))?.send(message),
     unlink: ({ entry }) => this.#listener.link(nameOf(entry))?.close('out of contact'),
+    rememberTarget: ({ facts }) => this.#options.store.rememberTarget(facts),
     readEvacuations: () => this.#readEvacuations(),
     note: ({ what, fields }) => this.#options.decisions.decision(what, fields),
     stopped: () => this.#loop.end()
@@ -89,6 +90,7 @@
     await this.#listener.listen(settings.host, settings.linkPort)
     this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
     store.publish({ name: settings.id, role: PeerRole.Agent, address: settings.linkAddress })
+    this.#recallTarget()
     const ticker = new Ticker(() => this.#tick(), () => this.#agent.busy || this.#stopOrderedAt !== undefined)
     ticker.start()
     try {
@@ -119,6 +121,11 @@
     this.#loop.post(event)
   }
 
+  async #recallTarget (): Promise<void> {
+    const facts = await this.#options.store.recallTarget(this.#options.settings.id)
+    if (facts !== undefined) this.#post({ type: 'targetRemembered', facts })
+  }
+
   async #readEvacuations (): Promise<void> {
     const state = await this.#options.store.readEvacuations()
     if (state !== undefined) this.#post({ type: 'evacuationsRead', state })
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -2,6 +2,7 @@
 import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
 import type { Answer } from '@amaranthmast/dispatch/entrytypes'
 import type { JobRequest } from '@amaranthmast/dispatch/job'
+import type { TargetFacts } from '@amaranthmast/dispatch/messages'
 import type { EvacuationState } from '@amaranthmast/dispatch/evacuations'
 import type { DispatchConfiguration, Queue, RequestLimits } from '@amaranthmast/dispatch/queues'
 import type { Logger } from 'pino'
@@ -47,6 +48,10 @@
   readEvacuations: () => Promise<EvacuationState | undefined>
   /** Reads a document that another entry has handed over; undefined when it is not understood. */
   readConfiguration: (document: string) => DispatchConfiguration | undefined
+  /** Keeps what an agent knows of its target for a while, also after this process has ended. */
+  rememberTarget: (facts: TargetFacts) => void
+  /** What an earlier run of the agent kept; undefined when there is nothing, or the store does not answer. */
+  recallTarget: (agent: string) => Promise<TargetFacts | undefined>
   /** Calls so far, by kind. */
   calls: () => Readonly<Record<string, number>>
   close: () => Promise<void>
--- a/packages/dispatch/explore/operators.ts
+++ b/packages/dispatch/explore/operators.ts
@@ -1,5 +1,6 @@
-/** The operators and their store in the explorer: evacuations, who reads them when, and the promise that goes with them. */
+/** The operators and the store in the explorer: evacuations, who reads them when, the promise that goes with them, and kept targets. */
 import type { EvacuationState } from '../src/evacuations.ts'
+import type { TargetFacts } from '../src/messages.ts'
 import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import type { Timeline } from '@amaranthmast/emulator/timeline'
 import type { SeededRandom } from '@amaranthmast/standins/random'
@@ -27,6 +28,7 @@
   readonly #evacuatedAt = new Map<string, number>()
   readonly #cutUntil = new Map<EntryProcess | AgentProcess, number>()
   readonly #disturbedUntil = new Map<number, number>()
+  readonly #targets = new Map<number, TargetFacts>()
   #revision = 1
 
   constructor (parts: OperatorParts) {
@@ -73,6 +75,21 @@
     })
   }
 
+  rememberTarget (index: number, facts: TargetFacts): void {
+    if (!this.#isCut(this.#parts.agents[index] as AgentProcess)) this.#targets.set(index, facts)
+  }
+
+  /** For an agent that has just started. */
+  recallTarget (index: number): void {
+    const agent = this.#parts.agents[index] as AgentProcess
+    const { incarnation } = agent
+    const facts = this.#targets.get(index)
+    if (facts === undefined || this.#isCut(agent)) return
+    this.#parts.timeline.after(ANSWER_TIME, () => {
+      if (agent.incarnation === incarnation) agent.post({ type: 'targetRemembered', facts })
+    })
+  }
+
   /** What is wrong with a start that an agent orders now; undefined for nothing. */
   faultOfStart (agent: number): string | undefined {
     const { now } = this.#parts.timeline
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -156,6 +156,7 @@
     this.entries.forEach((_entry, entry) => this.#connections.closeByAgent(pairOf(entry, index)))
     this.timeline.after(milliseconds, () => {
       agent.start()
+      if (this.#dataCentres > 1) this.operators.recallTarget(index)
       this.timeline.after(this.random.next() * heartbeat, () => this.workers[index]?.announce())
     })
   }
@@ -222,6 +223,7 @@
       worker.start(effect)
     }
     if (effect.type === 'readEvacuations') this.operators.readForAgent(index)
+    if (effect.type === 'rememberTarget') this.operators.rememberTarget(index, effect.facts)
     if (effect.type === 'stop') worker.stop(effect)
     if (effect.type === 'look') worker.look(effect)
     if (effect.type === 'send') this.#connections.toEntry(pairOf(numberOf(effect.entry), index), effect.message)
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -66,6 +66,7 @@
 
   readonly #handlers: Handlers = {
     targetSeen: (event, now) => this.#targetSeen(event, now),
+    targetRemembered: ({ facts }, now) => this.#targetRemembered(facts, now),
     targetLeft: ({ instance }, now) => {
       if (this.#target.is(instance)) this.#targetLost('deregistered', LifeEnd.Left, now)
       else this.#target.noteEnded(instance)
@@ -168,7 +169,10 @@
 
   #targetSeen (announcement: Announcement, now: number): void {
     const sighting = this.#target.seen(announcement)
-    if (sighting === Sighting.Changed) this.#entries.announceToAll(now)
+    if (sighting === Sighting.Changed) {
+      this.#remember()
+      this.#entries.announceToAll(now)
+    }
     if (sighting !== Sighting.NewInstance) return
     if (this.#target.facts === undefined) return this.#begin(announcement, now)
     if (this.#context.guards.lifeProof) return this.#target.challenge(announcement, now)
@@ -176,6 +180,16 @@
     this.#begin(announcement, now)
   }
 
+  /**
+   * A restarted agent heard of its target with the next heartbeat, up to 1.5 s later: after a kill of all processes the fleet's
+   * targets came back one by one over that time. What the earlier run knew is believed when the target answers as that life.
+   */
+  #targetRemembered (facts: TargetFacts, now: number): void {
+    if (this.#target.facts !== undefined || this.#target.hasEnded(facts.instance)) return
+    this.#context.note('target remembered', { instance: facts.instance })
+    this.#begin({ facts, sequence: 0, clock: undefined }, now)
+  }
+
   #begin (announcement: Announcement, now: number): void {
     this.#target.begin(announcement, now)
     this.#runs.stopInherited(now)
@@ -206,7 +220,14 @@
     if (!this.#target.is(event.instance)) return
     this.#target.answered(event, now)
     this.#runs.looked(event, now)
-    if (this.#target.settle(event.running.length)) this.#entries.announceToAll(now)
+    if (!this.#target.settle(event.running.length)) return
+    this.#remember()
+    this.#entries.announceToAll(now)
+  }
+
+  #remember (): void {
+    const { facts } = this.#target
+    if (facts !== undefined) this.#context.emit({ type: 'rememberTarget', facts })
   }
 
   // Entries
--- a/packages/dispatch/src/agenttypes.ts
+++ b/packages/dispatch/src/agenttypes.ts
@@ -61,6 +61,8 @@
   /** The target announced itself; `sequence` rises within one life, `clock` is a reading of its own clock. */
   | { type: 'targetSeen', facts: TargetFacts, sequence: number, clock: number }
   | { type: 'targetLeft', instance: string }
+  /** What an earlier run of this agent knew of its target; whether that is still there shows when it is looked at. */
+  | { type: 'targetRemembered', facts: TargetFacts }
   | { type: 'startAnswered', instance: string, task: string, run: number, answer: StartAnswer }
   | { type: 'stopAnswered', instance: string, task: string, run: number, answered: boolean }
   /** `sent` as the look had it; answered by the life that was meant. */
@@ -92,6 +94,8 @@
   | { type: 'send', entry: string, message: AgentMessage }
   /** Breaks the link off, so that it begins anew. */
   | { type: 'unlink', entry: string }
+  /** Keeps what is known of the target for the next run of this agent. */
+  | { type: 'rememberTarget', facts: TargetFacts }
   /** Reads from the store which data centres are evacuated. */
   | { type: 'readEvacuations' }
   /** A decision or a change of what is believed, for the log. */
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -29,8 +29,12 @@
   Outdated = 'outdated'
 }
 
-/** What a target says of itself. */
-export type Announcement = Omit<Extract<AgentEvent, { type: 'targetSeen' }>, 'type'>
+/** What a target says of itself, or an earlier run of the agent knew; then no reading of its clock is at hand. */
+export interface Announcement {
+  facts: TargetFacts
+  sequence: number
+  clock: number | undefined
+}
 
 export class TargetWatch {
   readonly #context: AgentContext
@@ -118,7 +122,7 @@
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
   seen ({ facts, sequence }: Announcement): Sighting {
-    if (this.#ended.has(facts.instance)) {
+    if (this.hasEnded(facts.instance)) {
       this.#context.note('announcement of an earlier life ignored', { instance: facts.instance, current: this.#facts?.instance })
       return Sighting.Outdated
     }
@@ -170,7 +174,7 @@
     this.#lookedAt = Number.NEGATIVE_INFINITY
     this.#pace = new TargetPace()
     this.#answers = new AnswerTimes()
-    this.#lease.noteClock(clock, now)
+    if (clock !== undefined) this.#lease.noteClock(clock, now)
     this.#cleared = !this.#context.guards.clearing
     this.#acknowledged = 0
     this.#looks.clear()
@@ -187,6 +191,10 @@
     this.#inheritLease()
   }
 
+  hasEnded (instance: string): boolean {
+    return this.#ended.has(instance)
+  }
+
   /** No announcement brings that life back. */
   noteEnded (instance: string): void {
     this.#ended.add(instance)
--- a/packages/dispatch/test/lives.test.ts
+++ b/packages/dispatch/test/lives.test.ts
@@ -121,3 +121,41 @@
   expect(bench.agent.status().target?.instance).toEqual(NEXT)
   expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
 })
+
+// All processes are killed and start again while the targets run on. Each agent waited for the next heartbeat of its own, up to
+// 1.5 s, and the fleet came back target by target.
+test('a restarted agent offers the target that its earlier run knew as soon as that answers', () => {
+  const bench = new AgentBench()
+  bench.link()
+  bench.do({ type: 'targetRemembered', facts: TARGET })
+  bench.start([order('job.0.0')])
+  expect(bench.ends()).toEqual(['job.0.0 notStarted noTarget'])
+  bench.looked()
+  bench.start([order('job.0.1')])
+  expect(bench.of('start').map(({ task }) => task)).toEqual(['job.0.1'])
+})
+
+test('a remembered target that another life has followed is given up, and the other offered with its heartbeat', () => {
+  const bench = new AgentBench()
+  bench.do({ type: 'targetRemembered', facts: TARGET })
+  bench.lookFailed(LookFailure.OtherInstance)
+  expect(bench.agent.status().target).toEqual(undefined)
+  bench.seen({ instance: NEXT })
+  bench.looked([], [], NEXT)
+  expect(bench.agent.status()).toEqual(expect.subset({ cleared: true }))
+})
+
+test('what the target has said itself goes before what was remembered', () => {
+  const bench = AgentBench.ready()
+  bench.do({ type: 'targetRemembered', facts: { ...TARGET, instance: 'target-0' } })
+  expect(bench.agent.status().target?.instance).toEqual(TARGET.instance)
+})
+
+test('a target is kept for the next run once it is clear, and when it begins to leave', () => {
+  const bench = new AgentBench()
+  bench.seen()
+  expect(bench.of('rememberTarget')).toEqual([])
+  bench.looked()
+  bench.seen({ leaving: true })
+  expect(bench.of('rememberTarget').map(({ facts }) => facts.leaving)).toEqual([false, true])
+})
