--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -50,7 +50,7 @@
   readonly #handlers: EffectHandlers<AgentEffect> = {
     start: effect => this.#target.start(effect),
     stop: effect => this.#target.stop(effect),
-    look: effect => this.#target.look(effect),
+    poll: effect => this.#target.poll(effect),
     send: ({ entry, message }) => this.#listener.link(nameOf(entry))?.send(message),
     unlink: ({ entry }) => this.#listener.link(nameOf(entry))?.close('out of contact'),
     rememberTarget: ({ facts }) => this.#options.store.rememberTarget(facts),
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -13,7 +13,7 @@
 export interface TargetPort {
   start: (order: EffectOf<'start'>) => void
   stop: (order: EffectOf<'stop'>) => void
-  look: (order: EffectOf<'look'>) => void
+  poll: (order: EffectOf<'poll'>) => void
   close: () => void
 }
 
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -42,7 +42,7 @@
 const DIAL_AGAIN = 60
 const JOB_INTERVAL = 120
 const TASK_CPU = 3000
-const LOOK_INTERVAL = 5
+const CHECK_INTERVAL = 5
 const FASTEST_MESSAGE = 0.1
 const MESSAGE_SPREAD = 2.9
 
@@ -108,7 +108,7 @@
     for (const process of [...this.agents, ...this.entries]) process.start()
     for (const entry of this.entries) this.#configure(entry)
     this.#dialAll()
-    this.#look()
+    this.#check()
     if (sizes.dataCentres > 1) this.operators.start()
   }
 
@@ -200,7 +200,7 @@
       clockRate: 1 - CLOCK_SLOWNESS * this.random.next(),
       longestLease: BOUNDS.longestLease,
       heartbeat: 1500,
-      looksWait: this.#dataCentres > 1,
+      pollsWait: this.#dataCentres > 1,
       plan: () => ({ duration: 50 + this.random.next() * 1500, fails: this.random.next() < 0.02 }),
       cpuOf: () => TASK_CPU
     }
@@ -225,7 +225,7 @@
     if (effect.type === 'readEvacuations') this.operators.readForAgent(index)
     if (effect.type === 'rememberTarget') this.operators.rememberTarget(index, effect.facts)
     if (effect.type === 'stop') worker.stop(effect)
-    if (effect.type === 'look') worker.look(effect)
+    if (effect.type === 'poll') worker.poll(effect)
     if (effect.type === 'send') this.#connections.toEntry(pairOf(numberOf(effect.entry), index), effect.message)
     if (effect.type === 'unlink') this.#connections.closeByAgent(pairOf(numberOf(effect.entry), index))
     if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} agent${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
@@ -300,7 +300,7 @@
 
   // The promise
 
-  #look (): void {
+  #check (): void {
     const where = new Map<string, number>()
     this.workers.forEach((worker, index) => {
       for (const { task, run } of worker.running()) {
@@ -309,6 +309,6 @@
         where.set(task, index)
       }
     })
-    if (this.violation === undefined) this.timeline.after(LOOK_INTERVAL, () => this.#look())
+    if (this.violation === undefined) this.timeline.after(CHECK_INTERVAL, () => this.#check())
   }
 }
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -13,7 +13,7 @@
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { ALL_AGENT_GUARDS } from './agentcontext.ts'
-import { LookFailure } from './agenttypes.ts'
+import { PollFailure } from './agenttypes.ts'
 import { EntrySessions } from './entrysessions.ts'
 import { EvacuationGuard } from './evacuationguard.ts'
 import { HeldTasks } from './heldtasks.ts'
@@ -43,7 +43,7 @@
   [Type in EntryMessage['type']]: (session: EntrySession, message: Extract<EntryMessage, { type: Type }>, now: number) => void
 }
 
-type LookFailureHandlers = Record<LookFailure, (sent: number, now: number) => void>
+type PollFailureHandlers = Record<PollFailure, (sent: number, now: number) => void>
 
 /** Figures for status pages. */
 export interface AgentStatus {
@@ -73,11 +73,11 @@
     },
     startAnswered: (event, now) => this.#runs.startAnswered(event, now),
     stopAnswered: (event, now) => this.#runs.stopAnswered(event, now),
-    looked: (event, now) => this.#looked(event, now),
-    lookFailed: ({ instance, sent, failure }, now) => {
+    polled: (event, now) => this.#polled(event, now),
+    pollFailed: ({ instance, sent, failure }, now) => {
       if (!this.#target.is(instance)) return
-      this.#target.lookFailed(sent)
-      this.#lookFailures[failure](sent, now)
+      this.#target.pollFailed(sent)
+      this.#pollFailures[failure](sent, now)
     },
     entryLinked: ({ entry }, now) => this.#entries.link(entry, now),
     entryUnlinked: ({ entry }, now) => this.#entries.unlink(entry, now),
@@ -105,11 +105,11 @@
     evacuations: (session, { state, confirmed }) => this.#evacuations.heard(session, state, confirmed)
   }
 
-  readonly #lookFailures: LookFailureHandlers = {
-    [LookFailure.OtherInstance]: (_sent, now) => this.#targetLost('another instance answers', LifeEnd.Replaced, now),
-    [LookFailure.NoListener]: (_sent, now) => this.#targetLost('nothing listens', LifeEnd.Unknown, now),
-    [LookFailure.Fenced]: () => this.#target.raiseToken(),
-    [LookFailure.Silent]: (sent, now) => this.#target.noteSilence(sent, now)
+  readonly #pollFailures: PollFailureHandlers = {
+    [PollFailure.OtherInstance]: (_sent, now) => this.#targetLost('another instance answers', LifeEnd.Replaced, now),
+    [PollFailure.NoListener]: (_sent, now) => this.#targetLost('nothing listens', LifeEnd.Unknown, now),
+    [PollFailure.Fenced]: () => this.#target.raiseToken(),
+    [PollFailure.Silent]: (sent, now) => this.#target.noteSilence(sent, now)
   }
 
   constructor ({ timings, stop, wallClock, guards = ALL_AGENT_GUARDS, policy }: AgentOptions) {
@@ -151,7 +151,7 @@
     const handler = this.#handlers[event.type] as (event: AgentEvent, now: number) => void
     handler(event, now)
     this.#entries.reportRoom(now)
-    this.#target.lookIfDue(now)
+    this.#target.pollIfDue(now)
     return this.#effects
   }
 
@@ -216,10 +216,10 @@
     return facts !== undefined && cleared ? { ...facts, leaving: facts.leaving || this.#stopping } : undefined
   }
 
-  #looked (event: Extract<AgentEvent, { type: 'looked' }>, now: number): void {
+  #polled (event: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     if (!this.#target.is(event.instance)) return
     this.#target.answered(event, now)
-    this.#runs.looked(event, now)
+    this.#runs.polled(event, now)
     if (!this.#target.settle(event.running.length)) return
     this.#remember()
     this.#entries.announceToAll(now)
--- a/packages/dispatch/src/agenttypes.ts
+++ b/packages/dispatch/src/agenttypes.ts
@@ -24,8 +24,8 @@
   Silent = 'silent'
 }
 
-/** How a look at the target failed. */
-export enum LookFailure {
+/** How a poll at the target failed. */
+export enum PollFailure {
   Fenced = 'fenced',
   OtherInstance = 'otherInstance',
   NoListener = 'noListener',
@@ -61,13 +61,13 @@
   /** The target announced itself; `sequence` rises within one life, `clock` is a reading of its own clock. */
   | { type: 'targetSeen', facts: TargetFacts, sequence: number, clock: number }
   | { type: 'targetLeft', instance: string }
-  /** What an earlier run of this agent knew of its target; whether that is still there shows when it is looked at. */
+  /** What an earlier run of this agent knew of its target; whether that is still there shows when it is polled. */
   | { type: 'targetRemembered', facts: TargetFacts }
   | { type: 'startAnswered', instance: string, task: string, run: number, answer: StartAnswer }
   | { type: 'stopAnswered', instance: string, task: string, run: number, answered: boolean }
-  /** `sent` as the look had it; answered by the life that was meant. */
-  | { type: 'looked', instance: string, sent: number, clock: number, running: RunningTask[], ended: EndedRun[] }
-  | { type: 'lookFailed', instance: string, sent: number, failure: LookFailure }
+  /** `sent` as the poll had it; answered by the life that was meant. */
+  | { type: 'polled', instance: string, sent: number, clock: number, running: RunningTask[], ended: EndedRun[] }
+  | { type: 'pollFailed', instance: string, sent: number, failure: PollFailure }
   | { type: 'entryLinked', entry: string }
   | { type: 'entryUnlinked', entry: string }
   | { type: 'entryMessage', entry: string, message: EntryMessage }
@@ -90,7 +90,7 @@
   | Order & { type: 'start', task: string, run: number, payload: string, deadline: number, timeout: number }
   | Order & { type: 'stop', task: string, run: number, timeout: number }
   /** Renews the lease when a deadline is given, acknowledges ends and waits up to `wait` for the next. */
-  | Order & { type: 'look', sent: number, deadline: number | undefined, acknowledged: number, wait: number, timeout: number }
+  | Order & { type: 'poll', sent: number, deadline: number | undefined, acknowledged: number, wait: number, timeout: number }
   | { type: 'send', entry: string, message: AgentMessage }
   /** Breaks the link off, so that it begins anew. */
   | { type: 'unlink', entry: string }
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -32,16 +32,16 @@
 export const QUIET_CONTACT_MILLISECONDS = 6500
 
 /**
- * How long one look at the target waits for an end: eight looks a second while nothing ends. With the slack below, a lost
- * look leaves two thirds of the lease for further ones; with 200 and 150 ms a fifth of all calls lost let it lapse every 8 s.
+ * How long one poll at the target waits for an end: eight polls a second while nothing ends. With the slack below, a lost
+ * poll leaves two thirds of the lease for further ones; with 200 and 150 ms a fifth of all calls lost let it lapse every 8 s.
  */
-export const LOOK_WAIT_MILLISECONDS = 120
+export const POLL_WAIT_MILLISECONDS = 120
 
-/** Longest time added to the wait of a look before it counts as lost: a call on the same machine takes 1 to 5 ms. */
-export const LOOK_SLACK_MILLISECONDS = 80
+/** Longest time added to the wait of a poll before it counts as lost: a call on the same machine takes 1 to 5 ms. */
+export const POLL_SLACK_MILLISECONDS = 80
 
-/** A look that waits is answered up to this much later than an order: the target's timer is late as well. */
-export const LOOK_TIMER_MILLISECONDS = 15
+/** A poll that waits is answered up to this much later than an order: the target's timer is late as well. */
+export const POLL_TIMER_MILLISECONDS = 15
 
 /**
  * Time without a confirmed read of the store after which agents ask it for evacuations themselves: entries read it each
@@ -56,8 +56,8 @@
 export const EVACUATIONS_TELL_MILLISECONDS = 1000
 export const EVACUATIONS_TOLD_AT_ONCE = 4
 
-/** Interval of looks while nothing runs. */
-export const IDLE_LOOK_MILLISECONDS = 1000
+/** Interval of polls while nothing runs. */
+export const IDLE_POLL_MILLISECONDS = 1000
 
 /**
  * Longest time after which a start without an answer is taken back: calls on the same machine take 1 to 5 ms, a process
@@ -78,9 +78,9 @@
 /** How long a lost answer is taken for a sign that others will be lost: spells of losses last some seconds. */
 export const LOSS_MEMORY_MILLISECONDS = 2000
 
-/** Wait of a look while answers are lost, and looks that overlap: a lost one hides ends for as long as it waits. */
-export const LOSSY_LOOK_WAIT_MILLISECONDS = 60
-export const LOSSY_LOOKS = 2
+/** Wait of a poll while answers are lost, and polls that overlap: a lost one hides ends for as long as it waits. */
+export const LOSSY_POLL_WAIT_MILLISECONDS = 60
+export const LOSSY_POLLS = 2
 
 /** Time after which a stop without an answer is sent again. */
 export const STOP_TIMEOUT_MILLISECONDS = 100
@@ -95,7 +95,7 @@
 export const PROGRESS_WINDOW_MILLISECONDS = 200
 
 /**
- * A task that made no progress for this long counts as stuck: working ones advance with each look. Of jobs on 12 emulated
+ * A task that made no progress for this long counts as stuck: working ones advance with each poll. Of jobs on 12 emulated
  * fleets with a target that stands still 4.9 a day failed with 450 ms, 0.8 with 250, 0.3 with 150.
  */
 export const STUCK_MILLISECONDS = 250
@@ -203,7 +203,7 @@
 /** Least time between such messages to one entry, times the entries: an agent tells at most 80 a second. */
 export const LOAD_INTERVAL_MILLISECONDS = 12
 
-/** Answered jobs that are remembered, to answer a further submission or a look-up. */
+/** Answered jobs that are remembered, to answer a further submission or a poll-up. */
 export const ANSWERS_REMEMBERED = 5_000
 
 /** Shortest and longest time after which a refused caller is asked to come back. */
@@ -217,7 +217,7 @@
 export const REFUSAL_PAUSE_MILLISECONDS = 100
 
 /**
- * The same for a target that could not be reached for a moment: one lost look is made good within some 20 ms. With 100 ms
+ * The same for a target that could not be reached for a moment: one lost poll is made good within some 20 ms. With 100 ms
  * the credit of the worst kind of job was 0.965, with 20 it is 0.969 (5 to 15% of all orders lost, 16 emulated fleets).
  */
 export const UNREACHABLE_PAUSE_MILLISECONDS = 20
--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -24,7 +24,7 @@
   startedAt: number
   /** When the target answered that it runs; undefined before. */
   confirmedAt: number | undefined
-  /** A look has shown it running. */
+  /** A poll has shown it running. */
   listed: boolean
   /** When the last order to stop it was sent. */
   stopSentAt: number
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -37,8 +37,8 @@
   believesFull: boolean
   /** Time limits of orders follow the target's answers. @default true */
   followsAnswers: boolean
-  /** Looks wait shorter while answers are lost. @default true */
-  looksSooner: boolean
+  /** Polls wait shorter while answers are lost. @default true */
+  pollsSooner: boolean
   /** Waiting time that a step of priority is worth, in milliseconds. @default 100 */
   priorityStep: number
   /** Jobs wait in the order of the times until which they are kept, not of the latest times to begin. @default true */
@@ -67,7 +67,7 @@
   pausesRefusing: true,
   believesFull: true,
   followsAnswers: true,
-  looksSooner: true,
+  pollsSooner: true,
   priorityStep: PRIORITY_MILLISECONDS,
   byKept: true,
   sharesRoom: true,
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -22,7 +22,7 @@
 
   /** Takes in how far a task has come since it was observed last. */
   observe (held: HeldTask, percent: number, now: number): void {
-    // Looks may be answered out of order.
+    // Polls may be answered out of order.
     if (percent < held.observedPercent) return
     this.#fade(now)
     this.#work += (percent - held.observedPercent) / WHOLE_PERCENT * held.order.expected
@@ -45,7 +45,7 @@
   }
 }
 
-/** Takes the progress of a look in. */
+/** Takes the progress of a poll in. */
 export function noteProgress (held: HeldTask, percent: number, now: number): void {
   if (percent <= held.percent) return
   held.percent = percent
--- a/packages/dispatch/src/targetlease.ts
+++ b/packages/dispatch/src/targetlease.ts
@@ -21,7 +21,7 @@
     this.#inherited = inherited
   }
 
-  /** Whether the last look at the target brought no answer. */
+  /** Whether the last poll at the target brought no answer. */
   get silent (): boolean {
     return this.#silent
   }
@@ -51,7 +51,7 @@
     this.#reading = { clock, at: now }
   }
 
-  /** A look was answered. */
+  /** A poll was answered. */
   noteAnswer (clock: number, now: number): void {
     this.noteClock(clock, now)
     this.#silent = false
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -1,17 +1,17 @@
-/** The target beside an agent: which life of it is there, whether it is clear, its lease, and when it is looked at. */
+/** The target beside an agent: which life of it is there, whether it is clear, its lease, and when it is polled. */
 import type { AgentContext } from './agentcontext.ts'
 import type { AgentEvent } from './agenttypes.ts'
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { TargetFacts } from './messages.ts'
 import { AnswerTimes } from './answertimes.ts'
-import { IDLE_LOOK_MILLISECONDS, LOOK_SLACK_MILLISECONDS, LOOK_TIMER_MILLISECONDS, LOOK_WAIT_MILLISECONDS, LOSSY_LOOK_WAIT_MILLISECONDS, LOSSY_LOOKS, START_TIMEOUT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
+import { IDLE_POLL_MILLISECONDS, POLL_SLACK_MILLISECONDS, POLL_TIMER_MILLISECONDS, POLL_WAIT_MILLISECONDS, LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, START_TIMEOUT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause } from './messages.ts'
 import { TargetPace } from './progress.ts'
 import { TargetLease } from './targetlease.ts'
 
-/** Shortest time between two looks while the first was not answered or the target is not clear, in milliseconds. */
-const LOOK_RETRY_MILLISECONDS = 20
+/** Shortest time between two polls while the first was not answered or the target is not clear, in milliseconds. */
+const POLL_RETRY_MILLISECONDS = 20
 
 /** How much a token is raised that the target refused, at least. */
 const TOKEN_STEP = 1000
@@ -47,13 +47,13 @@
   #cleared = false
   #token: number
   #acknowledged = 0
-  /** When the looks that are not answered yet were sent. */
-  readonly #looks = new Set<number>()
-  /** When the last look was sent that has been answered. */
+  /** When the polls that are not answered yet were sent. */
+  readonly #polls = new Set<number>()
+  /** When the last poll was sent that has been answered. */
   #answeredSent = Number.NEGATIVE_INFINITY
-  /** Whether the last look was answered, and by a target that is clear: else the next one waits a little. */
-  #lookAnswered = true
-  #lookedAt = Number.NEGATIVE_INFINITY
+  /** Whether the last poll was answered, and by a target that is clear: else the next one waits a little. */
+  #pollAnswered = true
+  #polledAt = Number.NEGATIVE_INFINITY
   #lastInstance = ''
   /** Of the last announcement. */
   #sequence = 0
@@ -143,7 +143,7 @@
   challenge (announcement: Announcement, now: number): void {
     this.#successor = { announcement, askedAt: now }
     this.#context.note('another life of the target announced itself', { instance: announcement.facts.instance, current: this.#facts?.instance })
-    this.look(undefined, 0, now)
+    this.poll(undefined, 0, now)
   }
 
   /** The life that follows one that is over, when it has announced itself. */
@@ -164,20 +164,20 @@
   }
 
   begin ({ facts, sequence, clock }: Announcement, now: number): void {
-    // Orders of the life before that are still under way are refused from the first look at the new one on.
+    // Orders of the life before that are still under way are refused from the first poll at the new one on.
     if (this.#lastInstance !== '') this.#token += 1
     this.#facts = facts
     this.#lastInstance = facts.instance
     this.#sequence = sequence
     this.#inheritLease()
     this.#answeredSent = Number.NEGATIVE_INFINITY
-    this.#lookedAt = Number.NEGATIVE_INFINITY
+    this.#polledAt = Number.NEGATIVE_INFINITY
     this.#pace = new TargetPace()
     this.#answers = new AnswerTimes()
     if (clock !== undefined) this.#lease.noteClock(clock, now)
     this.#cleared = !this.#context.guards.clearing
     this.#acknowledged = 0
-    this.#looks.clear()
+    this.#polls.clear()
     this.#context.note('target found', { instance: facts.instance, service: facts.service, capacity: facts.capacity, token: this.#token })
   }
 
@@ -187,7 +187,7 @@
     if (over && this.#facts !== undefined) this.noteEnded(this.#facts.instance)
     this.#facts = undefined
     this.#cleared = false
-    this.#looks.clear()
+    this.#polls.clear()
     this.#inheritLease()
   }
 
@@ -220,28 +220,28 @@
     this.#acknowledged = Math.max(this.#acknowledged, number)
   }
 
-  lookIfDue (now: number): void {
-    if (this.#facts === undefined || this.#looksInFlight(now)) return
-    if (!this.#lookAnswered && this.#looks.size === 0 && now - this.#lookedAt < LOOK_RETRY_MILLISECONDS) return
+  pollIfDue (now: number): void {
+    if (this.#facts === undefined || this.#pollsInFlight(now)) return
+    if (!this.#pollAnswered && this.#polls.size === 0 && now - this.#polledAt < POLL_RETRY_MILLISECONDS) return
     const busy = this.#held.size > 0
     const urgent = busy || !this.#cleared || this.#lease.silent
-    if (!urgent && now - this.#lookedAt < IDLE_LOOK_MILLISECONDS) return
+    if (!urgent && now - this.#polledAt < IDLE_POLL_MILLISECONDS) return
     const deadline = busy && this.#mayRenew() ? this.#lease.renew(now) : undefined
-    const wait = busy && this.#cleared && !this.#lease.silent ? this.#lookWait(now) : 0
-    this.#looks.add(now)
-    this.#lookAnswered = false
-    this.#lookedAt = now
-    this.look(deadline, wait, now)
+    const wait = busy && this.#cleared && !this.#lease.silent ? this.#pollWait(now) : 0
+    this.#polls.add(now)
+    this.#pollAnswered = false
+    this.#polledAt = now
+    this.poll(deadline, wait, now)
   }
 
-  look (deadline: number | undefined, wait: number, now: number): void {
-    const timeout = wait + Math.min(LOOK_SLACK_MILLISECONDS, this.timeout + LOOK_TIMER_MILLISECONDS)
-    this.#context.emit({ type: 'look', ...this.order(), sent: now, deadline, acknowledged: this.#acknowledged, wait, timeout })
+  poll (deadline: number | undefined, wait: number, now: number): void {
+    const timeout = wait + Math.min(POLL_SLACK_MILLISECONDS, this.timeout + POLL_TIMER_MILLISECONDS)
+    this.#context.emit({ type: 'poll', ...this.order(), sent: now, deadline, acknowledged: this.#acknowledged, wait, timeout })
   }
 
-  /** A look was answered; `settle` follows when what it lists has been taken in. */
-  answered ({ instance, sent, clock }: Extract<AgentEvent, { type: 'looked' }>, now: number): void {
-    this.#looks.delete(sent)
+  /** A poll was answered; `settle` follows when what it lists has been taken in. */
+  answered ({ instance, sent, clock }: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
+    this.#polls.delete(sent)
     this.#answeredSent = Math.max(this.#answeredSent, sent)
     if (this.#successor !== undefined && sent >= this.#successor.askedAt) this.#successor = undefined
     if (this.#lease.silent) this.#context.note('target answers again', { instance })
@@ -255,29 +255,29 @@
       this.#cleared = true
       this.#context.note('target clear', { instance: this.#facts?.instance })
     }
-    this.#lookAnswered = this.#cleared
+    this.#pollAnswered = this.#cleared
     return clears
   }
 
   /**
-   * Whether no further look is due. While answers are lost a second one overlaps the first, so that an end is hidden only
+   * Whether no further poll is due. While answers are lost a second one overlaps the first, so that an end is hidden only
    * when both are lost.
    */
-  #looksInFlight (now: number): boolean {
-    if (this.#looks.size === 0) return false
-    const overlaps = this.#context.policy.looksSooner && this.#answers.lossy(now) && !this.#lease.silent
-    return !overlaps || this.#looks.size >= LOSSY_LOOKS || now - this.#lookedAt < LOSSY_LOOK_WAIT_MILLISECONDS / LOSSY_LOOKS
+  #pollsInFlight (now: number): boolean {
+    if (this.#polls.size === 0) return false
+    const overlaps = this.#context.policy.pollsSooner && this.#answers.lossy(now) && !this.#lease.silent
+    return !overlaps || this.#polls.size >= LOSSY_POLLS || now - this.#polledAt < LOSSY_POLL_WAIT_MILLISECONDS / LOSSY_POLLS
   }
 
-  #lookWait (now: number): number {
-    return this.#context.policy.looksSooner && this.#answers.lossy(now) ? LOSSY_LOOK_WAIT_MILLISECONDS : LOOK_WAIT_MILLISECONDS
+  #pollWait (now: number): number {
+    return this.#context.policy.pollsSooner && this.#answers.lossy(now) ? LOSSY_POLL_WAIT_MILLISECONDS : POLL_WAIT_MILLISECONDS
   }
 
-  lookFailed (sent: number): void {
-    this.#looks.delete(sent)
+  pollFailed (sent: number): void {
+    this.#polls.delete(sent)
   }
 
-  /** A look got no answer. One that was sent later and answered shows that the target is there. */
+  /** A poll got no answer. One that was sent later and answered shows that the target is there. */
   noteSilence (sent: number, now: number): void {
     this.noteLoss(now)
     if (sent < this.#answeredSent) return
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -18,8 +18,8 @@
 /** Refusals as old after which a start is given up. */
 const OLD_RUNS_LIMIT = 4
 
-/** Ends that a target lists in one look at most: with so many, others may be left. */
-const ENDS_PER_LOOK = 500
+/** Ends that a target lists in one poll at most: with so many, others may be left. */
+const ENDS_PER_POLL = 500
 
 const WHOLE_PERCENT = 100
 
@@ -170,8 +170,8 @@
     if (held === undefined || held.run !== run || !this.#target.is(instance) || held.stopConfirmedAt !== undefined) return
     if (!answered) return this.#stopUnanswered(held, now)
     held.stopConfirmedAt = now
-    // The look in flight may wait for long; whether a start that was not answered has begun is asked at once.
-    if (held.confirmedAt === undefined) this.#target.look(undefined, 0, now)
+    // The poll in flight may wait for long; whether a start that was not answered has begun is asked at once.
+    if (held.confirmedAt === undefined) this.#target.poll(undefined, 0, now)
   }
 
   /** At once, not with the next tick: the task waits for it, and while orders are lost the stop of a lost start often is. */
@@ -187,9 +187,9 @@
     }
   }
 
-  // What a look lists
+  // What a poll lists
 
-  looked ({ sent, running, ended }: Extract<AgentEvent, { type: 'looked' }>, now: number): void {
+  polled ({ sent, running, ended }: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     for (const end of ended) this.#runEnded(end, now)
     const runs = new Map(running.map(({ task, run }) => [task, run]))
     for (const { task, run, percent } of running) {
@@ -197,7 +197,7 @@
       if (held !== undefined && held.run === run) this.#runs(held, percent, now)
       else this.#stray(task, run)
     }
-    if (ended.length < ENDS_PER_LOOK) {
+    if (ended.length < ENDS_PER_POLL) {
       for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
     }
     this.#reportSlow(now)
@@ -226,7 +226,7 @@
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
   }
 
-  /** A task that the target neither runs nor lists as ended, though it had answered the order before the look. */
+  /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
   #absent (held: HeldTask, sent: number, now: number): void {
     if (held.stage === Stage.Running && held.confirmedAt !== undefined && held.confirmedAt < sent) {
       return this.finish(held, Outcome.Gone, Cause.Lapsed, now)
--- a/packages/dispatch/src/timings.ts
+++ b/packages/dispatch/src/timings.ts
@@ -13,7 +13,7 @@
 
 /** Limits that keep two runs of one task apart, in milliseconds. */
 export interface Timings {
-  /** Lease of a target, renewed with each look: without its agent its tasks end after this. */
+  /** Lease of a target, renewed with each poll: without its agent its tasks end after this. */
   lease: number
   /** Tasks of an entry that has not echoed a ping for this long are stopped. */
   contact: number
--- a/packages/dispatch/test/agent.test.ts
+++ b/packages/dispatch/test/agent.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { LookFailure, RunEnd, StartAnswer } from '../src/agenttypes.ts'
+import { PollFailure, RunEnd, StartAnswer } from '../src/agenttypes.ts'
 import { AgentBench, ENTRY, order, TARGET, TIMINGS } from './agentbench.ts'
 
 test('a task is started with the lease as its deadline', () => {
@@ -15,7 +15,7 @@
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.now += 80
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   const [message] = bench.sent('ends')
   expect(message?.type === 'ends' && message.ends).toEqual([{ task: 'job.0.0', attempt: 1, outcome: 'done' as never, cause: '' as never, ran: 80 }])
 })
@@ -23,18 +23,18 @@
 test('an end that overtakes the answer to its start counts', () => {
   const bench = AgentBench.ready()
   bench.start([order('job.0.0')])
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   bench.startAnswered('job.0.0')
   expect(bench.ends()).toEqual(['job.0.0 done'])
   expect(bench.agent.status().tasks).toEqual(0)
 })
 
-test('ends are acknowledged with the next look', () => {
+test('ends are acknowledged with the next poll', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([], [{ number: 7, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 7, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   bench.run('job.0.1')
-  expect(bench.of('look').at(-1)?.acknowledged).toEqual(7)
+  expect(bench.of('poll').at(-1)?.acknowledged).toEqual(7)
 })
 
 test('what does not fit beside the running tasks is refused as full', () => {
@@ -52,36 +52,36 @@
   bench.startAnswered('job.0.0', StartAnswer.Silent)
   expect(bench.ends()).toEqual([])
   expect(bench.of('stop').map(({ task, run }) => [task, run])).toEqual([['job.0.0', 1]])
-  bench.looked()
+  bench.polled()
   expect(bench.ends()).toEqual([])
   bench.now += 5
   bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'job.0.0', run: 1, answered: true })
-  expect(bench.of('look').at(-1)?.wait).toEqual(0)
+  expect(bench.of('poll').at(-1)?.wait).toEqual(0)
   expect(bench.ends()).toEqual([])
-  bench.looked()
+  bench.polled()
   expect(bench.ends()).toEqual(['job.0.0 gone unanswered'])
 })
 
 // A task was running when it was told to stop. Stopping takes the worker up to 50 ms, and the end
-// is listed then: a look in between that shows neither proves nothing.
+// is listed then: a poll in between that shows neither proves nothing.
 test('a task that ran is gone when its end is listed, or long enough after its stop', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.do({ type: 'entryMessage', entry: ENTRY, message: { type: 'stop', tasks: [{ task: 'job.0.0', attempt: 1 }] } })
   bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'job.0.0', run: 1, answered: true })
   bench.now += 10
-  bench.looked()
+  bench.polled()
   expect(bench.ends()).toEqual([])
   bench.now += 60
-  bench.looked()
-  bench.looked()
+  bench.polled()
+  bench.polled()
   expect(bench.ends()).toEqual(['job.0.0 gone stopped'])
 })
 
-test('a start without an answer that a look shows running goes on', () => {
+test('a start without an answer that a poll shows running goes on', () => {
   const bench = AgentBench.ready()
   bench.start([order('job.0.0')])
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 3 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 3 }])
   bench.startAnswered('job.0.0', StartAnswer.Silent)
   expect(bench.of('stop')).toEqual([])
   expect(bench.ends()).toEqual([])
@@ -96,7 +96,7 @@
   expect(bench.of('stop').length).toBeGreaterThanOrEqual(3)
 })
 
-// The worker answers looks but three stops of one run got lost: the run must end all the same, so
+// The worker answers polls but three stops of one run got lost: the run must end all the same, so
 // the lease is let lapse, although that takes the tasks beside it.
 test('a run that no stop reaches ends with the lease', () => {
   const bench = AgentBench.ready()
@@ -105,11 +105,11 @@
   for (let round = 0; round < 8; round += 1) {
     bench.echo()
     bench.pass(50)
-    bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
+    bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
   }
   bench.take()
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 11 }])
-  expect(bench.of('look').map(({ deadline }) => deadline)).toEqual([undefined])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 11 }])
+  expect(bench.of('poll').map(({ deadline }) => deadline)).toEqual([undefined])
 })
 
 // The entry is killed or frozen, or its link goes silent: its caller comes back through another
@@ -118,7 +118,7 @@
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.pass(TIMINGS.contact - 60)
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 40 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 40 }])
   expect(bench.of('stop')).toEqual([])
   bench.pass(120)
   expect(bench.of('stop').map(({ task }) => task)).toEqual(['job.0.0'])
@@ -130,7 +130,7 @@
   for (let round = 0; round < 20; round += 1) {
     bench.pass(100)
     bench.echo()
-    bench.looked([{ task: 'job.0.0', run: 1, percent: round }])
+    bench.polled([{ task: 'job.0.0', run: 1, percent: round }])
   }
   expect(bench.of('stop')).toEqual([])
   expect(bench.ends()).toEqual([])
@@ -179,7 +179,7 @@
 test('a lapsed lease ends every task', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.lookFailed(LookFailure.Silent)
+  bench.pollFailed(PollFailure.Silent)
   bench.echo()
   bench.now += TIMINGS.lapse - 1
   bench.echo()
@@ -194,18 +194,18 @@
 test('a target that does not answer is not renewed', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.lookFailed(LookFailure.Silent)
+  bench.pollFailed(PollFailure.Silent)
   bench.take()
   bench.pass(50)
-  expect(bench.of('look').map(({ deadline }) => deadline)).toEqual([undefined])
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 5 }])
-  expect(bench.of('look').at(-1)?.deadline).toEqual(bench.now + TIMINGS.lease)
+  expect(bench.of('poll').map(({ deadline }) => deadline)).toEqual([undefined])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 5 }])
+  expect(bench.of('poll').at(-1)?.deadline).toEqual(bench.now + TIMINGS.lease)
 })
 
 test('a target that does not answer starts nothing', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.lookFailed(LookFailure.Silent)
+  bench.pollFailed(PollFailure.Silent)
   bench.start([order('job.0.1')])
   expect(bench.ends()).toEqual(['job.0.1 notStarted unreachable'])
 })
@@ -213,16 +213,16 @@
 test('a connection that the target refuses proves that its tasks are gone', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.lookFailed(LookFailure.NoListener)
+  bench.pollFailed(PollFailure.NoListener)
   expect(bench.ends()).toEqual(['job.0.0 gone targetLost'])
 })
 
 test('a new instance at the address ends the tasks of the old one', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
   bench.seen({ instance: 'target-2' })
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
   expect(bench.ends()).toEqual(['job.0.0 gone targetLost'])
 })
 
@@ -230,10 +230,10 @@
   const bench = AgentBench.ready()
   bench.start([order('job.0.0')])
   bench.seen({ instance: 'target-2' })
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
   bench.do({ type: 'stopAnswered', instance: 'target-2', task: 'job.0.0', run: 1, answered: true })
   bench.now += 1
-  bench.looked([], [], 'target-2')
+  bench.polled([], [], 'target-2')
   bench.start([order('job.0.0', 2)])
   bench.startAnswered('job.0.0', StartAnswer.Full)
   expect(bench.agent.status().tasks).toEqual(1)
@@ -245,13 +245,13 @@
   const bench = new AgentBench()
   bench.seen()
   bench.link()
-  bench.looked([{ task: 'old.0.0', run: 3, percent: 50 }])
+  bench.polled([{ task: 'old.0.0', run: 3, percent: 50 }])
   expect(bench.of('stop').map(({ task, run }) => [task, run])).toEqual([['old.0.0', 3]])
   expect(bench.sent('announce').every(message => message.type === 'announce' && message.target === undefined)).toEqual(true)
   bench.start([order('new.0.0')])
   expect(bench.ends()).toEqual(['new.0.0 notStarted noTarget'])
   bench.now += 60
-  bench.looked()
+  bench.polled()
   const last = bench.sent('announce').at(-1)
   expect(last?.type === 'announce' && last.target?.instance).toEqual(TARGET.instance)
 })
@@ -259,10 +259,10 @@
 test('a predecessor whose clock was ahead is outbid', () => {
   const bench = new AgentBench(1000)
   bench.seen()
-  const before = bench.of('look').at(-1)?.token ?? 0
-  bench.lookFailed(LookFailure.Fenced)
+  const before = bench.of('poll').at(-1)?.token ?? 0
+  bench.pollFailed(PollFailure.Fenced)
   bench.pass(50)
-  expect(bench.of('look').at(-1)?.token ?? 0).toBeGreaterThan(before)
+  expect(bench.of('poll').at(-1)?.token ?? 0).toBeGreaterThan(before)
 })
 
 test('a run number that the target calls old is raised', () => {
@@ -289,7 +289,7 @@
 test('the first ping of a link goes out before the target is announced', () => {
   const bench = new AgentBench()
   bench.seen()
-  bench.looked()
+  bench.polled()
   bench.do({ type: 'entryLinked', entry: ENTRY })
   expect(bench.of('send').map(({ message }) => message.type)).toEqual(['ping', 'announce'])
 })
@@ -298,7 +298,7 @@
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.do({ type: 'entryUnlinked', entry: ENTRY })
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   expect(bench.ends()).toEqual([])
   bench.link()
   expect(bench.ends()).toEqual(['job.0.0 done'])
@@ -343,7 +343,7 @@
   bench.echo()
   bench.pass(50)
   expect(bench.of('stopped')).toEqual([])
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   bench.pass(50)
   expect(bench.of('stopped').length).toBeGreaterThanOrEqual(1)
 })
@@ -355,7 +355,7 @@
   for (let round = 0; round < 6; round += 1) {
     bench.pass(100)
     bench.echo()
-    bench.looked([{ task: 'job.0.0', run: 1, percent: 2 }])
+    bench.polled([{ task: 'job.0.0', run: 1, percent: 2 }])
   }
   const [slow] = bench.sent('slow')
   expect(slow?.type === 'slow' && slow.tasks).toEqual([{ task: 'job.0.0', attempt: 1, remaining: -1 }])
@@ -373,10 +373,10 @@
     const third = (round - 1) % 3 + 1
     const running = [{ task: 'long.0.0', run: 1, percent: round * 3 }, { task: short, run: 1, percent: third * 33 }]
     if (third < 3) {
-      bench.looked(running)
+      bench.polled(running)
       continue
     }
-    bench.looked(running.slice(0, 1), [{ number: round, task: short, run: 1, end: RunEnd.Done }])
+    bench.polled(running.slice(0, 1), [{ number: round, task: short, run: 1, end: RunEnd.Done }])
     bench.start([order(`short.0.${round / 3}`)])
   }
   expect(bench.sent('slow')).toEqual([])
@@ -388,7 +388,7 @@
   for (let round = 1; round <= 8; round += 1) {
     bench.pass(100)
     bench.echo()
-    bench.looked(['a.0.0', 'a.0.1', 'a.0.2'].map(task => ({ task, run: 1, percent: round * 4 })))
+    bench.polled(['a.0.0', 'a.0.1', 'a.0.2'].map(task => ({ task, run: 1, percent: round * 4 })))
   }
   expect(bench.sent('slow').length).toBeGreaterThan(0)
   const ping = bench.sent('ping').at(-1)
--- a/packages/dispatch/test/agentbench.ts
+++ b/packages/dispatch/test/agentbench.ts
@@ -1,5 +1,5 @@
 /** An agent with a target and an entry, driven by hand under a clock of the test. */
-import type { AgentEffect, AgentEvent, EndedRun, LookFailure, RunningTask } from '../src/agenttypes.ts'
+import type { AgentEffect, AgentEvent, EndedRun, PollFailure, RunningTask } from '../src/agenttypes.ts'
 import type { AgentMessage, TaskOrder } from '../src/messages.ts'
 import { Agent } from '../src/agent.ts'
 import { StartAnswer } from '../src/agenttypes.ts'
@@ -20,7 +20,7 @@
   now = 1000
   readonly agent: Agent
   #effects: AgentEffect[] = []
-  #lookSent = 0
+  #pollSent = 0
   #sequence = 0
 
   constructor (wall = 5_000_000) {
@@ -31,7 +31,7 @@
   static ready (): AgentBench {
     const bench = new AgentBench()
     bench.seen()
-    bench.looked()
+    bench.polled()
     bench.link()
     bench.take()
     return bench
@@ -40,7 +40,7 @@
   do (event: AgentEvent): AgentEffect[] {
     const effects = this.agent.handle(event, this.now)
     this.#effects.push(...effects)
-    for (const effect of effects) if (effect.type === 'look') this.#lookSent = effect.sent
+    for (const effect of effects) if (effect.type === 'poll') this.#pollSent = effect.sent
     return effects
   }
 
@@ -58,13 +58,13 @@
     this.do({ type: 'targetSeen', facts: { ...TARGET, ...facts }, sequence: this.#sequence, clock: this.now })
   }
 
-  /** Answers the last look. */
-  looked (running: RunningTask[] = [], ended: EndedRun[] = [], instance = TARGET.instance): void {
-    this.do({ type: 'looked', instance, sent: this.#lookSent, clock: this.now, running, ended })
+  /** Answers the last poll. */
+  polled (running: RunningTask[] = [], ended: EndedRun[] = [], instance = TARGET.instance): void {
+    this.do({ type: 'polled', instance, sent: this.#pollSent, clock: this.now, running, ended })
   }
 
-  lookFailed (failure: LookFailure): void {
-    this.do({ type: 'lookFailed', instance: TARGET.instance, sent: this.#lookSent, failure })
+  pollFailed (failure: PollFailure): void {
+    this.do({ type: 'pollFailed', instance: TARGET.instance, sent: this.#pollSent, failure })
   }
 
   link (entry = ENTRY): void {
--- a/packages/dispatch/test/answertimes.test.ts
+++ b/packages/dispatch/test/answertimes.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { LookFailure, RunEnd, StartAnswer } from '../src/agenttypes.ts'
+import { PollFailure, RunEnd, StartAnswer } from '../src/agenttypes.ts'
 import { AnswerTimes } from '../src/answertimes.ts'
 import { AgentBench, order, TARGET } from './agentbench.ts'
 
@@ -44,24 +44,24 @@
   expect(bench.of('start').at(-1)?.timeout).toEqual(25)
 })
 
-// A look is lost, and with it for 200 ms every end at the target: jobs whose last task had ended there came late.
-test('looks wait shorter while answers are lost, and as long as before when they are not', () => {
+// A poll is lost, and with it for 200 ms every end at the target: jobs whose last task had ended there came late.
+test('polls wait shorter while answers are lost, and as long as before when they are not', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
-  expect(bench.of('look').at(-1)?.wait).toEqual(120)
-  bench.lookFailed(LookFailure.Silent)
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
+  expect(bench.of('poll').at(-1)?.wait).toEqual(120)
+  bench.pollFailed(PollFailure.Silent)
   bench.now += 30
   bench.do({ type: 'tick' })
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 20 }])
-  expect(bench.of('look').at(-1)?.wait).toEqual(60)
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 20 }])
+  expect(bench.of('poll').at(-1)?.wait).toEqual(60)
   bench.now += 2500
   bench.echo()
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   bench.start([order('job.0.1')])
   bench.startAnswered('job.0.1', StartAnswer.Started)
-  bench.looked([{ task: 'job.0.1', run: 1, percent: 1 }])
-  expect(bench.of('look').at(-1)?.wait).toEqual(120)
+  bench.polled([{ task: 'job.0.1', run: 1, percent: 1 }])
+  expect(bench.of('poll').at(-1)?.wait).toEqual(120)
 })
 
 // An order to start is lost, and the stop that takes it back as well. The stop was sent again with the next tick only, up
@@ -76,30 +76,30 @@
   expect(bench.of('stop').length).toEqual(2)
 })
 
-// Answers are lost: a second look overlaps the first, and an end shows unless both are lost.
-test('looks overlap while answers are lost', () => {
+// Answers are lost: a second poll overlaps the first, and an end shows unless both are lost.
+test('polls overlap while answers are lost', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
-  bench.lookFailed(LookFailure.Silent)
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
+  bench.pollFailed(PollFailure.Silent)
   bench.now += 30
   bench.do({ type: 'tick' })
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 20 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 20 }])
   bench.take()
   bench.now += 20
   bench.do({ type: 'tick' })
-  expect(bench.of('look').length).toEqual(0)
+  expect(bench.of('poll').length).toEqual(0)
   bench.now += 15
   bench.do({ type: 'tick' })
-  expect(bench.of('look').length).toEqual(1)
+  expect(bench.of('poll').length).toEqual(1)
 })
 
-test('a lost look is no silence when a later one was answered', () => {
+test('a lost poll is no silence when a later one was answered', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  const [first] = bench.of('look')
+  const [first] = bench.of('poll')
   bench.now += 1
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
-  bench.do({ type: 'lookFailed', instance: TARGET.instance, sent: (first?.sent ?? 0) - 1, failure: LookFailure.Silent })
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
+  bench.do({ type: 'pollFailed', instance: TARGET.instance, sent: (first?.sent ?? 0) - 1, failure: PollFailure.Silent })
   expect(bench.agent.status().silent).toEqual(false)
 })
--- a/packages/dispatch/test/echoes.test.ts
+++ b/packages/dispatch/test/echoes.test.ts
@@ -49,7 +49,7 @@
   bench.run('job.0.1')
   bench.pass(150)
   bench.take()
-  bench.looked([{ task: 'job.0.1', run: 1, percent: 50 }], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([{ task: 'job.0.1', run: 1, percent: 50 }], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   bench.pass(150)
   expect(bench.sent('ping').length).toEqual(0)
   bench.pass(100)
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -252,7 +252,7 @@
   expect(bench.answers().slice(2)).toEqual([[91, 'unknown'], [92, 'unknown']])
 })
 
-test('a look-up tells whether a job has begun', () => {
+test('a poll-up tells whether a job has begun', () => {
   const bench = EntryBench.withAgents('one')
   bench.submit('first', [step(4)])
   bench.submit('second')
--- a/packages/dispatch/test/lives.test.ts
+++ b/packages/dispatch/test/lives.test.ts
@@ -1,7 +1,7 @@
 /** Lives of a target: one that starts again under its name, and announcements that come late. */
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { LookFailure } from '../src/agenttypes.ts'
+import { PollFailure } from '../src/agenttypes.ts'
 import { AgentBench, order, TARGET, TIMINGS } from './agentbench.ts'
 
 const NEXT = 'target-1/2'
@@ -9,14 +9,14 @@
 /** The target has started again under its name: calls meant for the life before reach the next one. */
 function replaced (bench: AgentBench): void {
   bench.seen({ instance: NEXT })
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
 }
 
 test('another life is gone by once the known one answers no more', () => {
   const bench = AgentBench.ready()
   bench.seen({ instance: NEXT })
   expect(bench.agent.status().target?.instance).toEqual(TARGET.instance)
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
   expect(bench.agent.status().target?.instance).toEqual(NEXT)
 })
 
@@ -27,7 +27,7 @@
   bench.run('job.0.0')
   bench.take()
   bench.seen({ instance: 'target-0' })
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
   expect(bench.ends()).toEqual([])
   expect(bench.agent.status().target?.instance).toEqual(TARGET.instance)
 })
@@ -37,14 +37,14 @@
   replaced(bench)
   bench.take()
   bench.seen()
-  expect(bench.of('look')).toEqual([])
+  expect(bench.of('poll')).toEqual([])
   expect(bench.agent.status().target?.instance).toEqual(NEXT)
 })
 
 test('what the life before was seen to run is gone with it', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([{ task: 'job.0.0', run: 1, percent: 10 }])
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 10 }])
   bench.take()
   replaced(bench)
   expect(bench.ends()).toEqual(['job.0.0 gone targetLost'])
@@ -63,7 +63,7 @@
   bench.do({ type: 'stopAnswered', instance: NEXT, task: 'job.0.0', run: 1, answered: true })
   bench.now += 60
   bench.do({ type: 'tick' })
-  bench.looked([], [], NEXT)
+  bench.polled([], [], NEXT)
   expect(bench.ends()).toEqual(['job.0.0 gone unanswered'])
 })
 
@@ -73,7 +73,7 @@
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.take()
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
   bench.pass(TIMINGS.lapse + 100)
   expect(bench.ends()).toEqual([])
   bench.pass(TIMINGS.longestLapse)
@@ -85,27 +85,27 @@
   bench.run('job.0.0')
   const [start] = bench.of('start')
   replaced(bench)
-  bench.looked([], [], NEXT)
-  const look = bench.of('look').at(-1)
-  expect(look?.instance).toEqual(NEXT)
-  expect((look?.token ?? 0) > (start?.token ?? 0)).toEqual(true)
+  bench.polled([], [], NEXT)
+  const poll = bench.of('poll').at(-1)
+  expect(poll?.instance).toEqual(NEXT)
+  expect((poll?.token ?? 0) > (start?.token ?? 0)).toEqual(true)
 })
 
 test('ends of the next life are acknowledged by its own numbers', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
-  bench.looked([], [{ number: 57, task: 'other', run: 1, end: 'done' as never }])
+  bench.polled([], [{ number: 57, task: 'other', run: 1, end: 'done' as never }])
   replaced(bench)
-  expect(bench.of('look').at(-1)?.acknowledged).toEqual(0)
+  expect(bench.of('poll').at(-1)?.acknowledged).toEqual(0)
 })
 
-test('nothing starts in the next life before a look has shown it clear', () => {
+test('nothing starts in the next life before a poll has shown it clear', () => {
   const bench = AgentBench.ready()
   replaced(bench)
   bench.take()
   bench.start([order('job.0.0')])
   expect(bench.ends()).toEqual(['job.0.0 notStarted noTarget'])
-  bench.looked([], [], NEXT)
+  bench.polled([], [], NEXT)
   bench.start([order('job.0.1')])
   expect(bench.of('start').map(({ instance, task }) => [instance, task])).toEqual([[NEXT, 'job.0.1']])
 })
@@ -115,7 +115,7 @@
   bench.run('job.0.0')
   bench.seen({ instance: NEXT })
   for (let elapsed = 0; elapsed < 800; elapsed += 50) {
-    bench.lookFailed(LookFailure.Silent)
+    bench.pollFailed(PollFailure.Silent)
     bench.pass(50)
   }
   expect(bench.agent.status().target?.instance).toEqual(NEXT)
@@ -130,7 +130,7 @@
   bench.do({ type: 'targetRemembered', facts: TARGET })
   bench.start([order('job.0.0')])
   expect(bench.ends()).toEqual(['job.0.0 notStarted noTarget'])
-  bench.looked()
+  bench.polled()
   bench.start([order('job.0.1')])
   expect(bench.of('start').map(({ task }) => task)).toEqual(['job.0.1'])
 })
@@ -138,10 +138,10 @@
 test('a remembered target that another life has followed is given up, and the other offered with its heartbeat', () => {
   const bench = new AgentBench()
   bench.do({ type: 'targetRemembered', facts: TARGET })
-  bench.lookFailed(LookFailure.OtherInstance)
+  bench.pollFailed(PollFailure.OtherInstance)
   expect(bench.agent.status().target).toEqual(undefined)
   bench.seen({ instance: NEXT })
-  bench.looked([], [], NEXT)
+  bench.polled([], [], NEXT)
   expect(bench.agent.status()).toEqual(expect.subset({ cleared: true }))
 })
 
@@ -155,7 +155,7 @@
   const bench = new AgentBench()
   bench.seen()
   expect(bench.of('rememberTarget')).toEqual([])
-  bench.looked()
+  bench.polled()
   bench.seen({ leaving: true })
   expect(bench.of('rememberTarget').map(({ facts }) => facts.leaving)).toEqual([false, true])
 })
--- a/packages/dispatch/test/progress.test.ts
+++ b/packages/dispatch/test/progress.test.ts
@@ -10,7 +10,7 @@
   for (let elapsed = 0; elapsed < 1200; elapsed += 100) {
     bench.now += 100
     bench.echo()
-    bench.looked([{ task: 'job.0.0', run: 1, percent: Math.floor(elapsed / 600) }])
+    bench.polled([{ task: 'job.0.0', run: 1, percent: Math.floor(elapsed / 600) }])
   }
   expect(bench.sent('slow')).toEqual([])
 })
--- a/packages/dispatch/test/quietlinks.test.ts
+++ b/packages/dispatch/test/quietlinks.test.ts
@@ -79,7 +79,7 @@
   asks(bench, RoomRole.Allocates, OTHER)
   bench.run('job.0.0')
   bench.take()
-  bench.looked([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
   const told = bench.of('send').filter(({ entry }) => entry === OTHER).map(({ message }) => message)
   expect(told).toEqual([{ type: 'load', load: { pace: expect.a(Number), others: { cpu: 0, memory: 0, accelerators: 0 }, taken: ['job.0.0'] } }])
 })
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -4,7 +4,7 @@
 import type { RunPlan, WorkerRun } from '@amaranthmast/standins/leasedworker'
 import type { SeededRandom } from '@amaranthmast/standins/random'
 import type { Timeline } from './timeline.ts'
-import { LookFailure, RunEnd, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
+import { PollFailure, RunEnd, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
 import { LeasedWorker } from '@amaranthmast/standins/leasedworker'
 
 type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
@@ -19,8 +19,8 @@
   clockRate: number
   longestLease: number
   heartbeat: number
-  /** Whether a look waits for an end as long as it may, or is answered at once. */
-  looksWait: boolean
+  /** Whether a poll waits for an end as long as it may, or is answered at once. */
+  pollsWait: boolean
   plan: (task: string) => RunPlan
   cpuOf: (task: string) => number
 }
@@ -56,8 +56,8 @@
   carryOut: () => Answer
 }
 
-/** A look that waits for an end. */
-interface WaitingLook {
+/** A poll that waits for an end. */
+interface WaitingPoll {
   instance: string
   acknowledged: number
   answer: () => void
@@ -83,7 +83,7 @@
   #late: Spell = { until: 0, share: 0 }
   /** Answers are lost until then, while orders are carried out. */
   #deaf: Spell = { until: 0, share: 0 }
-  #waiting: WaitingLook[] = []
+  #waiting: WaitingPoll[] = []
   #wakeAt = Infinity
 
   constructor (timeline: Timeline, random: SeededRandom, traits: TargetTraits, post: (event: AgentEvent) => void) {
@@ -179,21 +179,21 @@
     })
   }
 
-  look (order: EffectOf<'look'>): void {
+  poll (order: EffectOf<'poll'>): void {
     const { instance, token, sent, deadline, acknowledged, wait, timeout } = order
-    const failed = (failure: LookFailure): AgentEvent => ({ type: 'lookFailed', instance, sent, failure })
+    const failed = (failure: PollFailure): AgentEvent => ({ type: 'pollFailed', instance, sent, failure })
     const answers: CallAnswers<AgentEvent> = {
-      silent: failed(LookFailure.Silent),
-      otherInstance: failed(LookFailure.OtherInstance),
+      silent: failed(PollFailure.Silent),
+      otherInstance: failed(PollFailure.OtherInstance),
       carryOut: () => {
         const meant = instance === this.#instance
-        const { fenced, running, ended } = this.#worker.look(token, deadline, acknowledged, this.#clock)
-        if (!meant) return failed(LookFailure.OtherInstance)
-        if (fenced) return failed(LookFailure.Fenced)
-        return { type: 'looked', instance, sent, clock: this.#clock, running, ended: ended.map(end => ({ ...end, end: end.how as RunEnd })) }
+        const { fenced, running, ended } = this.#worker.poll(token, deadline, acknowledged, this.#clock)
+        if (!meant) return failed(PollFailure.OtherInstance)
+        if (fenced) return failed(PollFailure.Fenced)
+        return { type: 'polled', instance, sent, clock: this.#clock, running, ended: ended.map(end => ({ ...end, end: end.how as RunEnd })) }
       }
     }
-    const holds = this.#traits.looksWait && wait > 0
+    const holds = this.#traits.pollsWait && wait > 0
     this.#call(order, timeout, event => this.#post(event), answers, holds ? { acknowledged, wait } : undefined)
   }
 
@@ -245,23 +245,23 @@
     })
   }
 
-  /** The order of a look takes effect as it arrives; its answer waits for an end. */
+  /** The order of a poll takes effect as it arrives; its answer waits for an end. */
   #hold<Answer> (instance: string, { acknowledged, wait }: { acknowledged: number, wait: number }, answers: CallAnswers<Answer>, answerBack: () => void): void {
     this.#answer(instance, answers)
     if (!this.#up || !this.#isCalled(instance) || this.#worker.hasEnds(acknowledged)) return answerBack()
-    const look: WaitingLook = { instance, acknowledged, answer: answerBack }
-    this.#waiting.push(look)
+    const poll: WaitingPoll = { instance, acknowledged, answer: answerBack }
+    this.#waiting.push(poll)
     this.#wakeIfDue()
     this.#timeline.after(wait, () => {
-      if (!this.#waiting.includes(look)) return
-      this.#waiting.splice(this.#waiting.indexOf(look), 1)
+      if (!this.#waiting.includes(poll)) return
+      this.#waiting.splice(this.#waiting.indexOf(poll), 1)
       answerBack()
     })
   }
 
-  /** Looks that wait are answered when the next run ends. */
+  /** Polls that wait are answered when the next run ends. */
   #wakeIfDue (): void {
-    if (!this.#traits.looksWait || !this.#up) return
+    if (!this.#traits.pollsWait || !this.#up) return
     const { now } = this.#timeline
     const at = Math.max(now + ROUNDING, this.#clockSince + this.#worker.nextEnd() / this.#traits.clockRate)
     if (at === Infinity || at === this.#wakeAt) return this.#answerWaiting()
@@ -278,7 +278,7 @@
   #answerWaiting (): void {
     const ready = this.#waiting.filter(({ acknowledged }) => this.#worker.hasEnds(acknowledged))
     if (ready.length === 0) return
-    this.#waiting = this.#waiting.filter(look => !ready.includes(look))
+    this.#waiting = this.#waiting.filter(poll => !ready.includes(poll))
     for (const { answer } of ready) answer()
   }
 
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -171,7 +171,7 @@
       clockRate: 1,
       longestLease: BOUNDS.longestLease,
       heartbeat: HEARTBEAT,
-      looksWait: true,
+      pollsWait: true,
       plan: task => this.#runPlan(index, task, speed),
       cpuOf: task => this.#jobOf(task).cpu
     }, event => agent.post(event)))
@@ -204,7 +204,7 @@
     const target = this.targets[index] as EmulatedTarget
     if (effect.type === 'start') target.start(effect)
     if (effect.type === 'stop') target.stop(effect)
-    if (effect.type === 'look') target.look(effect)
+    if (effect.type === 'poll') target.poll(effect)
     if (effect.type === 'send') this.#toEntry(pairOf(numberOf(effect.entry), index), effect.message)
     if (effect.type === 'unlink') this.#connections.closeByAgent(pairOf(numberOf(effect.entry), index))
     if (effect.type === 'note') this.#events.note?.(`agent${index}`, effect.what, effect.fields)
--- a/packages/emulator/src/prices.ts
+++ b/packages/emulator/src/prices.ts
@@ -30,8 +30,8 @@
 const AGENT_EVENTS: Readonly<Partial<Record<AgentEvent['type'], number>>> = {
   startAnswered: CALL,
   stopAnswered: CALL,
-  looked: CALL,
-  lookFailed: CALL,
+  polled: CALL,
+  pollFailed: CALL,
   entryMessage: RECEIVED,
   tick: TICK
 }
--- a/packages/emulator/test/day.test.ts
+++ b/packages/emulator/test/day.test.ts
@@ -41,7 +41,7 @@
 }
 
 // One order in fourteen or in seven to the targets is lost while the fleet has room. A start counted as lost after 120 ms,
-// when a check of eight tasks has about 100 ms to spare, and a lost look hid the ends of tasks for 200 ms: with 5 to 15%
+// when a check of eight tasks has about 100 ms to spare, and a lost poll hid the ends of tasks for 200 ms: with 5 to 15%
 // lost, 0.61 of the credit of checks (16 emulated fleets of eleven targets, 0.96 with limits that follow the answers).
 for (const [share, least] of [[0.07, 0.92], [0.15, 0.8]] as const) {
   test(`with ${share} of the orders lost and room to spare every kind of job is served in time`, () => {
--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -45,7 +45,7 @@
 
 type Answer = { status: number, body: object }
 
-const LOOK_INTERVAL = 2
+const POLL_INTERVAL = 2
 const CPU_PER_TASK = 2000
 
 export class FleetWorker {
@@ -188,11 +188,11 @@
   async #hold ({ fencing_token: token = 0, deadline_ms: deadline, acked = 0, wait_ms: wait = 0 }: WireOrder): Promise<Answer> {
     const until = this.#clock + wait
     while (true) {
-      const look = this.#worker.look(token, deadline, acked, this.#clock)
-      for (const { task, how } of look.ended) if (how === 'done') this.#done.add(task)
-      if (look.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
-      if (look.ended.length > 0 || this.#clock >= until) return { status: 200, body: { ...wireLook(look, this.#clock), ...this.#stated } }
-      await new Promise(resolve => setTimeout(resolve, LOOK_INTERVAL))
+      const poll = this.#worker.poll(token, deadline, acked, this.#clock)
+      for (const { task, how } of poll.ended) if (how === 'done') this.#done.add(task)
+      if (poll.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
+      if (poll.ended.length > 0 || this.#clock >= until) return { status: 200, body: { ...wirePoll(poll, this.#clock), ...this.#stated } }
+      await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL))
     }
   }
 
@@ -208,7 +208,7 @@
   }
 }
 
-function wireLook ({ running, ended }: ReturnType<LeasedWorker['look']>, clock: number): object {
+function wirePoll ({ running, ended }: ReturnType<LeasedWorker['poll']>, clock: number): object {
   return {
     clock_ms: clock,
     running: running.map(({ task, run, percent }) => [task, run, '', percent]),
--- a/packages/standins/src/leasedworker.ts
+++ b/packages/standins/src/leasedworker.ts
@@ -39,7 +39,7 @@
   how: 'done' | 'failed' | 'stopped' | 'lapsed'
 }
 
-export interface LookResult {
+export interface PollResult {
   fenced: boolean
   running: Array<{ task: string, run: number, percent: number }>
   ended: WorkerEnd[]
@@ -99,7 +99,7 @@
     return true
   }
 
-  look (token: number, deadline: number | undefined, acknowledged: number, clock: number): LookResult {
+  poll (token: number, deadline: number | undefined, acknowledged: number, clock: number): PollResult {
     this.advance(clock)
     if (token < this.#token) return { fenced: true, running: [], ended: [] }
     this.#token = token
