--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -65,7 +65,7 @@
   #state = 'ready'
   #timer: NodeJS.Timeout | undefined
 
-  readonly #handlers: Readonly<Record<string, (order: WireOrder) => Answer | Promise<Answer>>> = {
+  readonly #handlers: Readonly<Record<string, (order: WireOrder) => Answer | Promise<Answer | undefined>>> = {
     '/v1/run-start': order => this.#start(order),
     '/v1/run-stop': order => this.#stop(order),
     '/v1/hold': async order => await this.#hold(order)
@@ -119,6 +119,7 @@
 
   /** A new life under the same id: nothing running, no token seen, counts and clock started anew. */
   restart (): void {
+    this.#lives += 1
     this.#worker = this.#newLife()
     this.#born = Math.max(Date.now(), this.#born + 1)
     this.#clockSince = performance.now()
@@ -170,7 +171,8 @@
       return
     }
     const answer = await handler(order)
-    if (!loseAnswers) reply(response, answer)
+    if (answer === undefined) response.destroy()
+    else if (!loseAnswers) reply(response, answer)
   }
 
   #start ({ task, run, deadline_ms: deadline = 0, fencing_token: token = 0 }: WireOrder): Answer {
@@ -185,15 +187,18 @@
     return accepted ? { status: 200, body: { clock_ms: this.#clock } } : { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
   }
 
-  async #hold ({ fencing_token: token = 0, deadline_ms: deadline, acked = 0, wait_ms: wait = 0 }: WireOrder): Promise<Answer> {
+  /** A call that waits breaks off when the life that it waits at ends: the clock of the next one starts anew. */
+  async #hold ({ fencing_token: token = 0, deadline_ms: deadline, acked = 0, wait_ms: wait = 0 }: WireOrder): Promise<Answer | undefined> {
+    const life = this.#lives
     const until = this.#clock + wait
-    while (true) {
+    while (life === this.#lives) {
       const poll = this.#worker.poll(token, deadline, acked, this.#clock)
       for (const { task, how } of poll.ended) if (how === 'done') this.#done.add(task)
       if (poll.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
       if (poll.ended.length > 0 || this.#clock >= until) return { status: 200, body: { ...wirePoll(poll, this.#clock), ...this.#stated } }
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL))
     }
+    return undefined
   }
 
   #beat (): void {
