--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -6,6 +6,7 @@
 import type { EffectHandlers } from './loop.ts'
 import type { ServiceSettings, StorePort, TargetPort, TargetPortFactory } from './ports.ts'
 import { Agent } from '@amaranthmast/dispatch/agent'
+import { policyOf } from '@amaranthmast/dispatch/schedulingsettings'
 import { timingsFor } from '@amaranthmast/dispatch/timings'
 import { Dialer } from '@amaranthmast/links/dialer'
 import { PeerRole } from '@amaranthmast/links/greeting'
@@ -63,7 +64,7 @@
     const { settings, incarnation, decisions, now, wallClock } = options
     this.#options = options
     this.#visitedAt = now()
-    this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, wallClock })
+    this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, wallClock, policy: policyOf(settings.scheduling) })
     this.#suspension = new SuspensionWatch(now, wallClock)
     const own: Greeting = { role: PeerRole.Agent, name: settings.id, incarnation, address: settings.linkAddress }
     const post = (event: AgentEvent): void => this.#post(event)
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -11,6 +11,7 @@
 import type { EffectHandlers } from './loop.ts'
 import { Entry } from '@amaranthmast/dispatch/entry'
 import { QueueTable } from '@amaranthmast/dispatch/queues'
+import { policyOf } from '@amaranthmast/dispatch/schedulingsettings'
 import { timingsFor } from '@amaranthmast/dispatch/timings'
 import { Dialer } from '@amaranthmast/links/dialer'
 import { PeerRole } from '@amaranthmast/links/greeting'
@@ -72,7 +73,7 @@
   constructor (options: EntryServiceOptions) {
     const { settings, incarnation, decisions, now, store } = options
     this.#options = options
-    this.#entry = new Entry({ name: settings.id, strength: options.strength, dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace })
+    this.#entry = new Entry({ name: settings.id, strength: options.strength, dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace, policy: policyOf(settings.scheduling), weights: settings.scheduling.weights })
     const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: settings.linkAddress }
     this.#agents = new Dialer(own, {
       linked: (peer, address) => {
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -5,6 +5,7 @@
 import type { TargetFacts } from '@amaranthmast/dispatch/messages'
 import type { EvacuationState } from '@amaranthmast/dispatch/evacuations'
 import type { DispatchConfiguration, Queue, RequestLimits } from '@amaranthmast/dispatch/queues'
+import type { SchedulingSettings } from '@amaranthmast/dispatch/schedulingsettings'
 import type { Logger } from 'pino'
 
 type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
@@ -102,4 +103,5 @@
     longestLease: number
     resubmission: number
   }
+  scheduling: SchedulingSettings
 }
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -31,7 +31,7 @@
   wallClock: () => number
   /** Guards switched off, to show that a proof fails without them. @internal */
   guards?: AgentGuards
-  /** Mechanisms that are set otherwise, to measure what they gain. @internal */
+  /** Mechanisms that are set otherwise than by default. */
   policy?: Partial<Policy>
 }
 
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -91,8 +91,10 @@
   grace: number
   /** Guards switched off, to show that a proof fails without them. @internal */
   guards?: FleetGuards
-  /** Mechanisms that are set otherwise, to measure what they gain. @internal */
+  /** Mechanisms that are set otherwise than by default. */
   policy?: Partial<Policy>
+  /** Shares of the queues under contention, by their priority from 0 on; queues beyond the list weigh 1. @default [] */
+  weights?: readonly number[]
 }
 
 /** Figures for status pages. */
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -154,3 +154,13 @@
   }
   return Math.max(0, ...ends)
 }
+
+/** When the tasks of a step must have ended for the whole job to be in time: the steps that wait for it come after. */
+export function endOfStep ({ request: { steps }, expected, objectiveAt }: Job, index: number): number {
+  const tails = steps.map(() => 0)
+  for (let later = steps.length - 1; later > index; later -= 1) {
+    const whole = (tails[later] ?? 0) + (expected[later] ?? 0)
+    for (const earlier of steps[later]?.after ?? []) tails[earlier] = Math.max(tails[earlier] ?? 0, whole)
+  }
+  return objectiveAt - (tails[index] ?? 0)
+}
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -77,6 +77,8 @@
   labels: string[]
   /** It takes no new work. */
   leaving: boolean
+  /** While it leaves: how long it goes on at least, in milliseconds from this message; undefined when it does not say. */
+  remaining?: number
 }
 
 /** How a target stands. */
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -51,6 +51,20 @@
   quietPing: number
   /** Agents tell entries of room before their next ping. @default true */
   tellsRoom: boolean
+  /** Targets are partitioned among the entries, and each gives out the room of its own partition. @default false */
+  partitions: boolean
+  /** Admission goes by the demand and capacity of all entries, not by the own queue alone. @default false */
+  fleetAdmission: boolean
+  /** Refused callers are told when their share will have room, and go first when they return as told. @default false */
+  reservesReturns: boolean
+  /** Tasks that are in time on a slow target leave the fast ones to those that are not. @default false */
+  placesBySlack: boolean
+  /** The speed of a target that nobody knows yet is taken from others of its kind. @default false */
+  learnsKinds: boolean
+  /** A leaving target gets tasks that will end before it is gone. @default false */
+  usesLeaving: boolean
+  /** Tasks that were on a target when it crashed are started again apart from each other, and given up after two crashes. @default false */
+  isolatesSuspects: boolean
 }
 
 export const DEFAULT_POLICY: Readonly<Policy> = {
@@ -75,5 +89,12 @@
   byKept: true,
   sharesRoom: true,
   quietPing: QUIET_PING_PER_ENTRY_MILLISECONDS,
-  tellsRoom: true
+  tellsRoom: true,
+  partitions: false,
+  fleetAdmission: false,
+  reservesReturns: false,
+  placesBySlack: false,
+  learnsKinds: false,
+  usesLeaving: false,
+  isolatesSuspects: false
 }
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -4,7 +4,7 @@
 import type { JobQueue } from './jobqueue.ts'
 import type { RoomMessage, RoomStep } from './roommessages.ts'
 import { ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS } from './defaults.ts'
-import { JobState } from './job.ts'
+import { endOfStep, JobState } from './job.ts'
 
 export interface RoomClientParts {
   fleet: Fleet
@@ -218,7 +218,7 @@
       job: job.request.id,
       within: Math.round((this.#parts.queues.get(service)?.orderOf(job) ?? now) - now),
       waits,
-      steps: stepsOf(job, tasks, this.#parts.fleet),
+      steps: stepsOf(job, tasks, this.#parts.fleet, now),
       except: this.#parts.fleet.unusable(service, now).map(({ name }) => name)
     })
   }
@@ -237,10 +237,10 @@
 }
 
 /** The tasks as an entry that gives out room is told of them. */
-function stepsOf (job: Job, tasks: readonly Task[], fleet: Fleet): RoomStep[] {
+function stepsOf (job: Job, tasks: readonly Task[], fleet: Fleet, now: number): RoomStep[] {
   return [...new Set(tasks.map(({ step }) => step))].map(index => {
     const { needs, label, rack, perTarget } = job.request.steps[index] as Step
     const queued = tasks.filter(({ step }) => step === index).map(({ name, avoid }) => ({ name, avoid }))
-    return { index, needs, label, rack, perTarget, expected: Math.round(job.expected[index] ?? 0), tasks: queued, placed: fleet.agentsOf(job, index) }
+    return { index, needs, label, rack, perTarget, expected: Math.round(job.expected[index] ?? 0), endBy: Math.round(endOfStep(job, index) - now), tasks: queued, placed: fleet.agentsOf(job, index) }
   })
 }
--- a/packages/dispatch/test/roomsharing.test.ts
+++ b/packages/dispatch/test/roomsharing.test.ts
@@ -30,7 +30,7 @@
 function ask (job: string, count: number, changes: Partial<MessageOf<'ask'>> = {}): MessageOf<'ask'> {
   const { needs, label, rack, perTarget } = step(count)
   const tasks = Array.from({ length: count }, (_none, index) => ({ name: `${job}.0.${index}`, avoid: '' }))
-  return { type: 'ask', group: '', service: 'checks', job, within: 200, waits: true, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, tasks, placed: [] }], except: [], ...changes }
+  return { type: 'ask', group: '', service: 'checks', job, within: 200, waits: true, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, endBy: 500, tasks, placed: [] }], except: [], ...changes }
 }
 
 function messages<Type extends PeerMessage['type']> (bench: EntryBench, peer: string, type: Type): Array<MessageOf<Type>> {
