--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 import type { Command } from './command.ts'
 import { drain } from './drain.ts'
 import { explain } from './explain.ts'
+import { fleet } from './fleet.ts'
 import { get } from './get.ts'
 import { history } from './history.ts'
 import { losses } from './losses.ts'
@@ -12,4 +13,4 @@
 import { top } from './top.ts'
 
 /** Every command, in the order in which help lists them. */
-export const COMMANDS: Readonly<Record<string, Command>> = { check, plan, apply, get, drain, status, history, top, explain, losses }
+export const COMMANDS: Readonly<Record<string, Command>> = { check, plan, apply, get, drain, status, history, top, fleet, explain, losses }
--- a/packages/cli/test/toolcontext.ts
+++ b/packages/cli/test/toolcontext.ts
@@ -58,6 +58,8 @@
   readonly files: Record<string, unknown> = {}
   /** Pages by URL; one that is not here does not answer. */
   readonly pages: Record<string, () => Partial<StatusPage>> = {}
+  /** Metrics by URL, of processes without a status page. */
+  readonly metrics: Record<string, string> = {}
   /** Replaces the store's client for the configuration. */
   configurationClient: ConfigurationClient
   #applies = 0
@@ -103,7 +105,9 @@
     }
   }
 
-  readonly #ask: StatusClient = async (url) => {
+  readonly #ask: StatusClient = async (url, path) => {
+    const metrics = path === '/metrics' ? this.metrics[url] : undefined
+    if (metrics !== undefined) return { text: metrics }
     const page = this.pages[url]
     return page === undefined ? { failure: 'ECONNREFUSED' } : { text: JSON.stringify(page()) }
   }
