--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -9,11 +9,13 @@
 import type { AgentContext, AgentGuards } from './agentcontext.ts'
 import type { AgentEffect, AgentEvent } from './agenttypes.ts'
 import type { EntrySession } from './entrysession.ts'
-import type { EntryMessage, TargetFacts } from './messages.ts'
+import type { CrashRecord, EntryMessage, TargetFacts } from './messages.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { ALL_AGENT_GUARDS } from './agentcontext.ts'
 import { PollFailure } from './agenttypes.ts'
+import { CrashMemory } from './crashmemory.ts'
+import { CRASHES_BEFORE_CONVICTION } from './defaults.ts'
 import { EntrySessions } from './entrysessions.ts'
 import { EvacuationGuard } from './evacuationguard.ts'
 import { HeldTasks } from './heldtasks.ts'
@@ -61,6 +63,7 @@
   readonly #runs: TaskRuns
   readonly #entries: EntrySessions
   readonly #evacuations: EvacuationGuard
+  readonly #crashes = new CrashMemory()
   #stopping = false
   /** The entries were told that the target takes no work while it is silent. */
   #withdrawn = false
@@ -128,6 +131,7 @@
       obstacle: () => this.#obstacle(),
       tell: (session, end, now) => this.#entries.tell(session, end, now),
       tellSlow: (session, slow) => this.#entries.tellSlow(session, slow),
+      isBarred: (task, now) => this.#crashes.crashesOf(task, now) >= CRASHES_BEFORE_CONVICTION,
       targetLost: (reason, ending, now) => this.#targetLost(reason, ending, now)
     })
     this.#entries = new EntrySessions({
@@ -135,6 +139,7 @@
       held,
       target,
       announced: () => this.#announced(),
+      crashes: now => this.#crashes.records(now),
       stopTasksOf: (session, reason, now) => this.#runs.stopTasksOf(session, reason, now)
     })
     this.#evacuations = new EvacuationGuard({
@@ -200,14 +205,33 @@
   /** The life is over or does not answer, and what ran there is gone. */
   #targetLost (reason: string, ending: LifeEnd, now: number): void {
     if (this.#target.facts === undefined) return
-    if (ending === LifeEnd.Replaced) this.#runs.endLife(now)
-    else this.#runs.finishAll(Cause.TargetLost, now)
+    const cause = this.#noteCrash(ending, now)
+    if (ending === LifeEnd.Replaced) this.#runs.endLife(cause, now)
+    else this.#runs.finishAll(cause, now)
     this.#target.end(reason, ending !== LifeEnd.Unknown)
     this.#entries.announceToAll(now)
     const successor = this.#target.takeSuccessor()
     if (successor !== undefined) this.#begin(successor, now)
   }
 
+  /** Entries hear of the crash before the ends of their tasks; gives the cause of these. */
+  #noteCrash (ending: LifeEnd, now: number): Cause {
+    const { facts } = this.#target
+    if (!this.#context.policy.isolatesSuspects || facts === undefined || facts.leaving || ending === LifeEnd.Left) return Cause.TargetLost
+    this.#tellCrashes('target crashed under tasks', this.#crashes.crashed(facts.instance, this.#heldNames(), now))
+    return Cause.Crashed
+  }
+
+  #tellCrashes (what: string, records: readonly CrashRecord[]): void {
+    if (records.length === 0) return
+    this.#context.note(what, { instance: this.#target.facts?.instance, tasks: records.map(({ task }) => task) })
+    this.#entries.tellAll({ type: 'crashes', records: [...records] })
+  }
+
+  #heldNames (): string[] {
+    return this.#held.all().map(({ order }) => order.task)
+  }
+
   #obstacle (): Cause {
     if (this.#stopping) return Cause.Leaving
     return this.#evacuations.forbids(this.#target.facts?.dataCentre) ? Cause.Evacuated : this.#target.obstacle()
@@ -221,6 +245,7 @@
   #polled (event: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     if (!this.#target.is(event.instance)) return
     this.#target.answered(event, now)
+    this.#tellCrashes('target had not crashed', this.#crashes.answered(event.instance, now))
     this.#runs.polled(event, now)
     this.#withdrawIfSilent(now)
     if (!this.#target.settle(event.running.length)) return
@@ -258,7 +283,7 @@
   #start (session: EntrySession, { payload, tasks }: Extract<EntryMessage, { type: 'start' }>, now: number): void {
     if (this.#evacuations.forbids(this.#target.facts?.dataCentre)) this.#evacuations.refused(session)
     for (const order of tasks) {
-      this.#entries.noteTaken(session, order.task)
+      this.#entries.noteTaken(session, order)
       this.#runs.startOrdered(session, order, payload, now)
     }
   }
@@ -274,7 +299,16 @@
   #expire (now: number): void {
     if (this.#held.size === 0) return
     this.#entries.expire(now)
-    if (now >= this.#target.lease.lapsedAt) this.#runs.finishAll(Cause.Lapsed, now)
+    if (now < this.#target.lease.lapsedAt) return
+    this.#noteSilence(now)
+    this.#runs.finishAll(Cause.Lapsed, now)
+  }
+
+  /** Silence proves no crash, but the tasks are started again as if it did until the target is heard of. */
+  #noteSilence (now: number): void {
+    const { facts, lease } = this.#target
+    if (!this.#context.policy.isolatesSuspects || facts === undefined || facts.leaving || !lease.silent) return
+    this.#tellCrashes('target silent until its tasks lapsed', this.#crashes.silent(facts.instance, this.#heldNames(), now))
   }
 
   #tick (now: number): void {
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -7,28 +7,26 @@
  * the caller comes back.
  */
 import type { Answer, EntryEffect, EntryEvent, EntryOptions, EntryStatus } from './entrytypes.ts'
-import type { AgentView, Placement } from './fleetview.ts'
 import type { JobRequest, Step } from './job.ts'
-import type { SlowTask, TaskEnd } from './messages.ts'
 import type { DispatchConfiguration, Queue } from './queues.ts'
 import type { Policy } from './policy.ts'
 import { Admission } from './admission.ts'
+import { CrashSuspects } from './crashsuspects.ts'
 import {
-  ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LONGEST_RETRY_AFTER_MILLISECONDS,
-  MOVE_GAIN_MILLISECONDS, REFUSALS_LIMIT, REVIEW_MILLISECONDS, SHORTEST_RETRY_AFTER_MILLISECONDS
+  ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LONGEST_RETRY_AFTER_MILLISECONDS, REVIEW_MILLISECONDS,
+  SHORTEST_RETRY_AFTER_MILLISECONDS
 } from './defaults.ts'
 import { Pressure } from './pressure.ts'
 import { AnswerKind, Reason } from './entrytypes.ts'
 import { EvacuationNews } from './evacuationnews.ts'
 import { Fleet } from './fleet.ts'
 import { ALL_FLEET_GUARDS } from './fleetguards.ts'
-import { Job, JobState, longestChain, TaskState } from './job.ts'
+import { Job, JobState, longestChain } from './job.ts'
 import { JobQueue } from './jobqueue.ts'
-import { Cause, Outcome } from './messages.ts'
 import { DEFAULT_POLICY } from './policy.ts'
-import { NEVER } from './progress.ts'
 import { RoomSharing } from './roomsharing.ts'
 import { fits } from './resources.ts'
+import { TaskEnds } from './taskends.ts'
 
 type Handlers = {
   [Type in EntryEvent['type']]: (event: Extract<EntryEvent, { type: Type }>, now: number) => void
@@ -52,6 +50,8 @@
   readonly #evacuations: EvacuationNews
   readonly #admission: Admission
   readonly #pressure = new Pressure()
+  readonly #suspects: CrashSuspects
+  readonly #ends: TaskEnds
   readonly #jobs = new Map<string, Job>()
   readonly #byRequest = new Map<number, Job>()
   readonly #queues = new Map<string, JobQueue>()
@@ -102,11 +102,24 @@
       policy: this.#policy,
       emit: effect => this.#effects.push(effect),
       waiting: () => this.#sharing.choosesItself && this.#waiting(),
-      ended: (agent, placement, end, now) => this.#taskEnded(agent, placement, end, now),
-      slow: (agent, placement, slow, now) => this.#taskSlow(agent, placement, slow, now),
+      ended: (agent, placement, end, now) => this.#ends.ended(agent, placement, end, now),
+      slow: (agent, placement, slow, now) => this.#ends.slow(agent, placement, slow, now),
+      crashed: (agent, records, now) => { if (this.#policy.isolatesSuspects) this.#suspects.note(agent, records, now) },
       opened: agent => this.#evacuations.tellAgent(agent),
       evacuationsHeard: (agent, state) => this.#evacuations.heardFromAgent(agent, state)
     })
+    this.#suspects = new CrashSuspects(() => this.#fleet.linked)
+    this.#ends = new TaskEnds({
+      policy: this.#policy,
+      fleet: this.#fleet,
+      admission: this.#admission,
+      suspects: this.#suspects,
+      enqueue: job => this.#enqueue(job),
+      close: (job, answer, now) => this.#close(job, answer, now),
+      giveUp: (job, reason, now) => this.#giveUp(job, reason, now),
+      gone: (job, now) => this.#forgetIfGone(job, now),
+      note: (what, fields) => this.#note(what, fields)
+    })
     this.#evacuations = new EvacuationNews({ fleet: this.#fleet, emit: effect => this.#effects.push(effect) })
     this.#sharing = new RoomSharing({
       name: options.name,
@@ -145,7 +158,7 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, ...this.#suspects.status() }
   }
 
   /** Whether new callers may be sent here. */
@@ -189,8 +202,8 @@
   #open (job: Job, now: number): void {
     this.#jobs.set(job.request.id, job)
     this.#admission.estimate(job, now)
-    this.#enqueue(job)
-    this.#note('job taken', { job: job.request.id, queue: job.request.queue.name, configuration: this.#configuration?.version, tasks: job.tasks.length, remaining: Math.round(job.deadline - now), chain: Math.round(job.chain), slack: Math.round(job.startBy - now), queued: this.#queueOf(job).size })
+    this.#note('job taken', { job: job.request.id, queue: job.request.queue.name, configuration: this.#configuration?.version, tasks: job.tasks.length, remaining: Math.round(job.deadline - now), chain: Math.round(job.chain), slack: Math.round(job.startBy - now), queued: this.#queueOf(job).size + 1 })
+    this.#ends.place(job, now)
   }
 
   #attach (request: number, job: Job): void {
@@ -296,57 +309,11 @@
     return job?.state === JobState.Open ? job : undefined
   }
 
-  // Ends
-
-  #taskEnded (agent: AgentView, placement: Placement, end: TaskEnd, now: number): void {
-    const { task } = placement
-    const { job } = task
-    job.placed -= 1
-    if (job.state === JobState.Closed) return this.#forgetIfGone(job, now)
-    if (end.outcome === Outcome.Done) return this.#taskDone(agent, placement, end, now)
-    task.state = TaskState.Queued
-    this.#note('task to be placed again', { job: job.request.id, task: task.name, attempt: end.attempt, agent: agent.name, outcome: end.outcome, cause: end.cause, ran: Math.round(end.ran) })
-    if (end.outcome === Outcome.Failed) {
-      task.failures += 1
-      task.avoid = agent.name
-      if (task.failures >= job.request.queue.attempts) return this.#close(job, { kind: AnswerKind.Failed, reason: Reason.TaskFailed, retryAfter: 0 }, now)
-    } else if (end.cause !== Cause.Evacuated) {
-      task.refusals += 1
-      if (task.refusals > REFUSALS_LIMIT) return this.#giveUp(job, Reason.NoTarget, now)
-    }
-    this.#enqueue(job)
-  }
-
-  #taskDone (agent: AgentView, { task }: Placement, end: TaskEnd, now: number): void {
-    const { job } = task
-    const { queue, steps } = job.request
-    this.#admission.learn(queue, steps[task.step] as Step, end.ran * agent.speed)
-    const unblocked = job.finish(task)
-    if (job.done) return this.#close(job, { kind: AnswerKind.Completed, reason: Reason.None, retryAfter: 0 }, now)
-    if (!unblocked) return
-    this.#admission.estimate(job, now)
-    this.#enqueue(job)
-  }
-
-  /**
-   * Moves a task that stands still, or crawls at a slow target, when it would end sooner elsewhere.
-   * One that crawls is moved once: it may also have been estimated far too short.
-   */
-  #taskSlow (agent: AgentView, placement: Placement, slow: SlowTask, now: number): void {
-    const { task } = placement
-    if (!this.#policy.movesSlow || placement.stopping || task.state !== TaskState.Placed) return
-    if (slow.remaining !== NEVER && (task.moved || slow.remaining < placement.expected + MOVE_GAIN_MILLISECONDS)) return
-    task.moved = true
-    this.#note('task moved', { job: task.job.request.id, task: task.name, agent: agent.name, remaining: Math.round(slow.remaining), expected: Math.round(placement.expected) })
-    if (slow.remaining === NEVER) this.#fleet.noteStuck(agent, now)
-    task.avoid = agent.name
-    this.#fleet.stop(agent, [placement])
-  }
-
   // Time
 
   #tick (now: number): void {
     this.#fleet.tick(now)
+    this.#ends.tick(now)
     this.#evacuations.tick(now)
     this.#sharing.tick(now)
     for (const job of this.#jobs.values()) {
--- a/packages/dispatch/src/entrysession.ts
+++ b/packages/dispatch/src/entrysession.ts
@@ -26,7 +26,7 @@
   evacuationsKnown = 0
   /** Whether the entry has read the store lately, so that what it tells of evacuations is fresh. */
   confirmsEvacuations = true
-  /** A start of another entry has ended since it was told last. */
+  /** A start of another entry has ended since it was told last, or keeps the whole target. */
   freed = false
   pingedAt = Number.NEGATIVE_INFINITY
   disconnectedAt = 0
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -2,11 +2,12 @@
 import type { AgentContext } from './agentcontext.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { HeldTasks } from './heldtasks.ts'
-import type { AgentMessage, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskReference } from './messages.ts'
+import type { AgentMessage, CrashRecord, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
+import type { Resources } from './resources.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
-import { RoomRole } from './messages.ts'
+import { Isolation, RoomRole } from './messages.ts'
 
 /** How long the session of an entry that has gone is kept, in milliseconds: it may link again. */
 const SESSION_MEMORY_MILLISECONDS = 10_000
@@ -20,6 +21,8 @@
   target: TargetWatch
   /** The target as entries are told of it. */
   announced: () => TargetFacts | undefined
+  /** Tasks under which the target was lost lately. */
+  crashes: (now: number) => CrashRecord[]
   /** Nobody waits for the tasks of a session any more. */
   stopTasksOf: (session: EntrySession, reason: string, now: number) => void
 }
@@ -61,6 +64,8 @@
     this.#context.note('entry linked', { entry, tasks: session.tasks })
     // The ping goes first: its echo must be here before the first start, which is refused without contact.
     this.#ping(session, now)
+    const crashes = this.#parts.crashes(now)
+    if (crashes.length > 0) this.#send(session, { type: 'crashes', records: crashes })
     const { first, ends } = session.unacknowledged()
     if (ends.length > 0) this.#send(session, { type: 'ends', first, ends, sent: now, load: this.#load(session, now) })
     this.#announce(session, now)
@@ -134,8 +139,12 @@
   }
 
   /** Notes for entries that give out the room that a start of another has arrived, whatever becomes of it. */
-  noteTaken (starter: EntrySession, task: string): void {
-    for (const session of this.#sessions.values()) if (session.allocates && session !== starter) session.taken.push(task)
+  noteTaken (starter: EntrySession, { task, isolation }: TaskOrder): void {
+    for (const session of this.#sessions.values()) {
+      if (!session.allocates || session === starter) continue
+      session.taken.push(task)
+      session.freed ||= isolation === Isolation.Alone
+    }
   }
 
   noteRole (session: EntrySession, role: RoomRole, now: number): void {
@@ -196,6 +205,10 @@
     this.#send(session, { type: 'ends', first: number, ends: [end], sent: now, load: this.#load(session, now) })
   }
 
+  tellAll (message: AgentMessage): void {
+    for (const session of this.#sessions.values()) this.#send(session, message)
+  }
+
   tellEvacuations (session: EntrySession, state: EvacuationState): void {
     this.#send(session, { type: 'evacuations', state })
   }
@@ -230,8 +243,8 @@
   }
 
   #load (session: EntrySession, now: number): Load {
-    const { used } = this.#held
-    session.toldOthers = used.cpu - session.used.cpu
+    const others = this.#othersOf(session)
+    session.toldOthers = others.cpu
     session.toldAt = now
     const { taken } = session
     session.taken = []
@@ -239,10 +252,18 @@
     return {
       ...(taken.length > 0 ? { taken } : {}),
       pace: Math.round(this.#parts.target.pace.value(now) * PACE_PARTS) / PACE_PARTS,
-      others: { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
+      others
     }
   }
 
+  /** What others hold; the whole target while nothing may start beside a task there. */
+  #othersOf (session: EntrySession): Resources {
+    const { used, reserved } = this.#held
+    const capacity = this.#parts.target.facts?.capacity
+    if (reserved && capacity !== undefined) return { ...capacity }
+    return { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
+  }
+
   #send (session: EntrySession, message: AgentMessage): void {
     if (session.connected) this.#context.emit({ type: 'send', entry: session.entry, message })
   }
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -1,4 +1,5 @@
 /** Events and effects of an entry. */
+import type { CrashStatus } from './crashsuspects.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { FleetGuards } from './fleetguards.ts'
 import type { JobRequest } from './job.ts'
@@ -37,6 +38,8 @@
   Overload = 'overload',
   Deadline = 'deadline',
   TaskFailed = 'taskFailed',
+  /** Targets crash when they run one of its tasks. */
+  TaskCrashes = 'taskCrashes',
   Stopping = 'stopping',
   CallerGone = 'callerGone',
   Cancelled = 'cancelled'
@@ -98,7 +101,7 @@
 }
 
 /** Figures for status pages. */
-export interface EntryStatus {
+export interface EntryStatus extends CrashStatus {
   configuration: number
   /** Data centres that are evacuated. */
   evacuated: number
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -4,13 +4,13 @@
 import type { FleetGuards } from './fleetguards.ts'
 import type { Placement } from './fleetview.ts'
 import type { Job, Task } from './job.ts'
-import type { AgentMessage, Echo, SlowTask, TaskEnd, TaskReference } from './messages.ts'
+import type { AgentMessage, CrashRecord, Echo, SlowTask, TaskEnd, TaskReference } from './messages.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
-import { Cause, Outcome, RoomRole } from './messages.ts'
+import { Cause, Isolation, Outcome, RoomRole } from './messages.ts'
 
 /** A task to be started at a target. */
 export interface PlannedStart {
@@ -30,6 +30,8 @@
   /** One start of a task has ended, and nothing of it runs any more. */
   ended: (agent: AgentView, placement: Placement, end: TaskEnd, now: number) => void
   slow: (agent: AgentView, placement: Placement, slow: SlowTask, now: number) => void
+  /** An agent has told under which tasks its target was lost. */
+  crashed: (agent: string, records: readonly CrashRecord[], now: number) => void
   /** A link to an agent is open, and nothing was sent on it yet. */
   opened: (agent: string) => void
   /** An agent has told which data centres are evacuated. */
@@ -60,6 +62,7 @@
       for (const [index, end] of ends.entries()) this.#ended(agent, first + index, end, now)
     },
     load: (agent, { load }) => agent.noteLoad(load),
+    crashes: ({ name }, { records }, now) => this.#options.crashed(name, records, now),
     evacuations: ({ name }, { state }) => this.#options.evacuationsHeard(name, state),
     slow: (agent, { tasks }, now) => {
       for (const slow of tasks) {
@@ -198,7 +201,7 @@
   /** Sends tasks of one job to a target. */
   send (agent: AgentView, job: Job, starts: readonly PlannedStart[], now: number): void {
     const tasks = starts.map(({ task, needs, expected }) =>
-      ({ task: task.name, attempt: task.attempt, needs, expected: Math.round(expected) }))
+      ({ task: task.name, attempt: task.attempt, needs, expected: Math.round(expected), ...(task.isolation === Isolation.None ? {} : { isolation: task.isolation }) }))
     const echo = this.#takeEcho(agent, now)
     const message = { type: 'start' as const, payload: job.request.payload, tasks }
     this.#options.emit({ type: 'send', agent: agent.name, message: echo === undefined ? message : { ...message, echo } })
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -5,7 +5,7 @@
 import type { Resources } from './resources.ts'
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
 import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
-import { RoomRole } from './messages.ts'
+import { Isolation, RoomRole } from './messages.ts'
 import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
 
 /** A start of a task that has not ended yet. */
@@ -178,10 +178,22 @@
     return !this.#probed || (this.placements.size === 0 && this.#granted.size === 0 && this.others.cpu === 0)
   }
 
+  /** Whether a suspect of this entry is there. */
+  get hasSuspect (): boolean {
+    for (const { task } of this.placements.values()) if (task.isolation !== Isolation.None) return true
+    return false
+  }
+
+  /** A task is there that nothing else may start beside. */
+  #isReserved (): boolean {
+    for (const { task } of this.placements.values()) if (task.isolation === Isolation.Alone) return true
+    return false
+  }
+
   #measure (): void {
     const { target, others, used } = this
     const granted = this.#grantedSum
-    if (target === undefined) return this.noteFull()
+    if (target === undefined || this.#isReserved()) return this.noteFull()
     this.free = {
       cpu: target.capacity.cpu - others.cpu - used.cpu - granted.cpu,
       memory: target.capacity.memory - others.memory - used.memory - granted.memory,
--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -3,6 +3,7 @@
 import type { TaskOrder } from './messages.ts'
 import type { Resources } from './resources.ts'
 import { RUNS_REMEMBERED } from './defaults.ts'
+import { Isolation } from './messages.ts'
 import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
 
 /** How far a task is. In every stage it may be running and holds its room. */
@@ -49,6 +50,21 @@
     return this.#tasks.size
   }
 
+  /** Whether a task is here that nothing else may start beside. */
+  get reserved (): boolean {
+    return this.#isolated(Isolation.Alone)
+  }
+
+  /** Whether a suspect is here. */
+  get suspected (): boolean {
+    return this.reserved || this.#isolated(Isolation.Apart)
+  }
+
+  #isolated (isolation: Isolation): boolean {
+    for (const { order } of this.#tasks.values()) if (order.isolation === isolation) return true
+    return false
+  }
+
   get (task: string): HeldTask | undefined {
     return this.#tasks.get(task)
   }
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -1,6 +1,7 @@
 /** A job in progress at an entry: its steps, its tasks, and who waits for it. */
 import type { Queue } from './queues.ts'
 import type { Resources } from './resources.ts'
+import { Isolation } from './messages.ts'
 
 /** One step of a job as its caller describes it. */
 export interface Step {
@@ -32,6 +33,8 @@
   /** Steps before it are not done yet. */
   Blocked = 'blocked',
   Queued = 'queued',
+  /** It waits until more is known of the targets that it was on when they were lost. */
+  Withheld = 'withheld',
   Placed = 'placed',
   Done = 'done'
 }
@@ -48,6 +51,8 @@
   avoid: string
   /** It was moved for being slow. */
   moved: boolean
+  /** What may run beside it. */
+  isolation: Isolation
   /** Starts that came to nothing in a row. */
   refusals: number
 }
@@ -138,6 +143,7 @@
     failures: 0,
     avoid: '',
     moved: false,
+    isolation: Isolation.None,
     refusals: 0
   }
 }
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -8,11 +8,23 @@
   attempt: number
 }
 
+/** What may run beside a task. */
+export enum Isolation {
+  /** Anything. */
+  None = '',
+  /** No other suspect: a target was lost under it. */
+  Apart = 'apart',
+  /** Nothing may start beside it. */
+  Alone = 'alone'
+}
+
 /** A task to be started. */
 export interface TaskOrder extends TaskReference {
   needs: Resources
   /** Run time that the entry expects at an average target, in milliseconds. */
   expected: number
+  /** Left out for none. */
+  isolation?: Isolation
 }
 
 /** What became of one start of a task. */
@@ -50,7 +62,31 @@
   /** The lease of the target lapsed. */
   Lapsed = 'lapsed',
   /** The target is gone. */
-  TargetLost = 'targetLost'
+  TargetLost = 'targetLost',
+  /** The target went down by itself, or did so before under the same task. */
+  Crashed = 'crashed'
+}
+
+/** What is known of a life of a target that was lost under tasks. */
+export enum CrashEvidence {
+  /** It was silent until they had lapsed. */
+  Silent = 'silent',
+  /** It went down by itself. */
+  Crashed = 'crashed',
+  /** It was silent and has answered again: it had not gone down. */
+  Answered = 'answered'
+}
+
+/** A task that was on a target when that was lost. */
+export interface CrashRecord {
+  task: string
+  /** The life of the target. */
+  instance: string
+  /** Other tasks there. */
+  beside: number
+  evidence: CrashEvidence
+  /** How long ago, in milliseconds. */
+  ago: number
 }
 
 /** The end of one start of a task. */
@@ -110,6 +146,8 @@
   /** Ends numbered from `first` on; repeated on a new link until the entry has told that it received them. `sent` as in a ping. */
   | { type: 'ends', first: number, ends: TaskEnd[], sent: number, load: Load }
   | { type: 'slow', tasks: SlowTask[] }
+  /** Tasks of any entry under which the target was lost: when that happens, and on each new link for a while after. */
+  | { type: 'crashes', records: CrashRecord[] }
   /** Room became free; only for an entry that gives out the room. */
   | { type: 'load', load: Load }
   /** The agent turned a start down for an evacuation that the entry may not know of. */
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -2,7 +2,8 @@
 import type { AgentView } from './fleetview.ts'
 import type { Step } from './job.ts'
 import type { Policy } from './policy.ts'
-import { COUNTED_FAILURE_RATE } from './defaults.ts'
+import { COUNTED_FAILURE_RATE, SUSPECT_LOAD_MILLISECONDS } from './defaults.ts'
+import { Isolation } from './messages.ts'
 import { fits } from './resources.ts'
 
 /** What a choice is made for. */
@@ -12,6 +13,8 @@
   expected: number
   /** Target to be taken only when no other has room. */
   avoid: string
+  /** A suspect goes to the emptiest target without another one. */
+  isolation: Isolation
   dataCentre: string
   /** Tasks of the same step at a target. */
   placedAt: (agent: AgentView) => number
@@ -42,21 +45,22 @@
   return best
 }
 
-function allows ({ step, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+function allows ({ step, isolation, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+  if (isolation !== Isolation.None && agent.hasSuspect) return false
   if (!hasPlace(agent) || !fits(step.needs, agent.free)) return false
   if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
   return step.perTarget === 0 || placedAt(agent) < step.perTarget
 }
 
 /** Time that the choice costs, in milliseconds. */
-function costOf ({ step, expected, avoid, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView): number {
+function costOf ({ step, expected, avoid, isolation, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView): number {
   const { target } = agent
   if (target === undefined) return Infinity
   const sound = policy.countsFailures ? 1 - Math.min(COUNTED_FAILURE_RATE, agent.health.failureRate) : 1
   const run = expected / agent.speed / sound
   const far = target.dataCentre === dataCentre ? 0 : policy.farPenalty
   const remote = step.rack === '' || target.labels.includes(step.rack) ? 0 : run / 2
-  const load = policy.loadPenalty * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
+  const load = (isolation === Isolation.None ? policy.loadPenalty : SUSPECT_LOAD_MILLISECONDS) * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
   const fresh = isUsed(agent) ? 0 : policy.affinity * entries
-  return fresh + run + far + remote + load + (agent.name === avoid ? expected : 0)
+  return fresh + run + far + remote + load + (agent.name === avoid ? expected : 0) + (agent.hasSuspect ? expected : 0)
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -7,6 +7,7 @@
 import type { RoomRequest } from './roomrequest.ts'
 import type { Grant } from './roommessages.ts'
 import { JobState, TaskState } from './job.ts'
+import { Isolation } from './messages.ts'
 import { choose } from './placement.ts'
 import { RequestQueue } from './requestqueue.ts'
 
@@ -87,6 +88,7 @@
         step,
         expected: job.expected[task.step] ?? 0,
         avoid: task.avoid,
+        isolation: task.isolation,
         dataCentre: this.#parts.dataCentre,
         placedAt: ({ name }) => counts.at(task.step, name),
         hasPlace: agent => agent.hasPlace(),
@@ -123,6 +125,7 @@
         step,
         expected: step.expected,
         avoid: task.avoid,
+        isolation: task.isolation ?? Isolation.None,
         dataCentre: this.#parts.dataCentreOf(request.peer),
         hasPlace: agent => agent.hasRoomForOthers,
         isUsed: agent => agent.isUsedBy(request.peer, now),
@@ -133,7 +136,7 @@
       if (agent === undefined) continue
       counts.add(step.index, agent.name)
       request.noteGranted(step, task, agent.name)
-      agent.grant(task.name, step.needs, now)
+      agent.grant(task.name, task.isolation === Isolation.Alone ? { ...agent.free } : step.needs, now)
       agent.noteUse(request.peer, now + step.expected)
       grants.push({ task: task.name, agent: agent.name })
     }
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -5,6 +5,7 @@
 import type { RoomMessage, RoomStep } from './roommessages.ts'
 import { ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS } from './defaults.ts'
 import { endOfStep, JobState } from './job.ts'
+import { Isolation } from './messages.ts'
 
 export interface RoomClientParts {
   fleet: Fleet
@@ -240,7 +241,7 @@
 function stepsOf (job: Job, tasks: readonly Task[], fleet: Fleet, now: number): RoomStep[] {
   return [...new Set(tasks.map(({ step }) => step))].map(index => {
     const { needs, label, rack, perTarget } = job.request.steps[index] as Step
-    const queued = tasks.filter(({ step }) => step === index).map(({ name, avoid }) => ({ name, avoid }))
+    const queued = tasks.filter(({ step }) => step === index).map(({ name, avoid, isolation }) => ({ name, avoid, ...(isolation === Isolation.None ? {} : { isolation }) }))
     return { index, needs, label, rack, perTarget, expected: Math.round(job.expected[index] ?? 0), endBy: Math.round(endOfStep(job, index) - now), tasks: queued, placed: fleet.agentsOf(job, index) }
   })
 }
--- a/packages/dispatch/src/roommessages.ts
+++ b/packages/dispatch/src/roommessages.ts
@@ -1,12 +1,15 @@
 /** Messages between entries: about the room at the targets, which one entry gives out and the others ask for, and evacuations. */
 import type { EvacuationState } from './evacuations.ts'
 import type { Step } from './job.ts'
+import type { Isolation } from './messages.ts'
 
 /** A task that needs room. */
 export interface RoomTask {
   name: string
   /** Agent whose target is taken only when no other has room; empty for none. */
   avoid: string
+  /** Left out for none. */
+  isolation?: Isolation
 }
 
 /** Tasks of one step that need room. */
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -41,6 +41,8 @@
   obstacle: () => Cause
   tell: (session: EntrySession, end: TaskEnd, now: number) => void
   tellSlow: (session: EntrySession, slow: SlowTask) => void
+  /** Targets have crashed under the task here as often as it may be started. */
+  isBarred: (task: string, now: number) => boolean
   /** The target is gone for certain. */
   targetLost: (reason: string, ending: LifeEnd, now: number) => void
 }
@@ -80,6 +82,7 @@
     if (held?.session === session && held.order.attempt === order.attempt) return
     const obstacle = held === undefined ? this.#parts.obstacle() : Cause.Rejected
     if (obstacle !== Cause.None) return this.#refuse(session, order, obstacle, now)
+    if (this.#parts.isBarred(order.task, now)) return this.#refuse(session, order, Cause.Crashed, now)
     if (!this.#fits(order)) return this.#refuse(session, order, Cause.Full, now)
     this.#start(this.#held.add(order, payload, session, now), now)
   }
@@ -95,7 +98,8 @@
 
   #fits (order: TaskOrder): boolean {
     const capacity = this.#target.facts?.capacity
-    if (capacity === undefined) return false
+    if (capacity === undefined || this.#held.reserved) return false
+    if (order.isolation !== undefined && this.#held.suspected) return false
     const { used } = this.#held
     return fits(order.needs, { cpu: capacity.cpu - used.cpu, memory: capacity.memory - used.memory, accelerators: capacity.accelerators - used.accelerators })
   }
@@ -255,10 +259,10 @@
    * The life of the target is over. What it had begun is gone; an order that was not answered, or answered since the life
    * was last seen, may have reached the next one, which has the same address and name: it is stopped there first.
    */
-  endLife (now: number): void {
+  endLife (cause: Cause, now: number): void {
     for (const held of this.#held.all()) {
       if (!this.#context.guards.nextLife || this.#target.isProven(held)) {
-        this.finish(held, Outcome.Gone, Cause.TargetLost, now)
+        this.finish(held, Outcome.Gone, cause, now)
         continue
       }
       held.stage = Stage.Stopping
--- a/packages/dispatch/test/agentbench.ts
+++ b/packages/dispatch/test/agentbench.ts
@@ -1,6 +1,7 @@
 /** An agent with a target and an entry, driven by hand under a clock of the test. */
 import type { AgentEffect, AgentEvent, EndedRun, PollFailure, RunningTask } from '../src/agenttypes.ts'
 import type { AgentMessage, TaskOrder } from '../src/messages.ts'
+import type { Policy } from '../src/policy.ts'
 import { Agent } from '../src/agent.ts'
 import { StartAnswer } from '../src/agenttypes.ts'
 import { timingsFor } from '../src/timings.ts'
@@ -23,13 +24,13 @@
   #pollSent = 0
   #sequence = 0
 
-  constructor (wall = 5_000_000) {
-    this.agent = new Agent({ timings: TIMINGS, stop: BOUNDS.stop, wallClock: () => wall })
+  constructor (wall = 5_000_000, policy: Partial<Policy> = {}) {
+    this.agent = new Agent({ timings: TIMINGS, stop: BOUNDS.stop, wallClock: () => wall, policy })
   }
 
   /** An agent whose target is clear and whose entry is in contact. */
-  static ready (): AgentBench {
-    const bench = new AgentBench()
+  static ready (policy: Partial<Policy> = {}): AgentBench {
+    const bench = new AgentBench(undefined, policy)
     bench.seen()
     bench.polled()
     bench.link()
--- /dev/null
+++ b/packages/dispatch/test/crashes.test.ts
@@ -0,0 +1,233 @@
+import type { CrashRecord } from '../src/messages.ts'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { PollFailure } from '../src/agenttypes.ts'
+import { CrashEvidence, Isolation } from '../src/messages.ts'
+import { AgentBench, ENTRY, order, TARGET } from './agentbench.ts'
+import { EntryBench, NO_LOAD, step } from './entrybench.ts'
+import { Cause, Outcome } from '../src/messages.ts'
+
+const ISOLATES = { isolatesSuspects: true }
+const AGENTS = ['a', 'b', 'c', 'd', 'e', 'f']
+
+function entry (): EntryBench {
+  return EntryBench.under(ISOLATES, ...AGENTS)
+}
+
+/** An agent tells of tasks under which its target was lost. */
+function lost (bench: EntryBench, agent: string, tasks: string[], changes: Partial<CrashRecord> = {}): void {
+  const records = tasks.map(task => ({ task, instance: `${agent}-target`, beside: tasks.length - 1, evidence: CrashEvidence.Crashed, ago: 0, ...changes }))
+  bench.do({ type: 'agentMessage', agent, message: { type: 'crashes', records } })
+}
+
+/** The target of an agent is gone; its tasks still are to end. */
+function goes (bench: EntryBench, agent: string): void {
+  bench.do({ type: 'agentMessage', agent, message: { type: 'announce', target: undefined, held: [], load: NO_LOAD } })
+}
+
+/** Where a task was started last, and under which number. */
+function lastStart (bench: EntryBench, task: string): { agent: string, attempt: number } {
+  const [agent = '', , attempt = ''] = bench.starts().filter(start => start.includes(` ${task} `)).at(-1)?.split(' ') ?? []
+  return { agent, attempt: Number(attempt) }
+}
+
+/** The target under a task crashes, with others beside it. */
+function crash (bench: EntryBench, task: string, beside: string[] = []): string {
+  const { agent, attempt } = lastStart(bench, task)
+  lost(bench, agent, [task, ...beside])
+  goes(bench, agent)
+  bench.end(agent, task, Outcome.Gone, Cause.Crashed, attempt)
+  return agent
+}
+
+function isolations (bench: EntryBench): string[] {
+  return bench.take().flatMap(effect => effect.type === 'send' && effect.message.type === 'start' ? effect.message.tasks.map(({ isolation = Isolation.None }) => isolation) : [])
+}
+
+const OTHERS = ['x.0.0', 'x.0.1', 'x.0.2', 'x.0.3']
+
+test('tasks that were on a target when it crashed are started again at different targets', () => {
+  const bench = EntryBench.under(ISOLATES, 'a')
+  bench.submit('one', [step(2)])
+  for (const other of ['b', 'c']) bench.link(other)
+  lost(bench, 'a', ['one.0.0', 'one.0.1'])
+  goes(bench, 'a')
+  for (const task of ['one.0.0', 'one.0.1']) bench.end('a', task, Outcome.Gone, Cause.Crashed)
+  expect(lastStart(bench, 'one.0.0').agent === lastStart(bench, 'one.0.1').agent).toEqual(false)
+  expect(isolations(bench)).toEqual([Isolation.None, Isolation.None, Isolation.Apart, Isolation.Apart])
+})
+
+test('a task that crashes two targets nearly alone is given up, and its job fails', () => {
+  const bench = entry()
+  const request = bench.submit('one')
+  crash(bench, 'one.0.0', OTHERS)
+  crash(bench, 'one.0.0')
+  bench.pass(400, AGENTS)
+  expect(bench.answers()).toEqual([[request, 'failed taskCrashes']])
+  expect(bench.starts().length).toEqual(2)
+  expect(bench.entry.status().convictions).toEqual(1)
+})
+
+// Guards against innocents that pay for a neighbour: a fresh task may have crashed the second target as well.
+test('a task beside which others ran at both crashes is not convicted but started alone', () => {
+  const bench = entry()
+  bench.submit('one')
+  crash(bench, 'one.0.0', OTHERS)
+  crash(bench, 'one.0.0', OTHERS)
+  bench.pass(400, AGENTS)
+  expect(bench.answers()).toEqual([])
+  expect(isolations(bench)).toEqual([Isolation.None, Isolation.Apart, Isolation.Alone])
+})
+
+test('no task is started after three crashes, whatever ran beside it', () => {
+  const bench = entry()
+  const request = bench.submit('one')
+  for (let crashes = 0; crashes < 3; crashes += 1) crash(bench, 'one.0.0', OTHERS)
+  bench.pass(400, AGENTS)
+  expect(bench.starts().length).toEqual(3)
+  expect(bench.answers()).toEqual([[request, 'failed taskCrashes']])
+})
+
+// Guards against a rack without power, whose targets go one after the other within a poll.
+test('targets that go down together convict nobody', () => {
+  const bench = entry()
+  bench.submit('one')
+  const first = crash(bench, 'one.0.0')
+  bench.pass(500, AGENTS)
+  const second = crash(bench, 'one.0.0')
+  for (const other of AGENTS.filter(name => name !== first && name !== second).slice(0, 2)) lost(bench, other, [`${other}.0.0`])
+  bench.pass(400, AGENTS)
+  expect(bench.answers()).toEqual([])
+  expect(bench.starts().length).toEqual(3)
+})
+
+// Guards against an entry that dies after the first crash: its caller comes back with the job through this one.
+test('a job that comes from an entry that died does not begin at no crashes', () => {
+  const bench = entry()
+  lost(bench, 'a', ['one.0.0', ...OTHERS], { ago: 1500 })
+  const request = bench.submit('one')
+  expect(isolations(bench)).toEqual([Isolation.Apart])
+  bench.do({ type: 'agentMessage', agent: 'b', message: { type: 'crashes', records: [{ task: 'two.0.0', instance: 'b-target', beside: 0, evidence: CrashEvidence.Crashed, ago: 3000 }] } })
+  lost(bench, 'c', ['two.0.0'], { ago: 900 })
+  const second = bench.submit('two')
+  expect(bench.answers()).toEqual([[second, 'failed taskCrashes']])
+  expect([request, bench.starts()]).toEqual([request, []])
+})
+
+// Guards against an agent that restarts and remembers nothing.
+test('an entry remembers the crashes that an earlier run of the agent told of', () => {
+  const bench = entry()
+  const request = bench.submit('one')
+  const agent = crash(bench, 'one.0.0', OTHERS)
+  bench.do({ type: 'agentUnlinked', agent })
+  bench.link(agent, { incarnation: 'b' })
+  crash(bench, 'one.0.0')
+  bench.pass(400, AGENTS)
+  expect(bench.answers()).toEqual([[request, 'failed taskCrashes']])
+})
+
+// Guards against a new target that is cut off: silence is no crash, and may turn out to be one later.
+test('a suspect whose new target is silent waits until that has answered, or proved to have crashed', () => {
+  for (const [evidence, starts, answers] of [[CrashEvidence.Answered, 3, []], [CrashEvidence.Crashed, 2, ['failed taskCrashes']]] as const) {
+    const bench = entry()
+    bench.submit('one')
+    crash(bench, 'one.0.0', OTHERS)
+    const { agent, attempt } = lastStart(bench, 'one.0.0')
+    lost(bench, agent, ['one.0.0'], { evidence: CrashEvidence.Silent })
+    goes(bench, agent)
+    bench.end(agent, 'one.0.0', Outcome.Gone, Cause.Lapsed, attempt)
+    bench.pass(500, AGENTS)
+    expect(bench.starts().length).toEqual(2)
+    lost(bench, agent, ['one.0.0'], { evidence, ago: 500 })
+    bench.pass(100, AGENTS)
+    expect([bench.starts().length, bench.answers().map(([, answer]) => answer)]).toEqual([starts, [...answers]])
+  }
+})
+
+test('with the switch off crashes change nothing', () => {
+  const bench = EntryBench.withAgents(...AGENTS)
+  bench.submit('one')
+  for (let crashes = 0; crashes < 4; crashes += 1) crash(bench, 'one.0.0')
+  expect(isolations(bench)).toEqual(Array.from({ length: 5 }, () => Isolation.None))
+})
+
+// Agents
+
+/** Crashes that were told, and the causes of ends, in the order of the messages. */
+function told (bench: AgentBench): string[] {
+  return bench.of('send').flatMap(({ message }) => {
+    if (message.type === 'crashes') return message.records.map(({ task, beside, evidence }) => `${task} ${evidence} ${beside}`)
+    return message.type === 'ends' ? message.ends.map(({ task, cause }) => `${task} ended ${cause}`) : []
+  })
+}
+
+test('entries hear of a crash before the ends of the tasks that it took', () => {
+  const bench = AgentBench.ready(ISOLATES)
+  bench.run('one')
+  bench.run('two')
+  bench.pollFailed(PollFailure.NoListener)
+  expect(told(bench)).toEqual(['one crashed 1', 'two crashed 1', 'one ended crashed', 'two ended crashed'])
+})
+
+test('a target that leaves, or has told that it will, did not crash', () => {
+  for (const leave of [(bench: AgentBench) => bench.do({ type: 'targetLeft', instance: TARGET.instance }), (bench: AgentBench) => {
+    bench.seen({ leaving: true })
+    bench.pollFailed(PollFailure.NoListener)
+  }]) {
+    const bench = AgentBench.ready(ISOLATES)
+    bench.run('one')
+    leave(bench)
+    expect(told(bench)).toEqual(['one ended targetLost'])
+  }
+})
+
+// Guards against an entry that has just started, and against a lost link.
+test('an entry that links hears of the crashes before', () => {
+  const bench = AgentBench.ready(ISOLATES)
+  bench.run('one')
+  bench.pollFailed(PollFailure.NoListener)
+  bench.take()
+  bench.now += 2000
+  bench.link('entry-2#a')
+  expect(bench.of('send').flatMap(({ entry, message }) => message.type === 'crashes' ? [entry, message.records.map(({ task, ago }) => [task, ago])] : [])).toEqual(['entry-2#a', [['one', 2000]]])
+})
+
+test('silence is told as such, and taken back or proved by what answers next', () => {
+  for (const [next, evidence] of [[(bench: AgentBench) => bench.polled(), 'answered'], [(bench: AgentBench) => bench.pollFailed(PollFailure.OtherInstance), 'crashed']] as const) {
+    const bench = AgentBench.ready(ISOLATES)
+    bench.run('one')
+    bench.pollFailed(PollFailure.Silent)
+    bench.pass(800)
+    expect(told(bench).slice(0, 1)).toEqual(['one silent 0'])
+    bench.take()
+    next(bench)
+    expect(told(bench).slice(0, 1)).toEqual([`one ${evidence} 0`])
+  }
+})
+
+// Guards against a target that is back under its id, beside an agent that the entry does not know the memory of.
+test('an agent starts no task again under which two lives of its target crashed', () => {
+  const bench = AgentBench.ready(ISOLATES)
+  for (const life of ['life-2', 'life-3']) {
+    bench.start([order('one')])
+    bench.do({ type: 'pollFailed', instance: bench.of('start').at(-1)?.instance ?? '', sent: bench.now, failure: PollFailure.NoListener })
+    bench.seen({ instance: life })
+    bench.polled([], [], life)
+  }
+  bench.take()
+  bench.start([order('one'), order('two')])
+  expect(bench.ends()).toEqual(['one notStarted crashed'])
+})
+
+test('two suspects are not started at one target, and nothing beside one that is to be alone', () => {
+  const bench = AgentBench.ready(ISOLATES)
+  bench.start([{ ...order('one'), isolation: Isolation.Apart }, { ...order('two'), isolation: Isolation.Apart }, order('three')])
+  expect(bench.ends()).toEqual(['two notStarted full'])
+  const alone = AgentBench.ready(ISOLATES)
+  alone.link('entry-2#a')
+  alone.start([{ ...order('one'), isolation: Isolation.Alone }, order('two')])
+  expect(alone.ends()).toEqual(['two notStarted full'])
+  alone.pass(500)
+  const load = alone.of('send').filter(({ entry, message }) => entry !== ENTRY && message.type === 'ping').at(-1)?.message
+  expect(load?.type === 'ping' ? load.load.others.cpu : 0).toEqual(8000)
+})
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -137,8 +137,10 @@
     return took <= LATE_FACTOR * objective ? Fate.Late : Fate.TooLate
   }
 
-  #record (job: JobPlan, fate: Fate): void {
+  #record (job: JobPlan, earned: Fate): void {
     this.#settled.add(job.id)
+    // A job that nobody can do isn't owed.
+    const fate = job.crashing === undefined ? earned : Fate.Left
     const part = fate === Fate.InTime ? 1 : fate === Fate.Late ? LATE_CREDIT : 0
     this.verdicts.push({ job, fate, took: this.#timeline.now - job.at, credit: part * job.worth })
   }
--- a/packages/emulator/src/dayplan.ts
+++ b/packages/emulator/src/dayplan.ts
@@ -42,6 +42,8 @@
   worth: number
   /** Tasks that fail whenever they run. */
   poisoned: boolean
+  /** The task that crashes each target that starts it, and after which part of its run. */
+  crashing: { task: number, after: number } | undefined
   /** Refused, its caller comes back when it is told to. */
   returns: boolean
   /** Its caller leaves after this time, in milliseconds. */
@@ -212,6 +214,7 @@
   const { slackFactor, latency } = kind.queue
   const leaving = activeAt(troubles, TroubleKind.GiveUp, kind, at).find(({ share }) => random.next() < share)
   const poisoned = activeAt(troubles, TroubleKind.Poison, kind, at).some(({ share }) => random.next() < share)
+  const crashing = activeAt(troubles, TroubleKind.Crashing, kind, at).find(({ share }) => random.next() < share)
   return {
     id: `job${number}`,
     kind: kind.plan.name,
@@ -224,6 +227,7 @@
     declared: work * kind.declaredFactor(),
     worth: Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * count * work * cpu / kind.meanWork),
     poisoned,
+    crashing: crashing === undefined ? undefined : { task: random.integer(0, count - 1), after: crashing.factor },
     returns: false,
     leavesAfter: leaving === undefined ? Infinity : leaving.factor * (slackFactor * work + latency)
   }
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -52,6 +52,8 @@
 
 interface CallAnswers<Answer> {
   silent: Answer
+  /** Nothing listens. */
+  refused: Answer
   otherInstance: Answer
   carryOut: () => Answer
 }
@@ -77,6 +79,7 @@
   #clockSince = 0
   #sequence = 0
   #up = true
+  #refuses = false
   #leaving = false
   #rate = 1
   /** Orders that are lost to the caller and carried out late. */
@@ -109,10 +112,12 @@
   /**
    * @param milliseconds how long it is down; infinite when it is gone for good
    * @param keepsName whether it starts again under its name, with a clock and counts that start anew
+   * @param refuses whether its machine goes on, and refuses calls
    */
-  crash (milliseconds: number, keepsName = false): void {
+  crash (milliseconds: number, keepsName = false, refuses = false): void {
     if (!this.#up) return
     this.#up = false
+    this.#refuses = refuses
     this.#waiting = []
     if (milliseconds === Infinity) return
     this.#timeline.after(milliseconds, () => {
@@ -164,6 +169,7 @@
     const reply = (answer: StartAnswer): void => this.#post({ type: 'startAnswered', instance, task, run, answer })
     this.#call(order, timeout, reply, {
       silent: StartAnswer.Silent,
+      refused: StartAnswer.NoListener,
       otherInstance: StartAnswer.OtherInstance,
       carryOut: () => START_ANSWERS[this.#worker.start({ task, run, token, deadline, cpu: this.#traits.cpuOf(task) }, this.#clock)]
     })
@@ -174,6 +180,7 @@
     const reply = (answered: boolean): void => this.#post({ type: 'stopAnswered', instance, task, run, answered })
     this.#call(order, timeout, reply, {
       silent: false,
+      refused: false,
       otherInstance: false,
       carryOut: () => this.#worker.stop(task, run, token, this.#clock)
     })
@@ -184,6 +191,7 @@
     const failed = (failure: PollFailure): AgentEvent => ({ type: 'pollFailed', instance, sent, failure })
     const answers: CallAnswers<AgentEvent> = {
       silent: failed(PollFailure.Silent),
+      refused: failed(PollFailure.NoListener),
       otherInstance: failed(PollFailure.OtherInstance),
       carryOut: () => {
         const meant = instance === this.#instance
@@ -291,9 +299,9 @@
     return FASTEST_CALL + this.#random.next() * CALL_SPREAD
   }
 
-  /** Undefined while the machine is down: it says nothing at all. */
+  /** Undefined while the machine is down: it says nothing at all, unless only the target on it is. */
   #answer<Answer> (instance: string, answers: CallAnswers<Answer>): Answer | undefined {
-    if (!this.#up) return undefined
+    if (!this.#up) return this.#refuses ? answers.refused : undefined
     return this.#isCalled(instance) ? answers.carryOut() : answers.otherInstance
   }
 
--- a/packages/emulator/src/figures.ts
+++ b/packages/emulator/src/figures.ts
@@ -25,6 +25,10 @@
   /** Callers in time, over all that were owed an answer. */
   inTimePart: number
   startsFullPart: number
+  /** Targets that tasks crashed, starts of tasks under which three had, and jobs answered as failed that could be done. */
+  crashes: number
+  startsAfterCrashes: number
+  failedSound: number
   messagesPerTask: number
   /** Milliseconds of processor time a second of the busiest and the mean entry, and the mean agent, as priced. */
   entryMost: number
@@ -33,6 +37,8 @@
 }
 
 export interface Counts {
+  crashes: number
+  startsAfterCrashes: number
   starts: number
   fullStarts: number
   messages: number
@@ -41,7 +47,7 @@
   agentLoads: readonly number[]
 }
 
-export function figuresOf (all: readonly Verdict[], { starts, fullStarts, messages, entryLoads, agentLoads }: Counts): DayFigures {
+export function figuresOf (all: readonly Verdict[], { starts, fullStarts, messages, entryLoads, agentLoads, crashes, startsAfterCrashes }: Counts): DayFigures {
   const owed = all.filter(({ fate }) => fate !== Fate.Left)
   const kinds = groupBy(owed, ({ job }) => job.kind)
   const windows = groupBy(owed, ({ job }) => String(Math.floor(job.at / WINDOW_MILLISECONDS)))
@@ -59,6 +65,9 @@
     refused: count(Fate.Refused),
     failed: count(Fate.Failed, Fate.TooLate),
     inTimePart: count(Fate.InTime) / Math.max(1, owed.length),
+    crashes,
+    startsAfterCrashes,
+    failedSound: owed.filter(({ fate, job }) => fate === Fate.Failed && !job.poisoned).length,
     startsFullPart: fullStarts / Math.max(1, starts),
     messagesPerTask: messages / Math.max(1, tasks),
     entryMost: Math.max(...entryLoads),
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -27,6 +27,12 @@
 
 const MILLISECONDS_PER_SECOND = 1000
 
+/** A target that a task has crashed is back after this, in milliseconds: half of them under their names, half of them refusing calls meanwhile. */
+const CRASHED_MILLISECONDS = 3000
+
+/** Crashes of targets after which a task may not be started again (the users' rule). */
+const CRASHES_ALLOWED = 3
+
 /** Pause between looks for links that are missing, in milliseconds. */
 const DIAL_AGAIN = 60
 
@@ -53,6 +59,10 @@
   /** Starts that came back for want of room, and all that were sent. */
   fullStarts = 0
   starts = 0
+  /** Targets that tasks crashed, and starts of tasks under which three had crashed before. */
+  crashes = 0
+  startsAfterCrashes = 0
+  readonly #crashesOf = new Map<string, number>()
   readonly #plan: DayPlan
   readonly #timeline: Timeline
   readonly #random: SeededRandom
@@ -193,7 +203,21 @@
     const job = this.#jobOf(task)
     const index = Number(task.slice(task.lastIndexOf('.') + 1))
     const failing = this.#failing.get(target) ?? 0
-    return { duration: (job.tasks[index] ?? 0) / speed, fails: job.poisoned || (failing > 0 && this.#random.next() < failing) }
+    const duration = (job.tasks[index] ?? 0) / speed
+    if (job.crashing?.task === index) this.#crashLater(target, task, duration * job.crashing.after)
+    return { duration, fails: job.poisoned || (failing > 0 && this.#random.next() < failing) }
+  }
+
+  #crashLater (index: number, task: string, milliseconds: number): void {
+    const before = this.#crashesOf.get(task) ?? 0
+    if (before >= CRASHES_ALLOWED) this.startsAfterCrashes += 1
+    this.#timeline.after(milliseconds, () => {
+      const target = this.targets[index]
+      if (target?.running().some(run => run.task === task) !== true) return
+      this.crashes += 1
+      this.#crashesOf.set(task, (this.#crashesOf.get(task) ?? 0) + 1)
+      target.crash(CRASHED_MILLISECONDS, index % 4 < 2, index % 2 === 0)
+    })
   }
 
   #jobOf (task: string): JobPlan {
--- a/packages/emulator/src/troubles.ts
+++ b/packages/emulator/src/troubles.ts
@@ -26,6 +26,7 @@
   [TroubleKind.Burst]: PART_OF_LOAD,
   [TroubleKind.GiveUp]: PART_OF_LOAD,
   [TroubleKind.Poison]: PART_OF_LOAD,
+  [TroubleKind.Crashing]: PART_OF_LOAD,
   [TroubleKind.Hang]: (scene, trouble) => setRates(scene, trouble, 0),
   [TroubleKind.Slow]: (scene, trouble) => setRates(scene, trouble, 1 / trouble.factor),
   [TroubleKind.Fail]: ({ fleet, timeline, random }, { share, factor, lasts }) => {
--- a/packages/emulator/src/troubletypes.ts
+++ b/packages/emulator/src/troubletypes.ts
@@ -33,5 +33,7 @@
   /** A share of the callers leaves after `factor` times the objective. */
   GiveUp = 'giveUp',
   /** A part of the jobs has a task that always fails. */
-  Poison = 'poison'
+  Poison = 'poison',
+  /** A part of the jobs has a task that crashes each target that starts it, after `factor` of its run. */
+  Crashing = 'crashing'
 }
