Cancellations: told to all entries and remembered, stops sent again, strays ended by the lease; the bound explored

From the acknowledgement of a cancellation by any machine nothing of the job may start after 4 s or run on 50 ms longer. Found by reading and by the explorer with tasks of up to 9 s: a cancellation that reached another entry than the job's was answered 410 and the job ran on; a cancelled id that was submitted again, or whose submission came second, was begun, as was a submission that waited for the tasks of the one before; a stop that was lost with its link was never sent again; a run that nobody asked for, or whose stops were lost, stayed under the lease that new starts renewed.

Now entries remember cancelled ids for 30 s and tell the others (peer message cancel: at once, and on each new link); placements that are to stop are stopped again when a link opens; while a stray stays 400 ms, or an own task resists its stops, neither polls nor starts renew the lease. Ruled out: telling all agents as well (61 messages for each cancellation).

--- a/packages/dispatch/explore/explore.ts
+++ b/packages/dispatch/explore/explore.ts
@@ -1,5 +1,5 @@
 /**
- * Searches random faults for two runs of one task at one time, and for starts in evacuated data centres.
+ * Searches random faults for two runs of one task at one time, for starts in evacuated data centres, and for runs of cancelled jobs.
  *
  *     npm run explore:leases -- --seed 1 --runs 1000 [--theme processes] [--break contact]
  *     npm run explore:leases -- --replay 17 [--theme processes] [--break contact]
--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -9,11 +9,16 @@
   /** Processes, workers and links. */
   Processes = 'processes',
   /** The same, workers that start again under their names, and evacuations. */
-  Operators = 'operators'
+  Operators = 'operators',
+  /** Cancellations in waves, late orders, lost links, and starters that are removed; tasks outlast the bounds. */
+  Cancels = 'cancels'
 }
 
 /** Length of one run of the world, in milliseconds: faults for most of it, then a quiet end. */
 const LENGTH = 15_000
+
+/** The same where tasks are long: what was cancelled last must have had time to outlast the bound. */
+const LONG_LENGTH = 20_000
 const FAULTS_END = 12_000
 const MEAN_PAUSE = 500
 
@@ -75,9 +80,30 @@
   }
 }
 
+const CANCEL_FAULTS: Readonly<Record<string, Fault>> = {
+  cancelWave: world => world.cancels.wave(),
+  lateOrders: world => world.workers[anyAgent(world)]?.carryOutLate(2000, 0.5),
+  loseAnswers: world => world.workers[anyAgent(world)]?.loseAnswers(200 + world.random.next() * 1000),
+  removeEntry: world => world.removeEntry(anyEntry(world), 6000),
+  removeAgent: world => world.restartAgent(anyAgent(world), 6000),
+  bounceAgent: world => world.restartAgent(anyAgent(world), 30, 60),
+  bounceEntry: world => world.removeEntry(anyEntry(world), 300),
+  resetOne: world => world.resetConnection(anyEntry(world), anyAgent(world)),
+  // Stops that were sent just before are lost with their links.
+  cancelWaveAndResets: world => {
+    world.cancels.wave()
+    world.loseLinks()
+  },
+  cancelWaveAndRemovedEntry: world => {
+    world.cancels.wave()
+    world.removeEntry(anyEntry(world), 6000)
+  }
+}
+
 const FAULTS_OF: Readonly<Record<Theme, Readonly<Record<string, Fault>>>> = {
   [Theme.Processes]: FAULTS,
-  [Theme.Operators]: OPERATOR_FAULTS
+  [Theme.Operators]: OPERATOR_FAULTS,
+  [Theme.Cancels]: CANCEL_FAULTS
 }
 
 /** For a guard that is switched off: the faults that it is for, made likelier. */
@@ -88,7 +114,10 @@
   lifeProof: ['lateHeartbeat'],
   evacuation: ['evacuate', 'cutStore'],
   evacuationReads: ['evacuate', 'cutStoreOfEntries'],
-  heldStarts: ['cutOne', 'cutEntry', 'resetOne', 'freezeAgent']
+  heldStarts: ['cutOne', 'cutEntry', 'resetOne', 'freezeAgent'],
+  stopAgain: ['cancelWaveAndResets'],
+  cancelMemory: ['cancelWave', 'cancelWaveAndRemovedEntry'],
+  cancelNews: ['cancelWave']
 }
 
 /** How often one of the faults in focus is taken. */
@@ -114,10 +143,10 @@
  */
 export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1 }, trace)
+  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels }, trace)
   world.submitUntil(FAULTS_END)
   strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
-  world.timeline.runUntil(LENGTH)
+  world.timeline.runUntil(theme === Theme.Cancels ? LONG_LENGTH : LENGTH)
   return { violation: world.violation, answers: world.answers }
 }
 
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -1,4 +1,4 @@
-/** A small fleet under virtual time, its callers, and the promises: no task runs twice at one time, none starts in an evacuated data centre. */
+/** A small fleet under virtual time, its callers, and the promises: no task runs twice at one time, none starts in an evacuated data centre, none of a cancelled job runs on. */
 import type { AgentEffect, AgentEvent } from '../src/agenttypes.ts'
 import type { AgentGuards } from '../src/agentcontext.ts'
 import type { EntryEffect, EntryEvent } from '../src/entrytypes.ts'
@@ -6,6 +6,7 @@
 import type { TargetTraits } from '@amaranthmast/emulator/emulatedtarget'
 import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import { SeededRandom } from '@amaranthmast/standins/random'
+import { Cancels } from './cancels.ts'
 import { Operators } from './operators.ts'
 import { Agent } from '../src/agent.ts'
 import { ALL_AGENT_GUARDS } from '../src/agentcontext.ts'
@@ -39,7 +40,13 @@
 /** Bounds of the platform that the fleet is built for, in milliseconds. */
 const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50 }
 const CALLER_DEADLINE = 3000
+const LONG_CALLER_DEADLINE = 10_000
+const SHORT_TASK = 1500
+const LONG_TASK = 9000
 const DIAL_AGAIN = 60
+
+/** An entry that has started is linked to the others, and has heard what they know. */
+const LEARNING = 200
 const JOB_INTERVAL = 120
 const TASK_CPU = 3000
 const CHECK_INTERVAL = 5
@@ -60,6 +67,8 @@
   entries: number
   agents: number
   dataCentres: number
+  /** Tasks that outlast the bounds of a cancellation, and callers that wait for them. */
+  longTasks: boolean
 }
 
 export interface Violation {
@@ -83,6 +92,8 @@
   readonly workers: EmulatedTarget[] = []
   readonly answers = new Map<string, number>()
   readonly operators: Operators
+  readonly cancels: Cancels
+  readonly #longTasks: boolean
   readonly #dataCentres: number
   readonly #connections: Connections
   readonly #quietPing: number
@@ -91,17 +102,21 @@
   readonly #trace: ((line: string) => void) | undefined
   #requests = 0
   #jobs = 0
+  /** From then on all entries run, and know what the others do. */
+  #entriesWholeAt = 0
   violation: Violation | undefined
 
   constructor (seed: number, guards: Guards, sizes: WorldSizes, trace?: (line: string) => void) {
     this.#trace = trace
     this.#dataCentres = sizes.dataCentres
+    this.#longTasks = sizes.longTasks
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
     this.#peers = new PeerLinks(this.timeline, this.entries, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
     // The operators draw from a sequence of their own, so that a seed means the same processes with and without them.
     this.operators = new Operators({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, agents: this.agents, dataCentreOf: agent => this.dataCentreOf(agent) })
+    this.cancels = new Cancels({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => [...this.#submissions.values()].map(({ id }) => id), stop: BOUNDS.stop })
     const timings = timingsFor(BOUNDS)
     for (let index = 0; index < sizes.agents; index += 1) this.#addAgent(index, timings, guards)
     for (let index = 0; index < sizes.entries; index += 1) this.#addEntry(index, timings, guards)
@@ -147,6 +162,14 @@
     })
   }
 
+  /** Restarts an entry unless another one is down, or has not heard of what the others know. */
+  removeEntry (index: number, milliseconds: number): void {
+    const { now } = this.timeline
+    if (now < this.#entriesWholeAt) return
+    this.#entriesWholeAt = now + milliseconds + LEARNING
+    this.restartEntry(index, milliseconds)
+  }
+
   /** @param heartbeat longest time until the worker announces itself to the new run, in milliseconds */
   restartAgent (index: number, milliseconds: number, heartbeat = 1500): void {
     const agent = this.agents[index] as AgentProcess
@@ -183,6 +206,11 @@
     this.#connections.closeByEntry(pairOf(entry, agent))
   }
 
+  /** Every link between entries and agents breaks at the agents' ends, with what was under way to them. */
+  loseLinks (): void {
+    this.agents.forEach((_agent, agent) => this.entries.forEach((_entry, entry) => this.#connections.closeByAgent(pairOf(entry, agent))))
+  }
+
   #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     // Clocks of different runs of one machine may be set back between them.
     const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing } })
@@ -201,7 +229,7 @@
       longestLease: BOUNDS.longestLease,
       heartbeat: 1500,
       pollsWait: this.#dataCentres > 1,
-      plan: () => ({ duration: 50 + this.random.next() * 1500, fails: this.random.next() < 0.02 }),
+      plan: () => ({ duration: 50 + this.random.next() * (this.#longTasks ? LONG_TASK : SHORT_TASK), fails: this.random.next() < 0.02 }),
       cpuOf: () => TASK_CPU
     }
   }
@@ -257,6 +285,10 @@
 
   // Callers
 
+  get #callerDeadline (): number {
+    return this.#longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE
+  }
+
   #submit (id: string): void {
     const index = this.random.integer(0, this.entries.length - 1)
     const entry = this.entries[index] as EntryProcess
@@ -268,11 +300,12 @@
     const request = this.#requests
     this.#submissions.set(request, { id, entry: index, incarnation: entry.incarnation, answered: false })
     const step = { count: 1 + Number(id.length % 2), needs: { cpu: TASK_CPU, memory: 1, accelerators: 0 }, estimated: 800, after: [], label: '', rack: '', perTarget: 0 }
-    entry.post({ type: 'submitted', request, job: { id, queue: QUEUE, payload: '', steps: [step], remaining: CALLER_DEADLINE } })
-    this.timeline.after(CALLER_DEADLINE, () => this.#giveUp(request))
+    entry.post({ type: 'submitted', request, job: { id, queue: QUEUE, payload: '', steps: [step], remaining: this.#callerDeadline } })
+    this.timeline.after(this.#callerDeadline, () => this.#giveUp(request))
   }
 
   #answered (request: number, kind: AnswerKind): void {
+    this.cancels.answered(request)
     const submission = this.#submissions.get(request)
     if (submission === undefined || submission.answered) return
     submission.answered = true
@@ -307,6 +340,8 @@
         const other = where.get(task)
         if (other !== undefined) this.violation ??= { at: this.timeline.now, detail: `${task} runs at worker ${other} and, as run ${run}, at worker ${index}` }
         where.set(task, index)
+        const fault = this.cancels.faultOfRun(task)
+        if (fault !== undefined) this.violation ??= { at: this.timeline.now, detail: `${fault} at worker ${index}` }
       }
     })
     if (this.violation === undefined) this.timeline.after(CHECK_INTERVAL, () => this.#check())
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -298,3 +298,15 @@
 export const CRASH_WAVE_MILLISECONDS = 250
 export const CRASH_WAVE_PART = 0.1
 export const CRASH_WAVE_LEAST = 3
+
+// Cancellations
+
+/** How long a cancellation is remembered: its caller, or a submission under way, may come back for as long as callers wait, 30 s. */
+export const CANCELLATION_MEMORY_MILLISECONDS = 30_000
+export const CANCELLATIONS_REMEMBERED = 5000
+
+/**
+ * Time for which a run that nobody here asked for may stay listed, while it is ordered to stop with each poll, before the
+ * lease ends it at the price of what runs beside it: four stops without an answer.
+ */
+export const STRAY_MILLISECONDS = 400
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -11,6 +11,7 @@
 import type { DispatchConfiguration, Queue } from './queues.ts'
 import type { Policy } from './policy.ts'
 import { Admission } from './admission.ts'
+import { Cancellations } from './cancellations.ts'
 import { CrashSuspects } from './crashsuspects.ts'
 import {
   ANSWER_MILLISECONDS, ANSWERS_REMEMBERED, LONGEST_RETRY_AFTER_MILLISECONDS, REVIEW_MILLISECONDS,
@@ -42,6 +43,8 @@
  */
 const STOP_ESTIMATE_FACTOR = 1.4
 
+const CANCELLED: Readonly<Answer> = { kind: AnswerKind.Cancelled, reason: Reason.Cancelled, retryAfter: 0 }
+
 export class Entry {
   readonly #options: EntryOptions
   readonly #policy: Policy
@@ -50,6 +53,7 @@
   readonly #evacuations: EvacuationNews
   readonly #admission: Admission
   readonly #pressure = new Pressure()
+  readonly #cancellations: Cancellations
   readonly #suspects: CrashSuspects
   readonly #ends: TaskEnds
   readonly #jobs = new Map<string, Job>()
@@ -72,14 +76,17 @@
     agentMessage: ({ agent, message }, now) => this.#fleet.message(agent, message, now),
     peerLinked: ({ peer }, now) => {
       this.#evacuations.peerLinked(peer)
+      this.#cancellations.peerLinked(peer, now)
       this.#sharing.peerLinked(peer, now)
     },
     peerUnlinked: ({ peer }, now) => {
       this.#evacuations.peerUnlinked(peer)
+      this.#cancellations.peerUnlinked(peer)
       this.#sharing.peerUnlinked(peer, now)
     },
     peerMessage: ({ peer, message }, now) => {
       if (message.type === 'evacuations') this.#evacuations.heard(peer, message.state)
+      else if (message.type === 'cancel') for (const id of this.#cancellations.heard(message.jobs, now)) this.#cancel(id, now)
       else this.#sharing.received(peer, message, now)
     },
     evacuationsRead: ({ state }, now) => this.#evacuations.read(state, now),
@@ -108,6 +115,8 @@
       opened: agent => this.#evacuations.tellAgent(agent),
       evacuationsHeard: (agent, state) => this.#evacuations.heardFromAgent(agent, state)
     })
+    const { cancelMemory: remembers, cancelNews: tells } = options.guards ?? ALL_FLEET_GUARDS
+    this.#cancellations = new Cancellations({ remembers, tells, tell: (peer, message) => this.#effects.push({ type: 'tell', peer, message }) })
     this.#suspects = new CrashSuspects(() => this.#fleet.linked)
     this.#ends = new TaskEnds({
       policy: this.#policy,
@@ -158,7 +167,7 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, ...this.#suspects.status() }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, ...this.#suspects.status() }
   }
 
   /** Whether new callers may be sent here. */
@@ -179,6 +188,7 @@
     if (known?.state === JobState.Open) return this.#attach(request, known)
     const answered = this.#answers.get(submitted.id)
     if (answered !== undefined) return this.#answer(request, answered)
+    if (this.#cancellations.has(submitted.id)) return this.#answer(request, CANCELLED)
     const refusal = this.#refusal(submitted, now)
     if (refusal !== undefined) {
       this.#note('job refused', { job: submitted.id, queue: submitted.queue.name, reason: refusal.reason })
@@ -233,11 +243,24 @@
   }
 
   #cancelAsked (request: number, id: string, now: number): void {
+    const known = this.#cancel(id, now)
+    if (!this.#answers.has(id)) this.#cancellations.add(id, now)
+    this.#answer(request, known ? CANCELLED : unknown())
+  }
+
+  /** Tells whether there was anything to cancel: the job, or its further submission that waits until its tasks have stopped. */
+  #cancel (id: string, now: number): boolean {
     const job = this.#jobs.get(id)
-    if (job === undefined || job.state !== JobState.Open) return this.#answer(request, unknown())
-    const answer = { kind: AnswerKind.Cancelled, reason: Reason.Cancelled, retryAfter: 0 }
-    this.#close(job, answer, now)
-    this.#answer(request, answer)
+    const successor = job?.successor
+    if (job?.state === JobState.Open) {
+      this.#close(job, CANCELLED, now)
+      return true
+    }
+    if (job === undefined || successor === undefined) return false
+    job.successor = undefined
+    for (const request of successor.waiting) this.#answer(request, CANCELLED)
+    this.#note('further submission cancelled', { job: id })
+    return true
   }
 
   #stateOf (id: string): Answer {
@@ -314,6 +337,7 @@
   #tick (now: number): void {
     this.#fleet.tick(now)
     this.#ends.tick(now)
+    this.#cancellations.tick(now)
     this.#evacuations.tick(now)
     this.#sharing.tick(now)
     for (const job of this.#jobs.values()) {
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -108,4 +108,6 @@
   agents: number
   open: number
   queued: number
+  /** Cancellations that are remembered. */
+  cancelled: number
 }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -278,6 +278,7 @@
     agent.noteLoad(load)
     this.#tellRole(agent)
     this.#note('target announced', { agent: agent.name, instance: target?.instance, leaving: target?.leaving, held: held.length })
+    if (opening && this.#options.guards.stopAgain) this.#stopAgain(agent)
     const names = new Set(held.map(({ task, attempt }) => `${task}/${attempt}`))
     for (const placement of [...agent.placements.values()]) {
       // A new run of the agent announces a target once its predecessor's tasks have ended there.
@@ -287,6 +288,12 @@
     }
   }
 
+  /** The link before may have been lost with the stops on it. */
+  #stopAgain (agent: AgentView): void {
+    const tasks = [...agent.placements.values()].filter(({ stopping, incarnation }) => stopping && incarnation === agent.incarnation)
+    if (tasks.length > 0) this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'stop', tasks: tasks.map(({ task, attempt }) => ({ task: task.name, attempt })) } })
+  }
+
   #gone (agent: AgentView, { task, attempt }: Placement, cause: Cause, now: number): void {
     this.#settle(agent, { task: task.name, attempt, outcome: Outcome.Gone, cause, ran: 0 }, now)
   }
--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -45,6 +45,8 @@
   readonly #tasks = new Map<string, HeldTask>()
   readonly #runs = new Map<string, number>()
   readonly used: Resources = { ...NO_RESOURCES }
+  /** A run that nobody here asked for stays at the target though it is ordered to stop: only the lease ends it. */
+  strayStays = false
 
   get size (): number {
     return this.#tasks.size
--- a/packages/dispatch/src/roommessages.ts
+++ b/packages/dispatch/src/roommessages.ts
@@ -1,4 +1,4 @@
-/** Messages between entries: about the room at the targets, which one entry gives out and the others ask for, and evacuations. */
+/** Messages between entries: about the room at the targets, which one entry gives out and the others ask for, evacuations and cancellations. */
 import type { EvacuationState } from './evacuations.ts'
 import type { Step } from './job.ts'
 import type { Isolation } from './messages.ts'
@@ -64,3 +64,5 @@
   | RoomMessage
   /** Evacuated data centres, as the sender knows them. */
   | { type: 'evacuations', state: EvacuationState }
+  /** Jobs that their callers have cancelled, and how long ago, in milliseconds. */
+  | { type: 'cancel', jobs: Array<{ job: string, ago: number }> }
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -117,7 +117,7 @@
   obstacle (): Cause {
     if (this.#facts?.leaving === true) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
-    return this.#lease.silent ? Cause.Unreachable : Cause.None
+    return this.#lease.silent || !this.#mayRenew() ? Cause.Unreachable : Cause.None
   }
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
@@ -292,6 +292,6 @@
 
   /** A run that several orders did not stop ends with the lease, at the price of those beside it. */
   #mayRenew (): boolean {
-    return !this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
+    return !this.#held.strayStays && !this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
   }
 }
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -6,7 +6,7 @@
 import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { RunEnd, StartAnswer } from './agenttypes.ts'
-import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
+import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE, STRAY_MILLISECONDS } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
@@ -54,6 +54,8 @@
   readonly #context: AgentContext
   readonly #held: HeldTasks
   readonly #target: TargetWatch
+  /** Since when each run is listed that nobody here asked for. */
+  #strays = new Map<string, number>()
 
   readonly #startAnswers: StartHandlers = {
     [StartAnswer.Started]: (held, now) => this.#confirmed(held, now),
@@ -196,11 +198,14 @@
   polled ({ sent, running, ended }: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     for (const end of ended) this.#runEnded(end, now)
     const runs = new Map(running.map(({ task, run }) => [task, run]))
+    const strays = new Map<string, number>()
     for (const { task, run, percent } of running) {
       const held = this.#held.get(task)
       if (held !== undefined && held.run === run) this.#runs(held, percent, now)
-      else this.#stray(task, run)
+      else strays.set(`${task}/${run}`, this.#stray(task, run, now))
     }
+    this.#strays = strays
+    this.#held.strayStays = [...strays.values()].some(since => now - since >= STRAY_MILLISECONDS)
     if (ended.length < ENDS_PER_POLL) {
       for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
     }
@@ -224,10 +229,11 @@
     noteProgress(held, percent, now)
   }
 
-  /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. */
-  #stray (task: string, run: number): void {
+  /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. Tells since when it is listed. */
+  #stray (task: string, run: number, now: number): number {
     this.#context.note('stray run stopped', { task, run })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
+    return this.#strays.get(`${task}/${run}`) ?? now
   }
 
   /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -20,7 +20,10 @@
   nextLife: { first: 61, runs: 60, theme: Theme.Operators },
   lifeProof: { first: 1, runs: 60, theme: Theme.Operators },
   evacuation: { first: 61, runs: 60, theme: Theme.Operators },
-  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators }
+  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators },
+  stopAgain: { first: 1, runs: 40, theme: Theme.Cancels },
+  cancelMemory: { first: 1, runs: 40, theme: Theme.Cancels },
+  cancelNews: { first: 1, runs: 40, theme: Theme.Cancels }
 }
 
 test('no task runs twice at one time under random faults', () => {
@@ -31,6 +34,10 @@
   expect(search(5000, 60, Theme.Operators)).toEqual(undefined)
 })
 
+test('no run of a cancelled job goes on after the bound, with late orders and removed starters', () => {
+  expect(search(5000, 40, Theme.Cancels)).toEqual(undefined)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which once failed, breaks no promise`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
