Crash suspects go to another target than the one that was lost under them; the cancel theme crashes workers too

A target that was back at once and empty was the emptiest one, so the suspect went there again and was turned down by its agent without end.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -10,7 +10,7 @@
   Processes = 'processes',
   /** The same, workers that start again under their names, and evacuations. */
   Operators = 'operators',
-  /** Cancellations in waves, late orders, lost links, and starters that are removed; tasks outlast the bounds. */
+  /** Cancellations in waves, late orders, lost links, workers that crash, and starters that are removed; tasks outlast the bounds. */
   Cancels = 'cancels'
 }
 
@@ -89,6 +89,7 @@
   bounceAgent: world => world.restartAgent(anyAgent(world), 30, 60),
   bounceEntry: world => world.removeEntry(anyEntry(world), 300),
   resetOne: world => world.resetConnection(anyEntry(world), anyAgent(world)),
+  crashWorker: world => world.workers[anyAgent(world)]?.crash(100 + world.random.next() * 3000, world.random.next() < 0.5, world.random.next() < 0.5),
   // Stops that were sent just before are lost with their links.
   cancelWaveAndResets: world => {
     world.cancels.wave()
@@ -143,7 +144,7 @@
  */
 export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels }, trace)
+  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels, isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1 }, trace)
   world.submitUntil(FAULTS_END)
   strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
   world.timeline.runUntil(theme === Theme.Cancels ? LONG_LENGTH : LENGTH)
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -69,6 +69,8 @@
   dataCentres: number
   /** Tasks that outlast the bounds of a cancellation, and callers that wait for them. */
   longTasks: boolean
+  /** Tasks under which a worker crashed are started apart. */
+  isolatesSuspects: boolean
 }
 
 export interface Violation {
@@ -94,6 +96,7 @@
   readonly operators: Operators
   readonly cancels: Cancels
   readonly #longTasks: boolean
+  readonly #isolatesSuspects: boolean
   readonly #dataCentres: number
   readonly #connections: Connections
   readonly #quietPing: number
@@ -110,6 +113,7 @@
     this.#trace = trace
     this.#dataCentres = sizes.dataCentres
     this.#longTasks = sizes.longTasks
+    this.#isolatesSuspects = sizes.isolatesSuspects
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
@@ -213,7 +217,7 @@
 
   #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     // Clocks of different runs of one machine may be set back between them.
-    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing } })
+    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, isolatesSuspects: this.#isolatesSuspects } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
     this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => agent.post(event)))
@@ -235,7 +239,7 @@
   }
 
   #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
-    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet })
+    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { isolatesSuspects: this.#isolatesSuspects } })
     this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
   }
 
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -61,6 +61,7 @@
   const far = target.dataCentre === dataCentre ? 0 : policy.farPenalty
   const remote = step.rack === '' || target.labels.includes(step.rack) ? 0 : run / 2
   const load = (isolation === Isolation.None ? policy.loadPenalty : SUSPECT_LOAD_MILLISECONDS) * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
+  const avoidance = isolation === Isolation.None ? expected : SUSPECT_LOAD_MILLISECONDS
   const fresh = isUsed(agent) ? 0 : policy.affinity * entries
-  return fresh + run + far + remote + load + (agent.name === avoid ? expected : 0) + (agent.hasSuspect ? expected : 0)
+  return fresh + run + far + remote + load + (agent.name === avoid ? avoidance : 0) + (agent.hasSuspect ? expected : 0)
 }
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -58,6 +58,7 @@
       task.avoid = agent.name
       if (task.failures >= job.request.queue.attempts) return this.#parts.close(job, failed(Reason.TaskFailed), now)
     } else if (end.cause !== Cause.Evacuated) {
+      if (end.cause === Cause.Crashed) task.avoid = agent.name
       task.refusals += 1
       if (task.refusals > REFUSALS_LIMIT) return this.#parts.giveUp(job, Reason.NoTarget, now)
     }
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -68,6 +68,18 @@
   expect(bench.entry.status().convictions).toEqual(1)
 })
 
+// Guards against a target that is back under its id at once, and empty: the emptiest one is the one that the suspect crashed.
+test('a suspect goes to another target than the one that was lost under it', () => {
+  const bench = EntryBench.under(ISOLATES, 'a')
+  bench.submit('one')
+  bench.link('b')
+  bench.ping('b', 6000)
+  lost(bench, 'a', ['one.0.0'])
+  bench.do({ type: 'agentMessage', agent: 'a', message: { type: 'announce', target: { ...TARGET, instance: 'a-next' }, held: [{ task: 'one.0.0', attempt: 1 }], load: NO_LOAD } })
+  bench.end('a', 'one.0.0', Outcome.Gone, Cause.Crashed)
+  expect(lastStart(bench, 'one.0.0')).toEqual({ agent: 'b', attempt: 2 })
+})
+
 // Guards against innocents that pay for a neighbour: a fresh task may have crashed the second target as well.
 test('a task beside which others ran at both crashes is not convicted but started alone', () => {
   const bench = entry()
