--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -3,6 +3,7 @@
 import type { TaskOrder } from './messages.ts'
 import type { Resources } from './resources.ts'
 import { RUNS_REMEMBERED } from './defaults.ts'
+import { Isolation } from './messages.ts'
 import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
 
 /** How far a task is. In every stage it may be running and holds its room. */
@@ -44,11 +45,28 @@
   readonly #tasks = new Map<string, HeldTask>()
   readonly #runs = new Map<string, number>()
   readonly used: Resources = { ...NO_RESOURCES }
+  /** A run that nobody here asked for stays at the target though it is ordered to stop: only the lease ends it. */
+  strayStays = false
 
   get size (): number {
     return this.#tasks.size
   }
 
+  /** Whether a task is here that nothing else may start beside. */
+  get reserved (): boolean {
+    return this.#isolated(Isolation.Alone)
+  }
+
+  /** Whether a suspect is here. */
+  get suspected (): boolean {
+    return this.reserved || this.#isolated(Isolation.Apart)
+  }
+
+  #isolated (isolation: Isolation): boolean {
+    for (const { order } of this.#tasks.values()) if (order.isolation === isolation) return true
+    return false
+  }
+
   get (task: string): HeldTask | undefined {
     return this.#tasks.get(task)
   }
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -6,7 +6,7 @@
 import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { RunEnd, StartAnswer } from './agenttypes.ts'
-import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
+import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE, STRAY_MILLISECONDS } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
@@ -41,6 +41,8 @@
   obstacle: () => Cause
   tell: (session: EntrySession, end: TaskEnd, now: number) => void
   tellSlow: (session: EntrySession, slow: SlowTask) => void
+  /** Targets have crashed under the task here as often as it may be started. */
+  isBarred: (task: string, now: number) => boolean
   /** The target is gone for certain. */
   targetLost: (reason: string, ending: LifeEnd, now: number) => void
 }
@@ -52,6 +54,8 @@
   readonly #context: AgentContext
   readonly #held: HeldTasks
   readonly #target: TargetWatch
+  /** Since when each run is listed that nobody here asked for. */
+  #strays = new Map<string, number>()
 
   readonly #startAnswers: StartHandlers = {
     [StartAnswer.Started]: (held, now) => this.#confirmed(held, now),
@@ -80,6 +84,7 @@
     if (held?.session === session && held.order.attempt === order.attempt) return
     const obstacle = held === undefined ? this.#parts.obstacle() : Cause.Rejected
     if (obstacle !== Cause.None) return this.#refuse(session, order, obstacle, now)
+    if (this.#parts.isBarred(order.task, now)) return this.#refuse(session, order, Cause.Crashed, now)
     if (!this.#fits(order)) return this.#refuse(session, order, Cause.Full, now)
     this.#start(this.#held.add(order, payload, session, now), now)
   }
@@ -95,7 +100,8 @@
 
   #fits (order: TaskOrder): boolean {
     const capacity = this.#target.facts?.capacity
-    if (capacity === undefined) return false
+    if (capacity === undefined || this.#held.reserved) return false
+    if (order.isolation !== undefined && this.#held.suspected) return false
     const { used } = this.#held
     return fits(order.needs, { cpu: capacity.cpu - used.cpu, memory: capacity.memory - used.memory, accelerators: capacity.accelerators - used.accelerators })
   }
@@ -192,11 +198,14 @@
   polled ({ sent, running, ended }: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     for (const end of ended) this.#runEnded(end, now)
     const runs = new Map(running.map(({ task, run }) => [task, run]))
+    const strays = new Map<string, number>()
     for (const { task, run, percent } of running) {
       const held = this.#held.get(task)
       if (held !== undefined && held.run === run) this.#runs(held, percent, now)
-      else this.#stray(task, run)
+      else strays.set(`${task}/${run}`, this.#stray(task, run, now))
     }
+    this.#strays = strays
+    this.#held.strayStays = [...strays.values()].some(since => now - since >= STRAY_MILLISECONDS)
     if (ended.length < ENDS_PER_POLL) {
       for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
     }
@@ -220,10 +229,11 @@
     noteProgress(held, percent, now)
   }
 
-  /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. */
-  #stray (task: string, run: number): void {
+  /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. Tells since when it is listed. */
+  #stray (task: string, run: number, now: number): number {
     this.#context.note('stray run stopped', { task, run })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
+    return this.#strays.get(`${task}/${run}`) ?? now
   }
 
   /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
@@ -255,10 +265,10 @@
    * The life of the target is over. What it had begun is gone; an order that was not answered, or answered since the life
    * was last seen, may have reached the next one, which has the same address and name: it is stopped there first.
    */
-  endLife (now: number): void {
+  endLife (cause: Cause, now: number): void {
     for (const held of this.#held.all()) {
       if (!this.#context.guards.nextLife || this.#target.isProven(held)) {
-        this.finish(held, Outcome.Gone, Cause.TargetLost, now)
+        this.finish(held, Outcome.Gone, cause, now)
         continue
       }
       held.stage = Stage.Stopping
