Capacity: entries hear of each change, and the agent counts all that may run

Cause: an agent told entries of its target only when that began to leave, so entries placed over a capacity that had shrunk and left one unused that had grown. At targets that start whatever they are told four things were not counted: runs that a poll lists and nobody holds, a stopped start that no poll shows and that may be stopping, a start repeated after the room had gone, and a kept record of the target from before a shrink.

Ruled out: asking the target before each start (a call more, and late by as much), and a message of its own for capacities (the announcement carries them, and opens each link anyway).

Change: the room is counted in a module of its own; a heartbeat that changes capacity or labels is announced at once; the record is written anew on a shrink. Behind leavingTargets a leaving target that states its remaining time takes tasks that will have ended, until the time to drain after the agent's own acknowledgement. The emulator has targets that shrink, that announce their end and that do not guard themselves, and counts starts over capacity.

--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -20,6 +20,8 @@
 import { Cause, Outcome } from './messages.ts'
 import { DEFAULT_POLICY } from './policy.ts'
 import type { Announcement } from './targetwatch.ts'
+import { fits } from './resources.ts'
+import { TargetRoom } from './targetroom.ts'
 import { Sighting, TargetWatch } from './targetwatch.ts'
 import { LifeEnd, TaskRuns } from './taskruns.ts'
 
@@ -27,6 +29,8 @@
   timings: Timings
   /** A stop of a task takes the target at most this long, in milliseconds. */
   stop: number
+  /** Time after the acknowledgement of a target's notice within which tasks may start there, in milliseconds. @default 0 */
+  drain?: number
   /** Milliseconds since 1970: fencing tokens are drawn from it, so that each run of the agent has a higher one. */
   wallClock: () => number
   /** Guards switched off, to show that a proof fails without them. @internal */
@@ -58,12 +62,17 @@
   readonly #context: AgentContext
   readonly #held = new HeldTasks()
   readonly #target: TargetWatch
+  readonly #room: TargetRoom
   readonly #runs: TaskRuns
   readonly #entries: EntrySessions
   readonly #evacuations: EvacuationGuard
   #stopping = false
   /** The entries were told that the target takes no work while it is silent. */
   #withdrawn = false
+  /** They were told that the leaving target still takes tasks. */
+  #lends = false
+  /** As it was kept for the next run. */
+  #remembered: TargetFacts | undefined
   #effects: AgentEffect[] = []
 
   readonly #handlers: Handlers = {
@@ -114,18 +123,20 @@
     [PollFailure.Silent]: (sent, now) => this.#target.noteSilence(sent, now)
   }
 
-  constructor ({ timings, stop, wallClock, guards = ALL_AGENT_GUARDS, policy }: AgentOptions) {
+  constructor ({ timings, stop, drain = 0, wallClock, guards = ALL_AGENT_GUARDS, policy }: AgentOptions) {
     const emit = (effect: AgentEffect): void => { this.#effects.push(effect) }
-    const context = { timings, stop, wallClock, guards, policy: { ...DEFAULT_POLICY, ...policy }, emit, note: (what: string, fields: Record<string, unknown>) => emit({ type: 'note', what, fields }) }
+    const context = { timings, stop, drain, wallClock, guards, policy: { ...DEFAULT_POLICY, ...policy }, emit, note: (what: string, fields: Record<string, unknown>) => emit({ type: 'note', what, fields }) }
     const held = this.#held
     const target = new TargetWatch(context, held)
     this.#context = context
     this.#target = target
+    this.#room = new TargetRoom({ held, capacity: () => target.facts?.capacity, stop })
     this.#runs = new TaskRuns({
       context,
       held,
       target,
-      obstacle: () => this.#obstacle(),
+      room: this.#room,
+      obstacle: ({ expected }, now) => this.#obstacle(expected, now),
       tell: (session, end, now) => this.#entries.tell(session, end, now),
       tellSlow: (session, slow) => this.#entries.tellSlow(session, slow),
       targetLost: (reason, ending, now) => this.#targetLost(reason, ending, now)
@@ -134,7 +145,7 @@
       context,
       held,
       target,
-      announced: () => this.#announced(),
+      announced: now => this.#announced(now),
       stopTasksOf: (session, reason, now) => this.#runs.stopTasksOf(session, reason, now)
     })
     this.#evacuations = new EvacuationGuard({
@@ -170,10 +181,10 @@
   // The target
 
   #targetSeen (announcement: Announcement, now: number): void {
-    const sighting = this.#target.seen(announcement)
+    const sighting = this.#target.seen(announcement, now)
     if (sighting === Sighting.Changed) {
-      this.#remember()
-      this.#entries.announceToAll(now)
+      if (this.#remembersTooMuch()) this.#remember()
+      this.#announceToAll(now)
     }
     if (sighting !== Sighting.NewInstance) return
     if (this.#target.facts === undefined) return this.#begin(announcement, now)
@@ -193,6 +204,7 @@
   }
 
   #begin (announcement: Announcement, now: number): void {
+    this.#room.clear()
     this.#target.begin(announcement, now)
     this.#runs.stopInherited(now)
   }
@@ -208,14 +220,30 @@
     if (successor !== undefined) this.#begin(successor, now)
   }
 
-  #obstacle (): Cause {
+  #obstacle (expected: number, now: number): Cause {
     if (this.#stopping) return Cause.Leaving
-    return this.#evacuations.forbids(this.#target.facts?.dataCentre) ? Cause.Evacuated : this.#target.obstacle()
+    return this.#evacuations.forbids(this.#target.facts?.dataCentre) ? Cause.Evacuated : this.#target.obstacle(expected, now)
   }
 
-  #announced (): TargetFacts | undefined {
+  #announced (now: number): TargetFacts | undefined {
     const { facts, cleared } = this.#target
-    return facts !== undefined && cleared ? { ...facts, leaving: facts.leaving || this.#stopping || this.#withdrawn } : undefined
+    if (facts === undefined || !cleared) return undefined
+    const { remaining: _stated, ...lasting } = facts
+    const closed = this.#stopping || this.#withdrawn
+    const remaining = closed ? undefined : this.#target.remaining(now)
+    return { ...lasting, leaving: facts.leaving || closed, ...(remaining === undefined ? {} : { remaining }) }
+  }
+
+  #announceToAll (now: number): void {
+    this.#lends = this.#target.remaining(now) !== undefined
+    this.#entries.announceToAll(now)
+  }
+
+  /** Nothing may be started any more at a leaving target that took tasks until now. */
+  #announceIfClosed (now: number): void {
+    if (!this.#lends || this.#target.remaining(now) !== undefined) return
+    this.#context.note('leaving target takes no more tasks', { instance: this.#target.facts?.instance, tasks: this.#held.size })
+    this.#announceToAll(now)
   }
 
   #polled (event: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
@@ -225,7 +253,7 @@
     this.#withdrawIfSilent(now)
     if (!this.#target.settle(event.running.length)) return
     this.#remember()
-    this.#entries.announceToAll(now)
+    this.#announceToAll(now)
   }
 
   #withdrawIfSilent (now: number): void {
@@ -238,7 +266,16 @@
 
   #remember (): void {
     const { facts } = this.#target
-    if (facts !== undefined) this.#context.emit({ type: 'rememberTarget', facts })
+    if (facts === undefined) return
+    this.#remembered = facts
+    this.#context.emit({ type: 'rememberTarget', facts })
+  }
+
+  /** Whether a next run that goes by what is kept might start what has no room, or where nothing may start. */
+  #remembersTooMuch (): boolean {
+    const { facts } = this.#target
+    const kept = this.#remembered
+    return facts !== undefined && (kept === undefined || facts.leaving !== kept.leaving || !fits(kept.capacity, facts.capacity))
   }
 
   // Entries
@@ -268,6 +305,7 @@
   #woke (asleep: number, now: number): void {
     this.#context.note('woke from a suspension', { asleep: Math.round(asleep), tasks: this.#held.size })
     this.#entries.loseContact(now)
+    this.#target.notice.noteSuspended()
     this.#expire(now)
   }
 
@@ -280,6 +318,7 @@
   #tick (now: number): void {
     if (this.#target.superseded) this.#targetLost('silent, and another life announced itself', LifeEnd.Replaced, now)
     this.#withdrawIfSilent(now)
+    this.#announceIfClosed(now)
     this.#entries.tick(now)
     this.#evacuations.tick(now)
     this.#runs.repeatStops(now)
--- a/packages/dispatch/src/agentcontext.ts
+++ b/packages/dispatch/src/agentcontext.ts
@@ -23,9 +23,13 @@
   evacuation: boolean
   /** The store is read for evacuations when an entry has lost it. */
   evacuationReads: boolean
+  /** Room is counted by the capacity that the target stated last. */
+  capacityNews: boolean
+  /** Nothing is started later than `drain` after the notice of a target was acknowledged. */
+  drain: boolean
 }
 
-export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, evacuation: true, evacuationReads: true }
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
 
 export interface AgentContext {
   readonly timings: Timings
@@ -33,6 +37,8 @@
   readonly policy: Policy
   /** A stop of a task takes the target at most this long, in milliseconds. */
   readonly stop: number
+  /** Time after the acknowledgement of a target's notice within which tasks may start there, in milliseconds. */
+  readonly drain: number
   /** Milliseconds since 1970. */
   readonly wallClock: () => number
   readonly emit: (effect: AgentEffect) => void
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -273,3 +273,17 @@
  * job whose tasks stand together is lost with one target: 20 ms cost three entries 0.02 of the worst kind's credit in crashes.
  */
 export const AFFINITY_MILLISECONDS = 0.6
+
+// Capacity that changes, and ends that are announced.
+
+/** Change of the announced end of a target, in milliseconds, of which entries are told: less than the reserve for the way. */
+export const NOTICE_CHANGE_MILLISECONDS = 40
+
+/** Ended tasks whose needs an agent remembers, for runs of them that a late answer to a poll lists. */
+export const RUNS_LEFT_REMEMBERED = 512
+
+/** How much longer than estimated a task may take that goes to a leaving target: estimates are off by 40%, some by more. */
+export const LEAVING_ESTIMATE_FACTOR = 2
+
+/** Time kept at a leaving target besides, in milliseconds: the way of the start there, and of the poll that lists the end. */
+export const LEAVING_RESERVE_MILLISECONDS = 60
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -19,7 +19,7 @@
   held: HeldTasks
   target: TargetWatch
   /** The target as entries are told of it. */
-  announced: () => TargetFacts | undefined
+  announced: (now: number) => TargetFacts | undefined
   /** Nobody waits for the tasks of a session any more. */
   stopTasksOf: (session: EntrySession, reason: string, now: number) => void
 }
@@ -218,7 +218,7 @@
 
   #announce (session: EntrySession, now: number): void {
     const held = this.#held.of(session).map(({ order: { task, attempt } }) => ({ task, attempt }))
-    this.#send(session, { type: 'announce', target: this.#parts.announced(), held, load: this.#load(session, now) })
+    this.#send(session, { type: 'announce', target: this.#parts.announced(now), held, load: this.#load(session, now) })
   }
 
   /** Room that one entry's tasks leave is of use to the others only when they hear of it. */
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -137,7 +137,7 @@
   /** Free processors at the targets of some data centres, in thousandths of a core. */
   freeCpu (within: (dataCentre: string) => boolean): number {
     let sum = 0
-    for (const { target, free, linked, evacuated } of this.#agents.values()) if (linked && target !== undefined && !evacuated && within(target.dataCentre)) sum += Math.max(0, free.cpu)
+    for (const { target, free, linked, evacuated } of this.#agents.values()) if (linked && target?.leaving === false && !evacuated && within(target.dataCentre)) sum += Math.max(0, free.cpu)
     return sum
   }
 
@@ -270,7 +270,7 @@
     const opening = !agent.announced
     agent.announced = true
     if (target !== undefined && target.instance !== agent.target?.instance) this.#trust.renew(agent)
-    agent.noteTarget(target)
+    agent.noteTarget(target, this.#options.policy.usesLeaving ? now + (target?.remaining ?? -Infinity) : undefined)
     agent.evacuated = this.#evacuated(agent.dataCentre)
     agent.noteLoad(load)
     this.#tellRole(agent)
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -4,7 +4,7 @@
 import type { Policy } from './policy.ts'
 import type { Resources } from './resources.ts'
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
-import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
+import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, LEAVING_ESTIMATE_FACTOR, LEAVING_RESERVE_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
 import { RoomRole } from './messages.ts'
 import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
 
@@ -32,6 +32,8 @@
   /** Nothing may be started in its data centre. */
   evacuated = false
   target: TargetFacts | undefined
+  /** Until when a leaving target is used; in the past when it is not. */
+  usedUntil = Number.NEGATIVE_INFINITY
   health = new TargetHealth(1)
   /** Run time of an average target over the run time here. */
   speed = 1
@@ -68,8 +70,10 @@
     this.name = name
   }
 
-  noteTarget (target: TargetFacts | undefined): void {
+  /** @param usedUntil until when it is used while it leaves */
+  noteTarget (target: TargetFacts | undefined, usedUntil = Number.NEGATIVE_INFINITY): void {
     this.target = target
+    this.usedUntil = usedUntil
     this.dataCentre = target?.dataCentre ?? this.dataCentre
     this.#measure()
   }
@@ -160,7 +164,17 @@
   reachable (now: number): boolean {
     const idle = this.role === RoomRole.Asks ? QUIET_SUSPECT_MILLISECONDS : IDLE_SUSPECT_MILLISECONDS
     const silence = this.placements.size > 0 ? SUSPECT_MILLISECONDS : idle
-    return this.linked && this.announced && this.target !== undefined && !this.target.leaving && !this.evacuated && this.silentFor(now) < silence
+    return this.linked && this.announced && this.target !== undefined && this.takesWork(now) && !this.evacuated && this.silentFor(now) < silence
+  }
+
+  /** Whether its target stays, or is used while it leaves. */
+  takesWork (now: number): boolean {
+    return this.target?.leaving === false || now < this.usedUntil
+  }
+
+  /** Whether a task that runs for so long at an average target will have ended before the target is gone. */
+  outlasts (expected: number, now: number): boolean {
+    return this.target?.leaving !== true || now + expected / this.speed * LEAVING_ESTIMATE_FACTOR + LEAVING_RESERVE_MILLISECONDS < this.usedUntil
   }
 
   /** Whether this entry places tasks there now. */
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -10,6 +10,7 @@
   step: Pick<Step, 'needs' | 'label' | 'rack' | 'perTarget'>
   /** Expected run time at an average target, in milliseconds. */
   expected: number
+  now: number
   /** Target to be taken only when no other has room. */
   avoid: string
   dataCentre: string
@@ -42,8 +43,8 @@
   return best
 }
 
-function allows ({ step, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
-  if (!hasPlace(agent) || !fits(step.needs, agent.free)) return false
+function allows ({ step, expected, now, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+  if (!hasPlace(agent) || !fits(step.needs, agent.free) || !agent.outlasts(expected, now)) return false
   if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
   return step.perTarget === 0 || placedAt(agent) < step.perTarget
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -86,6 +86,7 @@
       const agent = choose({
         step,
         expected: job.expected[task.step] ?? 0,
+        now,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentre,
         placedAt: ({ name }) => counts.at(task.step, name),
@@ -122,6 +123,7 @@
       const agent = choose({
         step,
         expected: step.expected,
+        now,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentreOf(request.peer),
         hasPlace: agent => agent.hasRoomForOthers,
--- a/packages/dispatch/src/targetlease.ts
+++ b/packages/dispatch/src/targetlease.ts
@@ -53,6 +53,11 @@
     return Math.floor(this.#reading.clock + (now - this.#reading.at) + this.#timings.lease)
   }
 
+  /** What the target's clock reads now, or a little less; undefined while it is not known. */
+  clockAt (now: number): number | undefined {
+    return this.#reading === undefined ? undefined : this.#reading.clock + (now - this.#reading.at)
+  }
+
   noteClock (clock: number, now: number): void {
     this.#reading = { clock, at: now }
   }
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -8,7 +8,9 @@
 import { Stage } from './heldtasks.ts'
 import { Cause } from './messages.ts'
 import { TargetPace } from './progress.ts'
+import { fits } from './resources.ts'
 import { TargetLease } from './targetlease.ts'
+import { TargetNotice } from './targetnotice.ts'
 
 /** Shortest time between two polls while the first was not answered or the target is not clear, in milliseconds. */
 const POLL_RETRY_MILLISECONDS = 20
@@ -22,7 +24,7 @@
 /** What an announcement of the target tells. */
 export enum Sighting {
   Same = 'same',
-  /** It begins to leave, or takes work again. */
+  /** It begins to leave, or takes work again, or is of another size; or its end has moved. */
   Changed = 'changed',
   NewInstance = 'newInstance',
   /** It is late, or of a life that is over. */
@@ -40,6 +42,7 @@
   readonly #context: AgentContext
   readonly #held: HeldTasks
   #lease: TargetLease
+  #notice: TargetNotice
   #pace = new TargetPace()
   #answers = new AnswerTimes()
   #facts: TargetFacts | undefined
@@ -65,6 +68,7 @@
     this.#context = context
     this.#held = held
     this.#lease = new TargetLease(context.timings)
+    this.#notice = new TargetNotice(context.drain)
     this.#token = Math.floor(context.wallClock())
   }
 
@@ -99,6 +103,10 @@
     return this.#lease
   }
 
+  get notice (): TargetNotice {
+    return this.#notice
+  }
+
   get pace (): TargetPace {
     return this.#pace
   }
@@ -113,15 +121,16 @@
     return { instance: this.#facts?.instance ?? this.#lastInstance, token: this.#token }
   }
 
-  /** Why nothing may start there now; `Cause.None` when it may. */
-  obstacle (): Cause {
-    if (this.#facts?.leaving === true) return Cause.Leaving
+  /** Why a task that runs for so long may not start there now; `Cause.None` when it may. */
+  obstacle (expected: number, now: number): Cause {
+    if (this.#facts?.leaving === true && !this.#lends(expected, now)) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
     return this.#lease.silent ? Cause.Unreachable : Cause.None
   }
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
-  seen ({ facts, sequence }: Announcement): Sighting {
+  seen (announcement: Announcement, now: number): Sighting {
+    const { facts, sequence } = announcement
     if (this.hasEnded(facts.instance)) {
       this.#context.note('announcement of an earlier life ignored', { instance: facts.instance, current: this.#facts?.instance })
       return Sighting.Outdated
@@ -129,10 +138,11 @@
     if (this.#facts?.instance !== facts.instance) return Sighting.NewInstance
     if (sequence <= this.#sequence) return Sighting.Outdated
     this.#sequence = sequence
-    const changed = this.#facts.leaving !== facts.leaving
-    this.#facts = facts
-    if (!changed) return Sighting.Same
-    this.#context.note('target changed', { instance: facts.instance, leaving: facts.leaving })
+    const before = this.#facts
+    this.#facts = this.#context.guards.capacityNews ? facts : { ...facts, capacity: before.capacity }
+    const moved = this.#noteNotice(announcement, now) && this.#context.policy.usesLeaving
+    if (!moved && before.leaving === facts.leaving && isSame(before, this.#facts)) return Sighting.Same
+    this.#context.note('target changed', { instance: facts.instance, leaving: facts.leaving, remaining: facts.remaining, capacity: facts.capacity })
     return Sighting.Changed
   }
 
@@ -168,7 +178,8 @@
     return listed || (confirmedAt !== undefined && confirmedAt < this.#answeredSent)
   }
 
-  begin ({ facts, sequence, clock }: Announcement, now: number): void {
+  begin (announcement: Announcement, now: number): void {
+    const { facts, sequence, clock } = announcement
     // Orders of the life before that are still under way are refused from the first poll at the new one on.
     if (this.#lastInstance !== '') this.#token += 1
     this.#facts = facts
@@ -180,12 +191,29 @@
     this.#pace = new TargetPace()
     this.#answers = new AnswerTimes()
     if (clock !== undefined) this.#lease.noteClock(clock, now)
+    this.#notice = new TargetNotice(this.#context.drain)
+    if (clock !== undefined) this.#noteNotice(announcement, now)
     this.#cleared = !this.#context.guards.clearing
     this.#acknowledged = 0
     this.#polls.clear()
     this.#context.note('target found', { instance: facts.instance, service: facts.service, capacity: facts.capacity, token: this.#token })
   }
 
+  /** A heartbeat that lay in a queue says no more than is left by the target's clock. */
+  #noteNotice ({ facts: { leaving, remaining }, clock }: Announcement, now: number): boolean {
+    const elapsed = clock === undefined ? 0 : (this.#lease.clockAt(now) ?? clock) - clock
+    return this.#notice.note({ leaving, remaining: remaining === undefined ? undefined : remaining - Math.max(0, elapsed) }, now)
+  }
+
+  #lends (expected: number, now: number): boolean {
+    return this.#context.policy.usesLeaving && this.#notice.admits(expected, now, this.#context.guards.drain)
+  }
+
+  /** Time left of a leaving target, in milliseconds, while tasks may still start there. */
+  remaining (now: number): number | undefined {
+    return this.#lends(0, now) ? this.#notice.remaining(now, this.#context.guards.drain) : undefined
+  }
+
   /** @param over whether that life is over, so that no announcement brings it back */
   end (reason: string, over: boolean): void {
     this.#context.note('target lost', { instance: this.#facts?.instance, reason, tasks: this.#held.size })
@@ -295,3 +323,9 @@
     return !this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
   }
 }
+
+/** Whether both announcements tell of the same size and labels. */
+function isSame (one: TargetFacts, other: TargetFacts): boolean {
+  return fits(one.capacity, other.capacity) && fits(other.capacity, one.capacity) &&
+    one.labels.length === other.labels.length && one.labels.every((label, index) => label === other.labels[index])
+}
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -4,13 +4,13 @@
 import type { EntrySession } from './entrysession.ts'
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
+import type { TargetRoom } from './targetroom.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { RunEnd, StartAnswer } from './agenttypes.ts'
 import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
-import { fits } from './resources.ts'
 
 /** Run numbers skipped after a refusal as old, times the refusals so far. */
 const RUN_STEP = 8
@@ -37,8 +37,9 @@
   context: AgentContext
   held: HeldTasks
   target: TargetWatch
-  /** Why the agent as a whole starts nothing; `Cause.None` when it does. */
-  obstacle: () => Cause
+  room: TargetRoom
+  /** Why the agent as a whole does not start the task; `Cause.None` when it does. */
+  obstacle: (order: TaskOrder, now: number) => Cause
   tell: (session: EntrySession, end: TaskEnd, now: number) => void
   tellSlow: (session: EntrySession, slow: SlowTask) => void
   /** The target is gone for certain. */
@@ -78,9 +79,9 @@
   startOrdered (session: EntrySession, order: TaskOrder, payload: string, now: number): void {
     const held = this.#held.get(order.task)
     if (held?.session === session && held.order.attempt === order.attempt) return
-    const obstacle = held === undefined ? this.#parts.obstacle() : Cause.Rejected
+    const obstacle = held === undefined ? this.#parts.obstacle(order, now) : Cause.Rejected
     if (obstacle !== Cause.None) return this.#refuse(session, order, obstacle, now)
-    if (!this.#fits(order)) return this.#refuse(session, order, Cause.Full, now)
+    if (!this.#parts.room.fits(order.needs, now)) return this.#refuse(session, order, Cause.Full, now)
     this.#start(this.#held.add(order, payload, session, now), now)
   }
 
@@ -93,13 +94,6 @@
     this.#startAnswers[answer](held, now)
   }
 
-  #fits (order: TaskOrder): boolean {
-    const capacity = this.#target.facts?.capacity
-    if (capacity === undefined) return false
-    const { used } = this.#held
-    return fits(order.needs, { cpu: capacity.cpu - used.cpu, memory: capacity.memory - used.memory, accelerators: capacity.accelerators - used.accelerators })
-  }
-
   #start (held: HeldTask, now: number): void {
     const deadline = this.#target.lease.renew(now)
     if (deadline === undefined) return this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
@@ -132,8 +126,9 @@
     if (held.stage === Stage.Stopping) return this.finish(held, Outcome.Gone, Cause.Stopped, now)
     held.stops += 1
     if (held.stops > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
-    const obstacle = this.#parts.obstacle()
+    const obstacle = this.#parts.obstacle(held.order, now)
     if (obstacle !== Cause.None) return this.finish(held, Outcome.NotStarted, obstacle, now)
+    if (!this.#parts.room.holds(now)) return this.finish(held, Outcome.NotStarted, Cause.Full, now)
     held.run += RUN_STEP * held.stops
     this.#held.noteRun(held)
     this.#start(held, now)
@@ -195,8 +190,9 @@
     for (const { task, run, percent } of running) {
       const held = this.#held.get(task)
       if (held !== undefined && held.run === run) this.#runs(held, percent, now)
-      else this.#stray(task, run)
+      else this.#stray(task, run, now)
     }
+    this.#parts.room.settle(runs, sent, now)
     if (ended.length < ENDS_PER_POLL) {
       for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
     }
@@ -205,6 +201,7 @@
 
   #runEnded ({ number, task, run, end }: EndedRun, now: number): void {
     this.#target.acknowledge(number)
+    this.#parts.room.noteEnded(task, run)
     const held = this.#held.get(task)
     if (held === undefined || held.run !== run) return
     if (end === RunEnd.Done) this.#target.pace.observe(held, WHOLE_PERCENT, now)
@@ -221,7 +218,8 @@
   }
 
   /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. */
-  #stray (task: string, run: number): void {
+  #stray (task: string, run: number, now: number): void {
+    this.#parts.room.noteStray(task, run, now)
     this.#context.note('stray run stopped', { task, run })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
   }
@@ -233,7 +231,10 @@
     }
     if (held.stage !== Stage.Stopping || held.stopConfirmedAt === undefined) return
     // One that was never seen running has not begun, and the stop forbids that it does.
-    if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+    if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) {
+      this.#parts.room.noteStopped(held)
+      return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+    }
     if (sent > held.stopConfirmedAt + this.#context.stop) this.finish(held, Outcome.Gone, Cause.Stopped, now)
   }
 
@@ -279,6 +280,7 @@
 
   finish (held: HeldTask, outcome: Outcome, cause: Cause, now: number): void {
     this.#held.remove(held)
+    this.#parts.room.noteLeft(held)
     const { task, attempt } = held.order
     if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, entry: held.session.entry, age: Math.round(now - held.startedAt) })
     this.#parts.tell(held.session, { task, attempt, outcome, cause, ran: Math.max(0, now - held.startedAt) }, now)
--- a/packages/dispatch/test/agentbench.ts
+++ b/packages/dispatch/test/agentbench.ts
@@ -1,6 +1,7 @@
 /** An agent with a target and an entry, driven by hand under a clock of the test. */
 import type { AgentEffect, AgentEvent, EndedRun, PollFailure, RunningTask } from '../src/agenttypes.ts'
-import type { AgentMessage, TaskOrder } from '../src/messages.ts'
+import type { AgentOptions } from '../src/agent.ts'
+import type { AgentMessage, TargetFacts, TaskOrder } from '../src/messages.ts'
 import { Agent } from '../src/agent.ts'
 import { StartAnswer } from '../src/agenttypes.ts'
 import { timingsFor } from '../src/timings.ts'
@@ -23,13 +24,13 @@
   #pollSent = 0
   #sequence = 0
 
-  constructor (wall = 5_000_000) {
-    this.agent = new Agent({ timings: TIMINGS, stop: BOUNDS.stop, wallClock: () => wall })
+  constructor (wall = 5_000_000, options: Partial<AgentOptions> = {}) {
+    this.agent = new Agent({ timings: TIMINGS, stop: BOUNDS.stop, wallClock: () => wall, ...options })
   }
 
   /** An agent whose target is clear and whose entry is in contact. */
-  static ready (): AgentBench {
-    const bench = new AgentBench()
+  static ready (options: Partial<AgentOptions> = {}): AgentBench {
+    const bench = new AgentBench(undefined, options)
     bench.seen()
     bench.polled()
     bench.link()
@@ -53,7 +54,7 @@
     }
   }
 
-  seen (facts: Partial<typeof TARGET> = {}): void {
+  seen (facts: Partial<TargetFacts> = {}): void {
     this.#sequence += 1
     this.do({ type: 'targetSeen', facts: { ...TARGET, ...facts }, sequence: this.#sequence, clock: this.now })
   }
--- /dev/null
+++ b/packages/dispatch/test/capacitychanges.test.ts
@@ -0,0 +1,198 @@
+/** Capacity that shrinks and grows under running tasks, at targets that start whatever they are told. */
+import type { Resources } from '../src/resources.ts'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { RunEnd, StartAnswer } from '../src/agenttypes.ts'
+import { AgentBench, BOUNDS, order, TARGET } from './agentbench.ts'
+import { EntryBench, NO_LOAD, step } from './entrybench.ts'
+
+/** A task of the bench takes 2000. */
+function size (cpu: number): { capacity: Resources } {
+  return { capacity: { cpu, memory: 1000, accelerators: 0 } }
+}
+
+/** Starts a task, and tells how that ended at once; nothing when it was sent to the target. */
+function tryStart (bench: AgentBench, task: string): string[] {
+  bench.take()
+  bench.echo()
+  bench.start([order(task)])
+  return bench.ends()
+}
+
+function listed (...tasks: string[]): Array<{ task: string, run: number, percent: number }> {
+  return tasks.map(task => ({ task, run: 1, percent: 10 }))
+}
+
+test('a target that has shrunk starts no more than it has left', () => {
+  const bench = AgentBench.ready()
+  bench.run('a')
+  bench.run('b')
+  bench.seen(size(5000))
+  expect(tryStart(bench, 'c')).toEqual(['c notStarted full'])
+})
+
+test('what runs goes on when its target shrinks below it', () => {
+  const bench = AgentBench.ready()
+  bench.run('a')
+  bench.run('b')
+  bench.take()
+  bench.seen(size(1000))
+  expect(bench.of('stop')).toEqual([])
+  expect(bench.ends()).toEqual([])
+})
+
+// A stop takes the target up to 50 ms, in which the task holds its room.
+test('what is being stopped counts until its end is listed', () => {
+  const bench = AgentBench.ready()
+  bench.run('a')
+  bench.seen(size(2000))
+  bench.do({ type: 'entryMessage', entry: 'entry-1#a', message: { type: 'stop', tasks: [{ task: 'a', attempt: 1 }] } })
+  bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'a', run: 1, answered: true })
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+  bench.polled([], [{ number: 1, task: 'a', run: 1, end: RunEnd.Stopped }])
+  expect(tryStart(bench, 'c')).toEqual([])
+})
+
+test('a start that is under way while the target shrinks counts, and is not stopped', () => {
+  const bench = AgentBench.ready()
+  bench.start([order('a')])
+  bench.seen(size(2000))
+  bench.startAnswered('a')
+  expect(bench.of('stop')).toEqual([])
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+})
+
+// The target refuses a run number as old while it shrinks; sent again with a higher one, the start took it over its room.
+test('a start refused as old is not repeated where the room is gone', () => {
+  const bench = AgentBench.ready()
+  bench.start([order('a')])
+  bench.seen(size(1000))
+  bench.take()
+  bench.startAnswered('a', StartAnswer.OldRun)
+  expect(bench.of('start')).toEqual([])
+  expect(bench.ends()).toEqual(['a notStarted full'])
+})
+
+// Heartbeats overtake each other: the earlier one gave room back that is gone.
+test('a heartbeat that comes late does not bring room back', () => {
+  const bench = AgentBench.ready()
+  bench.run('a')
+  bench.do({ type: 'targetSeen', facts: { ...TARGET, ...size(2000) }, sequence: 9, clock: bench.now })
+  bench.do({ type: 'targetSeen', facts: TARGET, sequence: 8, clock: bench.now })
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+})
+
+// A run of which nobody here knows what it needs may hold the whole target.
+test('beside a run that nobody knows nothing starts until it is gone', () => {
+  const bench = AgentBench.ready()
+  bench.pass(1000)
+  bench.polled(listed('unknown'))
+  expect(tryStart(bench, 'a')).toEqual(['a notStarted full'])
+  bench.pass(1000)
+  bench.polled()
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+  bench.now += BOUNDS.stop
+  expect(tryStart(bench, 'c')).toEqual([])
+})
+
+// The lease lapsed here, and the target runs a task on: without its room the next start went over the capacity.
+test('a run that counts as gone here and is listed all the same holds its room', () => {
+  const bench = AgentBench.ready()
+  bench.seen(size(3000))
+  bench.run('a')
+  bench.pass(400)
+  bench.echo()
+  bench.pass(400)
+  expect(bench.ends()).toEqual(['a gone lapsed'])
+  bench.polled(listed('a'))
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+})
+
+// Two polls overlap while answers are lost, and the first may be answered last.
+test('a late answer to a poll that lists an ended run takes no room', () => {
+  const bench = AgentBench.ready()
+  bench.seen(size(2000))
+  bench.run('a')
+  bench.polled([], [{ number: 1, task: 'a', run: 1, end: RunEnd.Done }])
+  bench.polled(listed('a'))
+  expect(tryStart(bench, 'b')).toEqual([])
+})
+
+// The start was carried out, its answer lost, and the stop may take until `stop` later; no poll need show that.
+test('the room of a start that was taken back is free once the stop must have ended', () => {
+  const bench = AgentBench.ready()
+  bench.seen(size(2000))
+  bench.start([order('a')])
+  bench.startAnswered('a', StartAnswer.Silent)
+  bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'a', run: 1, answered: true })
+  bench.polled()
+  expect(bench.ends()).toEqual(['a gone unanswered'])
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+  bench.now += BOUNDS.stop
+  expect(tryStart(bench, 'c')).toEqual([])
+})
+
+test('entries hear of a changed capacity with the heartbeat that tells it', () => {
+  const bench = AgentBench.ready()
+  for (const cpu of [4000, 9000]) {
+    bench.seen(size(cpu))
+    expect(bench.sent('announce').map(message => message.type === 'announce' && message.target?.capacity.cpu)).toEqual([cpu])
+    bench.take()
+  }
+  bench.seen(size(9000))
+  expect(bench.sent('announce')).toEqual([])
+})
+
+// A restarted agent goes by what is kept until the first heartbeat: too much is a danger, too little is not.
+test('what is kept of the target is written anew when it shrinks, not when it grows', () => {
+  const bench = AgentBench.ready()
+  bench.seen(size(9000))
+  expect(bench.of('rememberTarget')).toEqual([])
+  bench.seen(size(4000))
+  expect(bench.of('rememberTarget').map(({ facts }) => facts.capacity.cpu)).toEqual([4000])
+})
+
+test('an agent that restarts during a shrink starts no more than the kept capacity, then than the heard one', () => {
+  const bench = new AgentBench()
+  bench.do({ type: 'targetRemembered', facts: { ...TARGET, ...size(4000) } })
+  bench.link()
+  bench.polled()
+  bench.run('a')
+  bench.seen(size(2000))
+  expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
+})
+
+function announce (bench: EntryBench, agent: string, cpu: number): void {
+  const target = { instance: `${agent}-target`, service: 'checks', dataCentre: 'one', ...size(cpu), labels: [], leaving: false }
+  const held = bench.starts().map(start => ({ task: start.split(' ')[1] as string, attempt: 1 }))
+  bench.do({ type: 'agentMessage', agent, message: { type: 'announce', target, held, load: NO_LOAD } })
+}
+
+test('a job that waits for room is served when its target grows', () => {
+  const bench = EntryBench.withAgents('agent-1')
+  bench.submit('a', [step(4)])
+  bench.submit('b', [step(1)])
+  expect(bench.starts().length).toEqual(4)
+  announce(bench, 'agent-1', 10_000)
+  expect(bench.starts().slice(4)).toEqual(['agent-1 b.0.0 1'])
+})
+
+test('an entry places nothing over a capacity that has shrunk', () => {
+  const bench = EntryBench.withAgents('agent-1', 'agent-2')
+  announce(bench, 'agent-1', 1000)
+  bench.submit('a', [step(4)])
+  expect(bench.starts().every(start => start.startsWith('agent-2'))).toEqual(true)
+})
+
+test('another entry that waits for room is granted it when a target grows', () => {
+  const bench = EntryBench.withAgents('agent-1')
+  bench.pass(600, ['agent-1'])
+  bench.peer('weaker', -5)
+  bench.pass(100, ['agent-1'])
+  bench.submit('own', [step(4)])
+  const ask = { type: 'ask' as const, group: '', service: 'checks', job: 'j', within: 500, waits: true, except: [], steps: [{ ...step(1), index: 0, expected: 300, endBy: 400, tasks: [{ name: 'j.0.0', avoid: '' }], placed: [] }] }
+  bench.hear('weaker', ask)
+  expect(bench.told('weaker').filter(({ type }) => type === 'grant')).toEqual([])
+  announce(bench, 'agent-1', 10_000)
+  expect(bench.told('weaker').filter(({ type }) => type === 'grant').length).toEqual(1)
+})
--- a/packages/emulator/src/dayplan.ts
+++ b/packages/emulator/src/dayplan.ts
@@ -62,6 +62,8 @@
   dataCentres: string[]
   entries: Array<{ dataCentre: string }>
   targets: TargetPlan[]
+  /** Whether targets refuse what does not fit. */
+  rejectsOverload: boolean
   delays: { within: number, between: number, callers: number }
   /** Milliseconds of each event, or where cores are stated what each kind of event costs on them. */
   processor: { entry: number, agent: number, entries: Array<number | undefined>, agents: Array<number | undefined> }
@@ -99,6 +101,7 @@
     dataCentres,
     entries: Array.from({ length: fleet.entries }, (_none, index) => ({ dataCentre: dataCentres[index % dataCentres.length] as string })),
     targets,
+    rejectsOverload: fleet.rejectsOverload,
     delays: { within: draw(fleet.within), between: draw(fleet.between), callers: draw(fleet.callers) },
     processor: {
       entry: draw(fleet.entryMilliseconds),
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -5,6 +5,7 @@
 import type { SeededRandom } from '@amaranthmast/standins/random'
 import type { Timeline } from './timeline.ts'
 import { PollFailure, RunEnd, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
+import { CapacityCheck } from './capacitycheck.ts'
 import { LeasedWorker } from '@amaranthmast/standins/leasedworker'
 
 type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
@@ -18,6 +19,8 @@
   /** Its steady clock against the others', 1 for the same rate. */
   clockRate: number
   longestLease: number
+  /** Whether it refuses what does not fit; else its agent alone guards it. @default true */
+  rejectsOverload?: boolean
   heartbeat: number
   /** Whether a poll waits for an end as long as it may, or is answered at once. */
   pollsWait: boolean
@@ -68,6 +71,7 @@
   readonly #random: SeededRandom
   readonly #traits: TargetTraits
   readonly #post: (event: AgentEvent) => void
+  readonly check: CapacityCheck
   #worker: LeasedWorker
   /** Name under which it is called, and this life of it. */
   #name = ''
@@ -78,6 +82,10 @@
   #sequence = 0
   #up = true
   #leaving = false
+  /** When it will be gone, where its announcements state it. */
+  #goneAt = Infinity
+  /** Part of its capacity that it has at present. */
+  #part = 1
   #rate = 1
   /** Orders that are lost to the caller and carried out late. */
   #late: Spell = { until: 0, share: 0 }
@@ -91,6 +99,7 @@
     this.#random = random
     this.#traits = traits
     this.#post = post
+    this.check = new CapacityCheck(traits.capacity.cpu, traits.heartbeat)
     this.#worker = this.#newLife()
     this.#heartbeat(this.#lives)
   }
@@ -118,6 +127,7 @@
     this.#timeline.after(milliseconds, () => {
       this.#up = true
       this.#leaving = false
+      this.#goneAt = Infinity
       this.#worker = this.#newLife(keepsName)
       this.#heartbeat(this.#lives)
     })
@@ -138,25 +148,43 @@
     this.#wakeIfDue()
   }
 
-  /** It takes no new work and is gone later. */
-  leave (milliseconds: number): void {
+  /**
+   * It takes no new work and is gone later.
+   *
+   * @param states whether it announces how much time is left
+   */
+  leave (milliseconds: number, states = false): void {
+    if (!this.#up || this.#leaving) return
+    const life = this.#lives
     this.#leaving = true
+    if (states) this.#goneAt = this.#timeline.now + milliseconds
+    this.check.noteLeaving(this.#timeline.now)
     this.announce()
     this.#timeline.after(milliseconds, () => {
+      if (!this.#up || life !== this.#lives) return
+      this.check.noteEnd(this.running().map(({ startedAt }) => this.#clockSince + startedAt / this.#traits.clockRate))
       this.#post({ type: 'targetLeft', instance: this.#instance })
       this.crash(Infinity)
     })
   }
 
+  /** From now on it has this part of its capacity; its next heartbeat says so. What runs goes on. */
+  setSize (part: number): void {
+    this.#part = part
+    this.#worker.setCapacity(this.#capacity.cpu)
+    this.check.noteCapacity(this.#capacity.cpu, this.#timeline.now)
+  }
+
   announce (): void {
     if (this.#up) this.#post(this.announcement())
   }
 
   /** The next heartbeat. */
   announcement (): AgentEvent {
-    const { service, dataCentre, capacity, labels } = this.#traits
+    const { service, dataCentre, labels } = this.#traits
     this.#sequence += 1
-    return { type: 'targetSeen', facts: { instance: this.#instance, service, dataCentre, capacity, labels, leaving: this.#leaving }, sequence: this.#sequence, clock: this.#clock }
+    const remaining = this.#goneAt === Infinity ? {} : { remaining: Math.max(0, this.#goneAt - this.#timeline.now) }
+    return { type: 'targetSeen', facts: { instance: this.#instance, service, dataCentre, capacity: this.#capacity, labels, leaving: this.#leaving, ...remaining }, sequence: this.#sequence, clock: this.#clock }
   }
 
   start (order: EffectOf<'start'>): void {
@@ -165,7 +193,7 @@
     this.#call(order, timeout, reply, {
       silent: StartAnswer.Silent,
       otherInstance: StartAnswer.OtherInstance,
-      carryOut: () => START_ANSWERS[this.#worker.start({ task, run, token, deadline, cpu: this.#traits.cpuOf(task) }, this.#clock)]
+      carryOut: () => this.#start({ task, run, token, deadline })
     })
   }
 
@@ -197,6 +225,18 @@
     this.#call(order, timeout, event => this.#post(event), answers, holds ? { acknowledged, wait } : undefined)
   }
 
+  #start (order: { task: string, run: number, token: number, deadline: number }): StartAnswer {
+    const running = this.running().length
+    const answer = START_ANSWERS[this.#worker.start({ ...order, cpu: this.#traits.cpuOf(order.task) }, this.#clock)]
+    if (this.#worker.running.length > running) this.check.noteStart(this.#worker.used, this.#timeline.now)
+    return answer
+  }
+
+  get #capacity (): Resources {
+    const { capacity } = this.#traits
+    return { ...capacity, cpu: Math.floor(capacity.cpu * this.#part) }
+  }
+
   get #clock (): number {
     return (this.#timeline.now - this.#clockSince) * this.#traits.clockRate
   }
@@ -208,8 +248,8 @@
     this.#instance = `${this.#name}/${this.#lives}`
     this.#sequence = 0
     this.#wakeAt = Infinity
-    const { capacity, longestLease, plan } = this.#traits
-    const worker = new LeasedWorker({ cpu: capacity.cpu, longestLease, plan })
+    const { longestLease, rejectsOverload = true, plan } = this.#traits
+    const worker = new LeasedWorker({ cpu: this.#capacity.cpu, longestLease, rejectsOverload, plan })
     if (this.#rate !== 1) worker.setRate(this.#rate, this.#clock)
     return worker
   }
--- a/packages/emulator/src/experiment.ts
+++ b/packages/emulator/src/experiment.ts
@@ -27,6 +27,7 @@
   memory: described(figure, 'Megabytes of a target', 65_536),
   sizes: described(z.array(z.number()), 'Sizes of targets, dealt in turn', [1, 1, 1.5]),
   speeds: described(z.array(z.number()), 'Speeds of targets, drawn', [0.8, 1, 1.25]),
+  rejectsOverload: described(z._default(z.boolean(), true), 'Whether targets refuse what does not fit', false),
   within: described(figure, 'One way between processes of a data centre, in milliseconds', 0.1),
   between: described(figure, 'One way between data centres, in milliseconds', [0.5, 1.5]),
   callers: described(figure, 'One way to callers, in milliseconds', [1, 3]),
--- a/packages/emulator/src/figures.ts
+++ b/packages/emulator/src/figures.ts
@@ -1,5 +1,6 @@
 /** The figures of one emulated day. */
 import type { Verdict } from './callers.ts'
+import type { CapacityCheck } from './capacitycheck.ts'
 import { Fate } from './callers.ts'
 
 /** Width of the windows of time that are judged by themselves, in milliseconds. */
@@ -25,6 +26,10 @@
   /** Callers in time, over all that were owed an answer. */
   inTimePart: number
   startsFullPart: number
+  /** Starts that took a target over its capacity, tasks begun at leaving targets, and those of them that were cut off. */
+  startsOver: number
+  begunLeaving: number
+  cutOff: number
   messagesPerTask: number
   /** Milliseconds of processor time a second of the busiest and the mean entry, and the mean agent, as priced. */
   entryMost: number
@@ -39,9 +44,10 @@
   /** Milliseconds of processor time a second. */
   entryLoads: readonly number[]
   agentLoads: readonly number[]
+  checks: ReadonlyArray<Pick<CapacityCheck, 'startsOver' | 'begunLeaving' | 'cutOff'>>
 }
 
-export function figuresOf (all: readonly Verdict[], { starts, fullStarts, messages, entryLoads, agentLoads }: Counts): DayFigures {
+export function figuresOf (all: readonly Verdict[], { starts, fullStarts, messages, entryLoads, agentLoads, checks }: Counts): DayFigures {
   const owed = all.filter(({ fate }) => fate !== Fate.Left)
   const kinds = groupBy(owed, ({ job }) => job.kind)
   const windows = groupBy(owed, ({ job }) => String(Math.floor(job.at / WINDOW_MILLISECONDS)))
@@ -60,6 +66,9 @@
     failed: count(Fate.Failed, Fate.TooLate),
     inTimePart: count(Fate.InTime) / Math.max(1, owed.length),
     startsFullPart: fullStarts / Math.max(1, starts),
+    startsOver: sum(checks.map(({ startsOver }) => startsOver)),
+    begunLeaving: sum(checks.map(({ begunLeaving }) => begunLeaving)),
+    cutOff: sum(checks.map(({ cutOff }) => cutOff)),
     messagesPerTask: messages / Math.max(1, tasks),
     entryMost: Math.max(...entryLoads),
     entryMean: mean(entryLoads),
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -20,7 +20,7 @@
 import { Process } from './process.ts'
 
 /** Bounds of the platform, in milliseconds. */
-export const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50, grace: 6000 }
+export const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50, grace: 6000, drain: 3000 }
 
 const SERVICE = 'service'
 const HEARTBEAT = 1500
@@ -75,7 +75,7 @@
     this.#connections = new Connections(timeline, pair => this.#travel(pair))
     this.#peers = new PeerLinks(timeline, this.entries, (from, to) => this.#delay(plan.entries[from]?.dataCentre, plan.entries[to]?.dataCentre))
     const timings = timingsFor(BOUNDS)
-    for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + timeline.now, policy }))
+    for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + timeline.now, policy }))
     for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy }))
     for (const agent of this.agents) agent.start()
     for (const index of this.entries.keys()) this.#startEntry(index)
@@ -170,6 +170,7 @@
       capacity,
       clockRate: 1,
       longestLease: BOUNDS.longestLease,
+      rejectsOverload: this.#plan.rejectsOverload,
       heartbeat: HEARTBEAT,
       pollsWait: true,
       plan: task => this.#runPlan(index, task, speed),
--- a/packages/emulator/src/troubles.ts
+++ b/packages/emulator/src/troubles.ts
@@ -49,6 +49,15 @@
   [TroubleKind.Leave]: ({ fleet, random }, { share }) => {
     for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(LEAVING_MILLISECONDS)
   },
+  [TroubleKind.Notice]: ({ fleet, random }, { share, lasts }) => {
+    for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(lasts, true)
+  },
+  [TroubleKind.Shrink]: ({ fleet, timeline, random }, { share, factor, lasts }) => {
+    for (const target of some(fleet.targets.length, share, random)) {
+      fleet.targets[target]?.setSize(factor)
+      timeline.after(lasts, () => fleet.targets[target]?.setSize(1))
+    }
+  },
   [TroubleKind.CutEntries]: ({ fleet, random }, { share, lasts }) => {
     for (const entry of some(fleet.entries.length, share, random)) fleet.cutEntry(entry, lasts)
   },
--- a/packages/emulator/src/troubletypes.ts
+++ b/packages/emulator/src/troubletypes.ts
@@ -18,6 +18,10 @@
   Restart = 'restart',
   /** A share of the targets leaves for good. */
   Leave = 'leave',
+  /** A share of the targets announces its end with the time that is left, and is gone then. */
+  Notice = 'notice',
+  /** A share of the targets has a part `factor` of its capacity. */
+  Shrink = 'shrink',
   /** A share of the entries is cut off from all agents. */
   CutEntries = 'cutEntries',
   /** A share of the entries is killed and starts again. */
--- a/packages/emulator/test/experiment.test.ts
+++ b/packages/emulator/test/experiment.test.ts
@@ -4,7 +4,7 @@
 import { experimentSchemaText, readExperiment } from '../src/experiment.ts'
 import { shortExperiment } from './experiments.ts'
 
-const EXAMPLES = ['overload', 'lostorders', 'mixed']
+const EXAMPLES = ['overload', 'lostorders', 'mixed', 'waves', 'notices']
 
 for (const name of EXAMPLES) {
   test(`the example ${name} is an experiment`, () => {
--- a/packages/standins/src/leasedworker.ts
+++ b/packages/standins/src/leasedworker.ts
@@ -49,6 +49,8 @@
   cpu: number
   /** Longest lease that it grants, in milliseconds. */
   longestLease: number
+  /** Whether it refuses what does not fit; else it starts whatever it is told to. @default true */
+  rejectsOverload?: boolean
   plan: (task: string) => RunPlan
 }
 
@@ -64,9 +66,11 @@
   #token = 0
   #deadline = 0
   #rate = 1
+  #cpu: number
 
   constructor (options: LeasedWorkerOptions) {
     this.#options = options
+    this.#cpu = options.cpu
   }
 
   get running (): readonly WorkerRun[] {
@@ -83,11 +87,21 @@
     const present = this.#running.get(order.task)
     if (present?.run === order.run) return 'started'
     if (present !== undefined || order.run <= (this.#closed.get(order.task) ?? 0)) return 'old'
-    if (this.#used + order.cpu > this.#options.cpu) return 'room'
+    if (this.#options.rejectsOverload !== false && this.used + order.cpu > this.#cpu) return 'room'
     this.#running.set(order.task, { task: order.task, run: order.run, cpu: order.cpu, startedAt: clock, plan: this.#options.plan(order.task), worked: 0, workedAt: clock })
     return 'started'
   }
 
+  /** What runs goes on, however little is left. */
+  setCapacity (cpu: number): void {
+    this.#cpu = cpu
+  }
+
+  /** Thousandths of a core that all its runs hold. */
+  get used (): number {
+    return this.running.reduce((sum, { cpu }) => sum + cpu, 0)
+  }
+
   /** Tells whether the token was accepted. */
   stop (task: string, run: number, token: number, clock: number): boolean {
     this.advance(clock)
@@ -149,10 +163,6 @@
     return worked + (clock - workedAt) * this.#rate
   }
 
-  get #used (): number {
-    return this.running.reduce((sum, { cpu }) => sum + cpu, 0)
-  }
-
   #extend (deadline: number, clock: number): void {
     this.#deadline = Math.max(this.#deadline, Math.min(deadline, clock + this.#options.longestLease))
   }
