Explorer: targets that shrink, grow and leave, and that do not guard themselves

Cause: nothing showed that an agent alone keeps such targets within their capacity, nor that nothing starts at a leaving target later than the time to drain.

ServiceSettings carry the time to drain.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -64,7 +64,7 @@
     const { settings, incarnation, decisions, now, wallClock } = options
     this.#options = options
     this.#visitedAt = now()
-    this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, wallClock, policy: policyOf(settings.scheduling) })
+    this.#agent = new Agent({ timings: timingsFor(settings.bounds), stop: settings.bounds.stop, drain: settings.bounds.drain, wallClock, policy: policyOf(settings.scheduling) })
     this.#suspension = new SuspensionWatch(now, wallClock)
     const own: Greeting = { role: PeerRole.Agent, name: settings.id, incarnation, address: settings.linkAddress }
     const post = (event: AgentEvent): void => this.#post(event)
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -100,6 +100,8 @@
     /** After the order to stop, the process must have ended. */
     grace: number
     stop: number
+    /** Tasks may start at a target within this time after the agent acknowledged its notice. */
+    drain: number
     longestLease: number
     resubmission: number
   }
--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -9,7 +9,9 @@
   /** Processes, workers and links. */
   Processes = 'processes',
   /** The same, workers that start again under their names, and evacuations. */
-  Operators = 'operators'
+  Operators = 'operators',
+  /** The same as the first, targets that shrink, grow and leave, and that do not guard themselves. */
+  Capacity = 'capacity'
 }
 
 /** Length of one run of the world, in milliseconds: faults for most of it, then a quiet end. */
@@ -75,9 +77,35 @@
   }
 }
 
+const CAPACITY_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  shrink: world => resize(world, anyAgent(world), 200 + world.random.next() * 9000),
+  shrinkAll: world => {
+    for (const agent of world.agents.keys()) resize(world, agent, 200 + world.random.next() * 9000)
+  },
+  shrinkAndRestart: world => {
+    const agent = anyAgent(world)
+    resize(world, agent, 6000)
+    world.restartAgent(agent, 30 + world.random.next() * 1500)
+  },
+  notice: world => world.workers[anyAgent(world)]?.leave(500 + world.random.next() * 4000, { states: true, back: 300 + world.random.next() * 1000 }),
+  noticeAndRestart: world => {
+    const agent = anyAgent(world)
+    world.workers[agent]?.leave(2000 + world.random.next() * 3000, { states: true, back: 300 })
+    world.timeline.after(200, () => world.restartAgent(agent, 100, 300))
+  }
+}
+
+/** The target has a part of its capacity for a while. */
+function resize (world: World, agent: number, milliseconds: number): void {
+  world.workers[agent]?.setSize(0.2 + world.random.next() * 0.6)
+  world.timeline.after(milliseconds, () => world.workers[agent]?.setSize(1))
+}
+
 const FAULTS_OF: Readonly<Record<Theme, Readonly<Record<string, Fault>>>> = {
   [Theme.Processes]: FAULTS,
-  [Theme.Operators]: OPERATOR_FAULTS
+  [Theme.Operators]: OPERATOR_FAULTS,
+  [Theme.Capacity]: CAPACITY_FAULTS
 }
 
 /** For a guard that is switched off: the faults that it is for, made likelier. */
@@ -88,6 +116,8 @@
   lifeProof: ['lateHeartbeat'],
   evacuation: ['evacuate', 'cutStore'],
   evacuationReads: ['evacuate', 'cutStoreOfEntries'],
+  capacityNews: ['shrink', 'shrinkAll'],
+  drain: ['notice'],
   heldStarts: ['cutOne', 'cutEntry', 'resetOne', 'freezeAgent']
 }
 
@@ -114,7 +144,7 @@
  */
 export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1 }, trace)
+  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, changing: theme === Theme.Capacity }, trace)
   world.submitUntil(FAULTS_END)
   strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
   world.timeline.runUntil(LENGTH)
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -37,12 +37,20 @@
 }
 
 /** Bounds of the platform that the fleet is built for, in milliseconds. */
-const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50 }
+const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50, drain: 1000 }
 const CALLER_DEADLINE = 3000
 const DIAL_AGAIN = 60
 const JOB_INTERVAL = 120
 const TASK_CPU = 3000
 const CHECK_INTERVAL = 5
+const HEARTBEAT = 1500
+
+/** By the platform's bounds room that has shrunk counts for so long, in milliseconds: a machine may be out of touch, and one heartbeat more. */
+const NEWS = 4000 + HEARTBEAT
+
+/** Capacity of a target, in thousandths of a core, and of one that changes: then it is full now and again. */
+const CAPACITY = 32_000
+const CHANGING_CAPACITY = 12_000
 const FASTEST_MESSAGE = 0.1
 const MESSAGE_SPREAD = 2.9
 
@@ -60,6 +68,8 @@
   entries: number
   agents: number
   dataCentres: number
+  /** Whether targets shrink, grow and leave, are used until they are gone, and start whatever they are told. */
+  changing: boolean
 }
 
 export interface Violation {
@@ -84,6 +94,9 @@
   readonly answers = new Map<string, number>()
   readonly operators: Operators
   readonly #dataCentres: number
+  readonly #changing: boolean
+  /** When the notice of each target was acknowledged. */
+  readonly #noticed = new Map<number, number>()
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
@@ -96,6 +109,7 @@
   constructor (seed: number, guards: Guards, sizes: WorldSizes, trace?: (line: string) => void) {
     this.#trace = trace
     this.#dataCentres = sizes.dataCentres
+    this.#changing = sizes.changing
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
@@ -156,7 +170,7 @@
     this.entries.forEach((_entry, entry) => this.#connections.closeByAgent(pairOf(entry, index)))
     this.timeline.after(milliseconds, () => {
       agent.start()
-      if (this.#dataCentres > 1) this.operators.recallTarget(index)
+      if (this.#dataCentres > 1 || this.#changing) this.operators.recallTarget(index)
       this.timeline.after(this.random.next() * heartbeat, () => this.workers[index]?.announce())
     })
   }
@@ -185,10 +199,13 @@
 
   #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     // Clocks of different runs of one machine may be set back between them.
-    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing } })
+    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, usesLeaving: this.#changing } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
-    this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => agent.post(event)))
+    this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => {
+      if (event.type === 'targetSeen') this.#noteNotice(index, event.facts.leaving)
+      agent.post(event)
+    }))
   }
 
   #traits (dataCentre: string): TargetTraits {
@@ -196,10 +213,12 @@
       service: 'service',
       dataCentre,
       labels: [],
-      capacity: { cpu: 32_000, memory: 65_536, accelerators: 0 },
+      capacity: { cpu: this.#changing ? CHANGING_CAPACITY : CAPACITY, memory: 65_536, accelerators: 0 },
       clockRate: 1 - CLOCK_SLOWNESS * this.random.next(),
       longestLease: BOUNDS.longestLease,
-      heartbeat: 1500,
+      heartbeat: HEARTBEAT,
+      news: NEWS,
+      rejectsOverload: !this.#changing,
       pollsWait: this.#dataCentres > 1,
       plan: () => ({ duration: 50 + this.random.next() * 1500, fails: this.random.next() < 0.02 }),
       cpuOf: () => TASK_CPU
@@ -207,7 +226,7 @@
   }
 
   #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
-    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet })
+    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { usesLeaving: this.#changing } })
     this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
   }
 
@@ -218,7 +237,7 @@
   #carryOutAgent (index: number, effect: AgentEffect): void {
     const worker = this.workers[index] as EmulatedTarget
     if (effect.type === 'start') {
-      const fault = this.operators.faultOfStart(index)
+      const fault = this.operators.faultOfStart(index) ?? this.#faultOfLateStart(index)
       if (fault !== undefined) this.violation ??= { at: this.timeline.now, detail: fault }
       worker.start(effect)
     }
@@ -231,6 +250,18 @@
     if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} agent${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
   }
 
+  #noteNotice (index: number, leaving: boolean): void {
+    const agent = this.agents[index] as AgentProcess
+    if (!leaving) this.#noticed.delete(index)
+    else if (agent.alive && !agent.frozen && !this.#noticed.has(index)) this.#noticed.set(index, this.timeline.now)
+  }
+
+  /** Later than the time to drain after the acknowledgement nothing is started. */
+  #faultOfLateStart (index: number): string | undefined {
+    const late = this.timeline.now - (this.#noticed.get(index) ?? Infinity)
+    return late > BOUNDS.drain ? `a start at worker ${index} ${late.toFixed(0)} ms after its notice was acknowledged` : undefined
+  }
+
   #carryOutEntry (index: number, effect: EntryEffect): void {
     if (effect.type === 'send') this.#connections.toAgent(pairOf(index, numberOf(effect.agent)), effect.message)
     if (effect.type === 'tell') this.#peers.send(index, numberOf(effect.peer), effect.message)
@@ -303,6 +334,7 @@
   #check (): void {
     const where = new Map<string, number>()
     this.workers.forEach((worker, index) => {
+      if (worker.check.startsOver > 0) this.violation ??= { at: this.timeline.now, detail: `a start took worker ${index} over its capacity` }
       for (const { task, run } of worker.running()) {
         const other = where.get(task)
         if (other !== undefined) this.violation ??= { at: this.timeline.now, detail: `${task} runs at worker ${other} and, as run ${run}, at worker ${index}` }
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -20,7 +20,9 @@
   nextLife: { first: 61, runs: 60, theme: Theme.Operators },
   lifeProof: { first: 1, runs: 60, theme: Theme.Operators },
   evacuation: { first: 61, runs: 60, theme: Theme.Operators },
-  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators }
+  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators },
+  capacityNews: { first: 1, runs: 60, theme: Theme.Capacity },
+  drain: { first: 1, runs: 60, theme: Theme.Capacity }
 }
 
 test('no task runs twice at one time under random faults', () => {
@@ -31,6 +33,10 @@
   expect(search(5000, 60, Theme.Operators)).toEqual(undefined)
 })
 
+test('targets that shrink, grow and leave get no start over their capacity or too late', () => {
+  expect(search(5000, 60, Theme.Capacity)).toEqual(undefined)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which once failed, breaks no promise`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
--- a/packages/emulator/src/capacitycheck.ts
+++ b/packages/emulator/src/capacitycheck.ts
@@ -1,27 +1,25 @@
 /** What a target sees of those that start tasks there: starts over its capacity, and tasks begun while it leaves. */
 
-/** Time in milliseconds, besides that between two heartbeats, for which room that has shrunk still counts. */
-const NEWS_MILLISECONDS = 100
-
 export class CapacityCheck {
-  readonly #heartbeat: number
+  readonly #news: number
   /** Capacities in thousandths of a core, and until when each was in force. */
   #earlier: Array<{ cpu: number, until: number }> = []
   #cpu: number
   #leavingSince = Infinity
-  /** Starts that took it over what it had within the last heartbeats. */
+  /** Starts that took it over what it had within that time. */
   startsOver = 0
   /** Tasks that began there after it had announced its end, and those of them that its end cut off. */
   begunLeaving = 0
   cutOff = 0
 
-  constructor (cpu: number, heartbeat: number) {
+  /** @param news time in milliseconds for which room that has shrunk still counts */
+  constructor (cpu: number, news: number) {
     this.#cpu = cpu
-    this.#heartbeat = heartbeat
+    this.#news = news
   }
 
   noteCapacity (cpu: number, now: number): void {
-    this.#earlier = this.#earlier.filter(({ until }) => now - until < this.#grace)
+    this.#earlier = this.#earlier.filter(({ until }) => now - until < this.#news)
     this.#earlier.push({ cpu: this.#cpu, until: now })
     this.#cpu = cpu
   }
@@ -33,7 +31,7 @@
   /** @param used of all that runs there with the task that has begun */
   noteStart (used: number, now: number): void {
     if (now >= this.#leavingSince) this.begunLeaving += 1
-    const counted = this.#earlier.filter(({ until }) => now - until < this.#grace).map(({ cpu }) => cpu)
+    const counted = this.#earlier.filter(({ until }) => now - until < this.#news).map(({ cpu }) => cpu)
     if (used > Math.max(this.#cpu, ...counted)) this.startsOver += 1
   }
 
@@ -42,8 +40,4 @@
     this.cutOff += startedAt.filter(at => at >= this.#leavingSince).length
     this.#leavingSince = Infinity
   }
-
-  get #grace (): number {
-    return this.#heartbeat + NEWS_MILLISECONDS
-  }
 }
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -22,6 +22,8 @@
   /** Whether it refuses what does not fit; else its agent alone guards it. @default true */
   rejectsOverload?: boolean
   heartbeat: number
+  /** For how long room that has shrunk still counts in its own check of what is started there. */
+  news: number
   /** Whether a poll waits for an end as long as it may, or is answered at once. */
   pollsWait: boolean
   plan: (task: string) => RunPlan
@@ -99,7 +101,7 @@
     this.#random = random
     this.#traits = traits
     this.#post = post
-    this.check = new CapacityCheck(traits.capacity.cpu, traits.heartbeat)
+    this.check = new CapacityCheck(traits.capacity.cpu, traits.news)
     this.#worker = this.#newLife()
     this.#heartbeat(this.#lives)
   }
@@ -152,8 +154,9 @@
    * It takes no new work and is gone later.
    *
    * @param states whether it announces how much time is left
+   * @param back after which time another life is there; infinite when it is gone for good
    */
-  leave (milliseconds: number, states = false): void {
+  leave (milliseconds: number, { states = false, back = Infinity } = {}): void {
     if (!this.#up || this.#leaving) return
     const life = this.#lives
     this.#leaving = true
@@ -164,7 +167,7 @@
       if (!this.#up || life !== this.#lives) return
       this.check.noteEnd(this.running().map(({ startedAt }) => this.#clockSince + startedAt / this.#traits.clockRate))
       this.#post({ type: 'targetLeft', instance: this.#instance })
-      this.crash(Infinity)
+      this.crash(back)
     })
   }
 
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -25,6 +25,9 @@
 const SERVICE = 'service'
 const HEARTBEAT = 1500
 
+/** Room that has shrunk counts until the next heartbeat has come, and orders sent before it, in milliseconds. */
+const NEWS = HEARTBEAT + 100
+
 const MILLISECONDS_PER_SECOND = 1000
 
 /** Pause between looks for links that are missing, in milliseconds. */
@@ -172,6 +175,7 @@
       longestLease: BOUNDS.longestLease,
       rejectsOverload: this.#plan.rejectsOverload,
       heartbeat: HEARTBEAT,
+      news: NEWS,
       pollsWait: true,
       plan: task => this.#runPlan(index, task, speed),
       cpuOf: task => this.#jobOf(task).cpu
--- a/packages/emulator/src/troubles.ts
+++ b/packages/emulator/src/troubles.ts
@@ -50,7 +50,7 @@
     for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(LEAVING_MILLISECONDS)
   },
   [TroubleKind.Notice]: ({ fleet, random }, { share, lasts }) => {
-    for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(lasts, true)
+    for (const target of some(fleet.targets.length, share, random)) fleet.targets[target]?.leave(lasts, { states: true })
   },
   [TroubleKind.Shrink]: ({ fleet, timeline, random }, { share, factor, lasts }) => {
     for (const target of some(fleet.targets.length, share, random)) {
