Capacity: a forecast of what a service has, now and ahead

Cause: whoever admits jobs by what the fleet can do must know what leaves, is closed or comes back; each would work it out anew.

Change: a pure module that the fleet of an entry tells of each agent that links, breaks off or announces.

--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -287,3 +287,9 @@
 
 /** Time kept at a leaving target besides, in milliseconds: the way of the start there, and of the poll that lists the end. */
 export const LEAVING_RESERVE_MILLISECONDS = 60
+
+/** Weight of the newest absence of a target in the mean time that targets are away. */
+export const ABSENCE_RATE = 0.25
+
+/** Part of that mean after which a target that is away counts as gone for good. */
+export const OVERDUE_FACTOR = 2
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -1,4 +1,5 @@
 /** The agents of one entry: what was placed where, what became of it, and who is still there. */
+import type { CapacityFigures, ForecastStatus } from './capacityforecast.ts'
 import type { EntryEffect } from './entrytypes.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { FleetGuards } from './fleetguards.ts'
@@ -8,6 +9,7 @@
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
+import { CapacityForecast } from './capacityforecast.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
 import { Cause, Outcome, RoomRole } from './messages.ts'
@@ -44,6 +46,7 @@
   readonly #options: FleetOptions
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
+  readonly #forecast = new CapacityForecast()
   #roleIn: (dataCentre: string) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
 
@@ -134,6 +137,16 @@
     return sizes
   }
 
+  /** Room of a service now, and `ahead` milliseconds from now. */
+  capacityOf (service: string, ahead: number, now: number): CapacityFigures {
+    return this.#forecast.at(this.#agents.values(), service, ahead, now)
+  }
+
+  /** Figures on the capacity of a service, for status pages. */
+  capacityStatus (service: string, now: number): ForecastStatus {
+    return this.#forecast.status([...this.#agents.values()], service, now)
+  }
+
   /** Free processors at the targets of some data centres, in thousandths of a core. */
   freeCpu (within: (dataCentre: string) => boolean): number {
     let sum = 0
@@ -179,6 +192,7 @@
     const agent = this.#agents.get(name)
     if (agent === undefined || !agent.linked) return
     agent.linked = false
+    this.#forecast.note(agent, now)
     this.#note('agent unlinked', { agent: name, placed: agent.placements.size, heardAgo: Math.round(now - agent.heardAt) })
   }
 
@@ -229,6 +243,7 @@
       if (agent.linked && agent.silentFor(now) >= agent.deadAfter(contact)) {
         this.#note('agent silent', { agent: agent.name, placed: agent.placements.size })
         agent.linked = false
+        this.#forecast.note(agent, now)
         this.#options.emit({ type: 'unlink', agent: agent.name })
       }
       if (!agent.linked && agent.placements.size === 0 && now - agent.heardAt >= AGENT_MEMORY_MILLISECONDS) this.#forget(agent)
@@ -241,6 +256,7 @@
   #forget (agent: AgentView): void {
     this.#agents.delete(agent.name)
     this.#trust.remove(agent)
+    this.#forecast.forget(agent)
     this.#note('agent forgotten', { agent: agent.name, instance: agent.target?.instance })
   }
 
@@ -273,6 +289,7 @@
     agent.noteTarget(target, this.#options.policy.usesLeaving ? now + (target?.remaining ?? -Infinity) : undefined)
     agent.evacuated = this.#evacuated(agent.dataCentre)
     agent.noteLoad(load)
+    this.#forecast.note(agent, now)
     this.#tellRole(agent)
     this.#note('target announced', { agent: agent.name, instance: target?.instance, leaving: target?.leaving, held: held.length })
     const names = new Set(held.map(({ task, attempt }) => `${task}/${attempt}`))
