Capacity: entries are told of room that no task holds

Cause: with the room of a taken-back start withheld until its stop must have ended, entries placed the task there again, and a tenth of all starts came back as full while orders are lost.

Ruled out: telling the end later (the retry would wait as long).

Change: that room counts in what others hold, and who gives out room hears when it is free.

--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -145,6 +145,7 @@
       context,
       held,
       target,
+      used: now => this.#room.used(now),
       announced: now => this.#announced(now),
       stopTasksOf: (session, reason, now) => this.#runs.stopTasksOf(session, reason, now)
     })
@@ -319,6 +320,7 @@
     if (this.#target.superseded) this.#targetLost('silent, and another life announced itself', LifeEnd.Replaced, now)
     this.#withdrawIfSilent(now)
     this.#announceIfClosed(now)
+    if (this.#room.expire(now)) this.#entries.noteFreed()
     this.#entries.tick(now)
     this.#evacuations.tick(now)
     this.#runs.repeatStops(now)
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -3,6 +3,7 @@
 import type { EvacuationState } from './evacuations.ts'
 import type { HeldTasks } from './heldtasks.ts'
 import type { AgentMessage, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskReference } from './messages.ts'
+import type { Resources } from './resources.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
@@ -18,6 +19,8 @@
   context: AgentContext
   held: HeldTasks
   target: TargetWatch
+  /** All that may be taken at the target. */
+  used: (now: number) => Resources
   /** The target as entries are told of it. */
   announced: (now: number) => TargetFacts | undefined
   /** Nobody waits for the tasks of a session any more. */
@@ -153,6 +156,11 @@
     }
   }
 
+  /** Room became free that no task held: who gives it out hears of it at once. */
+  noteFreed (): void {
+    for (const session of this.#sessions.values()) session.freed = true
+  }
+
   /** Stops the tasks of entries out of contact. */
   expire (now: number): void {
     if (!this.#context.guards.contact) return
@@ -225,12 +233,12 @@
   #loadChanged (session: EntrySession, now: number): boolean {
     if (!session.waiting || !this.#context.policy.tellsRoom) return false
     const capacity = this.#parts.target.facts?.capacity.cpu ?? 0
-    const change = Math.abs(this.#held.used.cpu - session.used.cpu - session.toldOthers)
+    const change = Math.abs(this.#parts.used(now).cpu - session.used.cpu - session.toldOthers)
     return change > LOAD_CHANGE_PART * capacity && now - session.toldAt >= LOAD_INTERVAL_MILLISECONDS * this.#sessions.size
   }
 
   #load (session: EntrySession, now: number): Load {
-    const { used } = this.#held
+    const used = this.#parts.used(now)
     session.toldOthers = used.cpu - session.used.cpu
     session.toldAt = now
     const { taken } = session
--- a/packages/dispatch/src/targetroom.ts
+++ b/packages/dispatch/src/targetroom.ts
@@ -2,7 +2,7 @@
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { Resources } from './resources.ts'
 import { RUNS_LEFT_REMEMBERED } from './defaults.ts'
-import { addTo, fits } from './resources.ts'
+import { addTo, fits, NO_RESOURCES } from './resources.ts'
 
 export interface TargetRoomParts {
   held: HeldTasks
@@ -45,13 +45,25 @@
 
   /** Whether a further task fits. */
   fits (needs: Resources, now: number): boolean {
-    const used = this.#used(now)
     const capacity = this.#parts.capacity()
+    const used = this.#known(now)
     if (used === undefined || capacity === undefined) return false
     addTo(used, needs)
     return fits(used, capacity)
   }
 
+  /** All that may be taken there: everything while something runs whose needs are not known. */
+  used (now: number): Resources {
+    return this.#known(now) ?? { ...(this.#parts.capacity() ?? NO_RESOURCES) }
+  }
+
+  /** Drops what cannot take room any more; tells whether there was any. */
+  expire (now: number): boolean {
+    const before = this.#withheld.size
+    for (const [key, { until }] of this.#withheld) if (now >= until) this.#withheld.delete(key)
+    return this.#withheld.size < before
+  }
+
   /** Whether all that may run there still fits, when a start that counts already is sent again. */
   holds (now: number): boolean {
     return this.fits({ cpu: 0, memory: 0, accelerators: 0 }, now)
@@ -103,13 +115,10 @@
   }
 
   /** Undefined while something runs whose needs are not known. */
-  #used (now: number): Resources | undefined {
+  #known (now: number): Resources | undefined {
     const used = { ...this.#parts.held.used }
-    for (const [key, { needs, until }] of this.#withheld) {
-      if (now >= until) {
-        this.#withheld.delete(key)
-        continue
-      }
+    for (const { needs, until } of this.#withheld.values()) {
+      if (now >= until) continue
       if (needs === undefined) return undefined
       addTo(used, needs)
     }
--- a/packages/dispatch/test/capacitychanges.test.ts
+++ b/packages/dispatch/test/capacitychanges.test.ts
@@ -3,7 +3,8 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { RunEnd, StartAnswer } from '../src/agenttypes.ts'
-import { AgentBench, BOUNDS, order, TARGET } from './agentbench.ts'
+import { RoomRole } from '../src/messages.ts'
+import { AgentBench, BOUNDS, ENTRY, order, TARGET } from './agentbench.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 
 /** A task of the bench takes 2000. */
@@ -46,7 +47,7 @@
   const bench = AgentBench.ready()
   bench.run('a')
   bench.seen(size(2000))
-  bench.do({ type: 'entryMessage', entry: 'entry-1#a', message: { type: 'stop', tasks: [{ task: 'a', attempt: 1 }] } })
+  bench.do({ type: 'entryMessage', entry: ENTRY, message: { type: 'stop', tasks: [{ task: 'a', attempt: 1 }] } })
   bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'a', run: 1, answered: true })
   expect(tryStart(bench, 'b')).toEqual(['b notStarted full'])
   bench.polled([], [{ number: 1, task: 'a', run: 1, end: RunEnd.Stopped }])
@@ -132,6 +133,26 @@
   expect(tryStart(bench, 'c')).toEqual([])
 })
 
+/** Processors that others hold, as the entry was told last. */
+function toldOthers (bench: AgentBench): number | undefined {
+  const last = bench.of('send').map(({ message }) => message).filter(message => 'load' in message).at(-1)
+  return last !== undefined && 'load' in last ? last.load.others.cpu : undefined
+}
+
+// Entries that knew nothing of it placed the task there again, where it was refused: a tenth of all starts while orders are lost.
+test('entries are told of room that no task holds, and when it is free', () => {
+  const bench = AgentBench.ready()
+  bench.do({ type: 'entryMessage', entry: ENTRY, message: { type: 'role', role: RoomRole.Allocates } })
+  bench.start([order('a')])
+  bench.startAnswered('a', StartAnswer.Silent)
+  bench.do({ type: 'stopAnswered', instance: TARGET.instance, task: 'a', run: 1, answered: true })
+  bench.polled()
+  expect(toldOthers(bench)).toEqual(2000)
+  bench.take()
+  bench.pass(BOUNDS.stop)
+  expect(toldOthers(bench)).toEqual(0)
+})
+
 test('entries hear of a changed capacity with the heartbeat that tells it', () => {
   const bench = AgentBench.ready()
   for (const cpu of [4000, 9000]) {
--- a/packages/emulator/test/day.test.ts
+++ b/packages/emulator/test/day.test.ts
@@ -64,6 +64,8 @@
   [TroubleKind.Restart, 0.9],
   [TroubleKind.Evacuate, 0.9],
   [TroubleKind.Leave, 0.95],
+  [TroubleKind.Notice, 0.95],
+  [TroubleKind.Shrink, 0.9],
   [TroubleKind.CutEntries, 0.6],
   [TroubleKind.KillEntries, 0.9],
   [TroubleKind.KillAgents, 0.9],
