--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -310,3 +310,23 @@
  * lease ends it at the price of what runs beside it: four stops without an answer.
  */
 export const STRAY_MILLISECONDS = 400
+
+// Capacity that changes, and ends that are announced.
+
+/** Change of the announced end of a target, in milliseconds, of which entries are told: less than the reserve for the way. */
+export const NOTICE_CHANGE_MILLISECONDS = 40
+
+/** Ended tasks whose needs an agent remembers, for runs of them that a late answer to a poll lists. */
+export const RUNS_LEFT_REMEMBERED = 512
+
+/** How much longer than estimated a task may take that goes to a leaving target: estimates are off by 40%, some by more. */
+export const LEAVING_ESTIMATE_FACTOR = 2
+
+/** Time kept at a leaving target besides, in milliseconds: the way of the start there, and of the poll that lists the end. */
+export const LEAVING_RESERVE_MILLISECONDS = 60
+
+/** Weight of the newest absence of a target in the mean time that targets are away. */
+export const ABSENCE_RATE = 0.25
+
+/** Part of that mean after which a target that is away counts as gone for good. */
+export const OVERDUE_FACTOR = 2
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -5,6 +5,7 @@
 import type { AgentMessage, CrashRecord, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
 import type { Resources } from './resources.ts'
 import type { TargetWatch } from './targetwatch.ts'
+import { takeFrom } from './resources.ts'
 import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
 import { Isolation, RoomRole } from './messages.ts'
@@ -19,8 +20,10 @@
   context: AgentContext
   held: HeldTasks
   target: TargetWatch
+  /** All that may be taken at the target. */
+  used: (now: number) => Resources
   /** The target as entries are told of it. */
-  announced: () => TargetFacts | undefined
+  announced: (now: number) => TargetFacts | undefined
   /** Tasks under which the target was lost lately. */
   crashes: (now: number) => CrashRecord[]
   /** Nobody waits for the tasks of a session any more. */
@@ -162,6 +165,11 @@
     }
   }
 
+  /** Room became free that no task held: who gives it out hears of it at once. */
+  noteFreed (): void {
+    for (const session of this.#sessions.values()) session.freed = true
+  }
+
   /** Stops the tasks of entries out of contact. */
   expire (now: number): void {
     if (!this.#context.guards.contact) return
@@ -231,19 +239,19 @@
 
   #announce (session: EntrySession, now: number): void {
     const held = this.#held.of(session).map(({ order: { task, attempt } }) => ({ task, attempt }))
-    this.#send(session, { type: 'announce', target: this.#parts.announced(), held, load: this.#load(session, now) })
+    this.#send(session, { type: 'announce', target: this.#parts.announced(now), held, load: this.#load(session, now) })
   }
 
   /** Room that one entry's tasks leave is of use to the others only when they hear of it. */
   #loadChanged (session: EntrySession, now: number): boolean {
     if (!session.waiting || !this.#context.policy.tellsRoom) return false
     const capacity = this.#parts.target.facts?.capacity.cpu ?? 0
-    const change = Math.abs(this.#held.used.cpu - session.used.cpu - session.toldOthers)
+    const change = Math.abs(this.#parts.used(now).cpu - session.used.cpu - session.toldOthers)
     return change > LOAD_CHANGE_PART * capacity && now - session.toldAt >= LOAD_INTERVAL_MILLISECONDS * this.#sessions.size
   }
 
   #load (session: EntrySession, now: number): Load {
-    const others = this.#othersOf(session)
+    const others = this.#othersOf(session, now)
     session.toldOthers = others.cpu
     session.toldAt = now
     const { taken } = session
@@ -257,11 +265,12 @@
   }
 
   /** What others hold; the whole target while nothing may start beside a task there. */
-  #othersOf (session: EntrySession): Resources {
-    const { used, reserved } = this.#held
+  #othersOf (session: EntrySession, now: number): Resources {
     const capacity = this.#parts.target.facts?.capacity
-    if (reserved && capacity !== undefined) return { ...capacity }
-    return { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
+    if (this.#held.reserved && capacity !== undefined) return { ...capacity }
+    const others = { ...this.#parts.used(now) }
+    takeFrom(others, session.used)
+    return others
   }
 
   #send (session: EntrySession, message: AgentMessage): void {
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -11,6 +11,7 @@
   step: Pick<Step, 'needs' | 'label' | 'rack' | 'perTarget'>
   /** Expected run time at an average target, in milliseconds. */
   expected: number
+  now: number
   /** Target to be taken only when no other has room. */
   avoid: string
   /** A suspect goes to the emptiest target without another one. */
@@ -45,9 +46,9 @@
   return best
 }
 
-function allows ({ step, isolation, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+function allows ({ step, expected, now, isolation, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
   if (isolation !== Isolation.None && agent.hasSuspect) return false
-  if (!hasPlace(agent) || !fits(step.needs, agent.free)) return false
+  if (!hasPlace(agent) || !fits(step.needs, agent.free) || !agent.outlasts(expected, now)) return false
   if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
   return step.perTarget === 0 || placedAt(agent) < step.perTarget
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -87,6 +87,7 @@
       const agent = choose({
         step,
         expected: job.expected[task.step] ?? 0,
+        now,
         avoid: task.avoid,
         isolation: task.isolation,
         dataCentre: this.#parts.dataCentre,
@@ -124,6 +125,7 @@
       const agent = choose({
         step,
         expected: step.expected,
+        now,
         avoid: task.avoid,
         isolation: task.isolation ?? Isolation.None,
         dataCentre: this.#parts.dataCentreOf(request.peer),
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -4,13 +4,13 @@
 import type { EntrySession } from './entrysession.ts'
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
+import type { TargetRoom } from './targetroom.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { RunEnd, StartAnswer } from './agenttypes.ts'
 import { STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE, STRAY_MILLISECONDS } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
-import { fits } from './resources.ts'
 
 /** Run numbers skipped after a refusal as old, times the refusals so far. */
 const RUN_STEP = 8
@@ -37,8 +37,9 @@
   context: AgentContext
   held: HeldTasks
   target: TargetWatch
-  /** Why the agent as a whole starts nothing; `Cause.None` when it does. */
-  obstacle: () => Cause
+  room: TargetRoom
+  /** Why the agent as a whole does not start the task; `Cause.None` when it does. */
+  obstacle: (order: TaskOrder, now: number) => Cause
   tell: (session: EntrySession, end: TaskEnd, now: number) => void
   tellSlow: (session: EntrySession, slow: SlowTask) => void
   /** Targets have crashed under the task here as often as it may be started. */
@@ -82,10 +83,10 @@
   startOrdered (session: EntrySession, order: TaskOrder, payload: string, now: number): void {
     const held = this.#held.get(order.task)
     if (held?.session === session && held.order.attempt === order.attempt) return
-    const obstacle = held === undefined ? this.#parts.obstacle() : Cause.Rejected
+    const obstacle = held === undefined ? this.#parts.obstacle(order, now) : Cause.Rejected
     if (obstacle !== Cause.None) return this.#refuse(session, order, obstacle, now)
     if (this.#parts.isBarred(order.task, now)) return this.#refuse(session, order, Cause.Crashed, now)
-    if (!this.#fits(order)) return this.#refuse(session, order, Cause.Full, now)
+    if (!this.#fits(order, now)) return this.#refuse(session, order, Cause.Full, now)
     this.#start(this.#held.add(order, payload, session, now), now)
   }
 
@@ -98,12 +99,9 @@
     this.#startAnswers[answer](held, now)
   }
 
-  #fits (order: TaskOrder): boolean {
-    const capacity = this.#target.facts?.capacity
-    if (capacity === undefined || this.#held.reserved) return false
-    if (order.isolation !== undefined && this.#held.suspected) return false
-    const { used } = this.#held
-    return fits(order.needs, { cpu: capacity.cpu - used.cpu, memory: capacity.memory - used.memory, accelerators: capacity.accelerators - used.accelerators })
+  #fits (order: TaskOrder, now: number): boolean {
+    if (this.#held.reserved || (order.isolation !== undefined && this.#held.suspected)) return false
+    return this.#parts.room.fits(order.needs, now)
   }
 
   #start (held: HeldTask, now: number): void {
@@ -138,8 +136,9 @@
     if (held.stage === Stage.Stopping) return this.finish(held, Outcome.Gone, Cause.Stopped, now)
     held.stops += 1
     if (held.stops > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
-    const obstacle = this.#parts.obstacle()
+    const obstacle = this.#parts.obstacle(held.order, now)
     if (obstacle !== Cause.None) return this.finish(held, Outcome.NotStarted, obstacle, now)
+    if (!this.#parts.room.holds(now)) return this.finish(held, Outcome.NotStarted, Cause.Full, now)
     held.run += RUN_STEP * held.stops
     this.#held.noteRun(held)
     this.#start(held, now)
@@ -206,6 +205,7 @@
     }
     this.#strays = strays
     this.#held.strayStays = [...strays.values()].some(since => now - since >= STRAY_MILLISECONDS)
+    this.#parts.room.settle(runs, sent, now)
     if (ended.length < ENDS_PER_POLL) {
       for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
     }
@@ -214,6 +214,7 @@
 
   #runEnded ({ number, task, run, end }: EndedRun, now: number): void {
     this.#target.acknowledge(number)
+    this.#parts.room.noteEnded(task, run)
     const held = this.#held.get(task)
     if (held === undefined || held.run !== run) return
     if (end === RunEnd.Done) this.#target.pace.observe(held, WHOLE_PERCENT, now)
@@ -231,6 +232,7 @@
 
   /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. Tells since when it is listed. */
   #stray (task: string, run: number, now: number): number {
+    this.#parts.room.noteStray(task, run, now)
     this.#context.note('stray run stopped', { task, run })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
     return this.#strays.get(`${task}/${run}`) ?? now
@@ -243,7 +245,10 @@
     }
     if (held.stage !== Stage.Stopping || held.stopConfirmedAt === undefined) return
     // One that was never seen running has not begun, and the stop forbids that it does.
-    if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+    if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) {
+      this.#parts.room.noteStopped(held)
+      return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+    }
     if (sent > held.stopConfirmedAt + this.#context.stop) this.finish(held, Outcome.Gone, Cause.Stopped, now)
   }
 
@@ -289,6 +294,7 @@
 
   finish (held: HeldTask, outcome: Outcome, cause: Cause, now: number): void {
     this.#held.remove(held)
+    this.#parts.room.noteLeft(held)
     const { task, attempt } = held.order
     if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, entry: held.session.entry, age: Math.round(now - held.startedAt) })
     this.#parts.tell(held.session, { task, attempt, outcome, cause, ran: Math.max(0, now - held.startedAt) }, now)
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { StartAnswer } from '../src/agenttypes.ts'
 import { CANCELLATION_MEMORY_MILLISECONDS, CANCELLATIONS_REMEMBERED, STRAY_MILLISECONDS } from '../src/defaults.ts'
-import { AgentBench, order } from './agentbench.ts'
+import { AgentBench, BOUNDS, order } from './agentbench.ts'
 import { EntryBench } from './entrybench.ts'
 
 const CANCEL = 90
@@ -125,6 +125,7 @@
 test('when the run has gone the lease is renewed again', () => {
   const bench = withStray(STRAY_MILLISECONDS)
   bench.polled([{ task: 'own', run: 1, percent: 9 }])
+  bench.now += BOUNDS.stop
   bench.take()
   bench.start([order('next')])
   bench.startAnswered('next', StartAnswer.Started)
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -20,11 +20,14 @@
 import { Process } from './process.ts'
 
 /** Bounds of the platform, in milliseconds. */
-export const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50, grace: 6000 }
+export const BOUNDS = { resubmission: 1300, longestLease: 1000, stop: 50, grace: 6000, drain: 3000 }
 
 const SERVICE = 'service'
 const HEARTBEAT = 1500
 
+/** Room that has shrunk counts until the next heartbeat has come, and orders sent before it, in milliseconds. */
+const NEWS = HEARTBEAT + 100
+
 const MILLISECONDS_PER_SECOND = 1000
 
 /** A target that a task has crashed is back after this, in milliseconds: half of them under their names, half of them refusing calls meanwhile. */
@@ -85,7 +88,7 @@
     this.#connections = new Connections(timeline, pair => this.#travel(pair))
     this.#peers = new PeerLinks(timeline, this.entries, (from, to) => this.#delay(plan.entries[from]?.dataCentre, plan.entries[to]?.dataCentre))
     const timings = timingsFor(BOUNDS)
-    for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + timeline.now, policy }))
+    for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + timeline.now, policy }))
     for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy }))
     for (const agent of this.agents) agent.start()
     for (const index of this.entries.keys()) this.#startEntry(index)
@@ -180,7 +183,9 @@
       capacity,
       clockRate: 1,
       longestLease: BOUNDS.longestLease,
+      rejectsOverload: this.#plan.rejectsOverload,
       heartbeat: HEARTBEAT,
+      news: NEWS,
       pollsWait: true,
       plan: task => this.#runPlan(index, task, speed),
       cpuOf: task => this.#jobOf(task).cpu
