Room in partitions: each entry gives out the room of its own targets

Change: behind the policy switch partitions the targets are divided among the able entries by weighted rendezvous hashing with a bound on each share. An entry places its jobs at its own targets first and asks another holder for the rest. Who gives out what is now behind RoomMap: GroupMap as before, PartitionMap for partitions. Ruled out: more allocators by data centre, which leaves each of them a limit of its data centre.

--- a/packages/coordination/src/rendezvous.ts
+++ b/packages/coordination/src/rendezvous.ts
@@ -30,7 +30,8 @@
   return hash >>> 0
 }
 
-function score (keyHash: number, instance: Instance): number {
+/** Score of a name for the hash of a key: the highest of several names is the one that the key belongs to. */
+export function score (keyHash: number, instance: Instance): number {
   return mix(keyHash ^ mix(hashString(instance)))
 }
 
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -88,6 +88,7 @@
     stopOrdered: (_event, now) => {
       this.#endsAt ??= now + this.#options.grace
       this.#note('stop ordered', { open: this.#jobs.size })
+      this.#sharing.stopping(now)
     },
     ending: (_event, now) => this.#answerAll(now)
   }
@@ -117,6 +118,7 @@
       queues: this.#queues,
       jobOf: id => this.#openJob(id),
       serving: () => this.ready,
+      busy: () => this.busy,
       begun: now => this.#pressure.noteBegun(now),
       emit: effect => this.#effects.push(effect)
     })
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -5,6 +5,7 @@
 import type { Placement } from './fleetview.ts'
 import type { Job, Task } from './job.ts'
 import type { AgentMessage, Echo, SlowTask, TaskEnd, TaskReference } from './messages.ts'
+import type { PartitionTarget } from './partitions.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
@@ -44,7 +45,7 @@
   readonly #options: FleetOptions
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
-  #roleIn: (dataCentre: string) => RoomRole = () => RoomRole.Chooses
+  #roleOf: (agent: AgentView) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
 
   readonly #handlers: Handlers = {
@@ -134,23 +135,36 @@
     return sizes
   }
 
-  /** Free processors at the targets of some data centres, in thousandths of a core. */
-  freeCpu (within: (dataCentre: string) => boolean): number {
+  /** Targets that are given out in partitions: those that take work, also when they are away for a moment. */
+  partitionTargets (): PartitionTarget[] {
+    const targets: PartitionTarget[] = []
+    for (const { name, service, dataCentre, evacuated } of this.#agents.values()) if (dataCentre !== undefined && service !== undefined && !evacuated) targets.push({ name, service, dataCentre })
+    return targets
+  }
+
+  /** Free processors at some of the targets, in thousandths of a core. */
+  freeCpu (within: (agent: AgentView) => boolean): number {
     let sum = 0
-    for (const { target, free, linked, evacuated } of this.#agents.values()) if (linked && target !== undefined && !evacuated && within(target.dataCentre)) sum += Math.max(0, free.cpu)
+    for (const agent of this.#agents.values()) if (agent.linked && agent.target !== undefined && !agent.evacuated && within(agent)) sum += Math.max(0, agent.free.cpu)
     return sum
   }
 
+  get guards (): FleetGuards {
+    return this.#options.guards
+  }
+
   /** Tells the agents how this entry comes to the room of their targets. */
-  setRoles (roleIn: (dataCentre: string) => RoomRole): void {
-    this.#roleIn = roleIn
+  setRoles (roleOf: (agent: AgentView) => RoomRole): void {
+    this.#roleOf = roleOf
     for (const agent of this.#agents.values()) this.#tellRole(agent)
   }
 
   #tellRole (agent: AgentView): void {
-    const role = agent.dataCentre === undefined ? RoomRole.Chooses : this.#roleIn(agent.dataCentre)
+    const role = agent.dataCentre === undefined ? RoomRole.Chooses : this.#roleOf(agent)
     if (!agent.linked || agent.role === role) return
     agent.role = role
+    // Its answer to the new role tells its load, which a quiet link has not told for long.
+    if (this.#options.policy.partitions && role === RoomRole.Allocates) agent.noteFull()
     this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'role', role } })
   }
 
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -51,6 +51,8 @@
   role = RoomRole.Chooses
   /** Data centre of its target, also while that is away. */
   dataCentre: string | undefined
+  /** Service of its target, also while that is away. */
+  service: string | undefined
   heardAt = Number.NEGATIVE_INFINITY
   /** When the last echo was sent: the agent may count on this entry from then on. */
   echoedAt = Number.NEGATIVE_INFINITY
@@ -71,6 +73,7 @@
   noteTarget (target: TargetFacts | undefined): void {
     this.target = target
     this.dataCentre = target?.dataCentre ?? this.dataCentre
+    this.service = target?.service ?? this.service
     this.#measure()
   }
 
--- a/packages/dispatch/src/peers.ts
+++ b/packages/dispatch/src/peers.ts
@@ -3,9 +3,12 @@
 import { hashString } from '@amaranthmast/coordination/rendezvous'
 
 interface Peer {
+  linkedAt: number
   heardAt: number
   /** It did not answer: nothing is asked of it before it is heard again. */
   suspected: boolean
+  /** A request came back without an answer: it is not asked before, unless it answers another. */
+  unansweringUntil: number
 }
 
 export class Peers {
@@ -25,7 +28,7 @@
   }
 
   link (name: string, now: number): void {
-    this.#peers.set(name, { heardAt: now, suspected: false })
+    this.#peers.set(name, { linkedAt: now, heardAt: now, suspected: false, unansweringUntil: Number.NEGATIVE_INFINITY })
   }
 
   unlink (name: string): void {
@@ -58,32 +61,56 @@
     return this.#peers.get(name)?.heardAt ?? Number.NEGATIVE_INFINITY
   }
 
+  linkedAt (name: string): number {
+    return this.#peers.get(name)?.linkedAt ?? Number.NEGATIVE_INFINITY
+  }
+
   suspect (name: string): void {
     const peer = this.#peers.get(name)
     if (peer !== undefined) peer.suspected = true
   }
 
+  noteUnanswered (name: string, until: number): void {
+    const peer = this.#peers.get(name)
+    if (peer !== undefined) peer.unansweringUntil = until
+  }
+
+  noteAnswered (name: string): void {
+    this.noteUnanswered(name, Number.NEGATIVE_INFINITY)
+  }
+
+  answers (name: string, now: number): boolean {
+    const peer = this.#peers.get(name)
+    return peer !== undefined && !peer.suspected && now >= peer.unansweringUntil
+  }
+
+  /** Linked entries that say that they are able to give out room, and are heard. */
+  able (): Array<MemberFacts & { name: string }> {
+    const able = []
+    for (const [name, { suspected }] of this.#peers) {
+      const facts = this.#facts.get(name)
+      if (facts?.able === true && !suspected) able.push({ ...facts, name })
+    }
+    return able
+  }
+
   /**
    * The entry that gives out the room of a group: the fastest of those that stand beside its targets, of equals the one that
    * rendezvous hashing names, so that entries which know the same peers agree without a message. Without one beside them,
    * any other does it. Where entries disagree for a moment, two give out the same room and some starts are refused.
    */
   allocatorOf (group: string, beside: (dataCentre: string) => boolean, own: MemberFacts): string | undefined {
-    const able: Array<{ name: string, facts: MemberFacts }> = own.able ? [{ name: this.#self, facts: own }] : []
-    for (const [name, { suspected }] of this.#peers) {
-      const facts = this.#facts.get(name)
-      if (facts?.able === true && !suspected) able.push({ name, facts })
-    }
-    const near = able.filter(({ facts }) => beside(facts.dataCentre))
+    const able = [...own.able ? [{ ...own, name: this.#self }] : [], ...this.able()]
+    const near = able.filter(({ dataCentre }) => beside(dataCentre))
     return strongest(group, near.length > 0 ? near : able)
   }
 }
 
-function strongest (group: string, members: ReadonlyArray<{ name: string, facts: MemberFacts }>): string | undefined {
+function strongest (group: string, members: ReadonlyArray<MemberFacts & { name: string }>): string | undefined {
   let best: string | undefined
   let bestStrength = Number.NEGATIVE_INFINITY
   let bestScore = -1
-  for (const { name, facts: { strength } } of members) {
+  for (const { name, strength } of members) {
     const score = hashString(`${group}/${name}`)
     if (strength < bestStrength || (strength === bestStrength && score <= bestScore)) continue
     best = name
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -12,8 +12,8 @@
 
 /** Where tasks may go now. */
 export interface Candidates {
-  /** Of own jobs. */
-  own: readonly AgentView[]
+  /** Of an own job. */
+  own: (job: Job) => readonly AgentView[]
   /** Of requests, by the group that they name. */
   byGroup: ReadonlyMap<string, readonly AgentView[]>
 }
@@ -57,7 +57,7 @@
       }
       const job = jobs?.take()
       if (job === undefined) break
-      this.#placeJob(job, candidates.own, now)
+      this.#placeJob(job, candidates.own(job), now)
       if (job.state === JobState.Open && job.queued().length > 0) waiting.push(job)
     }
     for (const job of waiting) jobs?.add(job)
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -3,8 +3,12 @@
 import type { Job, Step, Task } from './job.ts'
 import type { JobQueue } from './jobqueue.ts'
 import type { RoomMessage, RoomStep } from './roommessages.ts'
-import { ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS } from './defaults.ts'
+import {
+  ALLOCATOR_SILENCE_MILLISECONDS, ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, HOLDER_SILENCE_MILLISECONDS,
+  QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS, UNANSWERED_MILLISECONDS
+} from './defaults.ts'
 import { endOfStep, JobState } from './job.ts'
+import { choosePartition } from './partitionchoice.ts'
 
 export interface RoomClientParts {
   fleet: Fleet
@@ -15,6 +19,12 @@
   /** The other entry that gives out the room of a group; undefined when none does, or this one. */
   allocatorOf: (group: string) => string | undefined
   linked: (peer: string) => boolean
+  /** Whether an entry is in the data centre of this one. */
+  near: (peer: string) => boolean
+  /** Whether it answers requests, as far as known. */
+  answers: (peer: string, now: number) => boolean
+  /** Entries that hold a partition. */
+  holders: () => readonly string[]
   tell: (peer: string, message: RoomMessage) => void
   note: (what: string, fields: Record<string, unknown>) => void
 }
@@ -26,6 +36,8 @@
   /** It stays there until it is met. */
   waits: boolean
   at: number
+  /** When the other entry last said that it stands there. */
+  heardAt: number
   /** The other entry has said that it waits for room that others want as well. */
   crowded: boolean
 }
@@ -41,6 +53,9 @@
   readonly #tried = new Map<Job, Set<string>>()
   /** Free processors of groups, as their allocators tell and less what was asked for since. */
   readonly #rooms = new Map<string, number>()
+  readonly #roomsToldAt = new Map<string, number>()
+  /** Jobs whose requests were not answered: they go where this entry itself sees room. */
+  readonly #unansweredJobs = new Set<Job>()
   /** Mean time of answers, in milliseconds. */
   #answerTime = 0
   #slow = false
@@ -69,9 +84,20 @@
   forget (job: Job): void {
     this.#toAsk.delete(job)
     this.#tried.delete(job)
+    this.#unansweredJobs.delete(job)
     this.#withdraw(job)
   }
 
+  /** Whether a request for the job was not answered. */
+  isUnanswered (job: Job): boolean {
+    return this.#unansweredJobs.has(job)
+  }
+
+  /** Whether a request for the job is under way that is answered at once. */
+  isUnderWay (job: Job): boolean {
+    return this.#asked.get(job)?.waits === false
+  }
+
   /** While answers are slow, now and then a request measures whether they still are. */
   probes (now: number): boolean {
     if (this.#toAsk.size === 0 || now - this.#probedAt < ANSWER_PROBE_MILLISECONDS) return false
@@ -96,6 +122,74 @@
     this.#toAsk.clear()
   }
 
+  /** For an entry with a partition of its own: what has found no room there is asked for at another holder. */
+  askPartitions (now: number): void {
+    for (const job of this.#toAsk) {
+      const tasks = job.queued()
+      if (job.state === JobState.Open && tasks.length > 0 && this.#asked.get(job)?.waits !== false) this.#askPartition(job, tasks, now)
+    }
+    this.#toAsk.clear()
+  }
+
+  #askPartition (job: Job, tasks: readonly Task[], now: number): void {
+    const { id, steps } = job.request
+    const tried = this.#tried.get(job) ?? NOTHING_TRIED
+    const holders = this.#parts.holders().filter(name => this.#parts.allocatorOf(name) !== undefined && this.#parts.answers(name, now))
+    const rooms = holders.filter(name => !tried.has(name)).map(name => ({ name, free: this.#recentRoom(name, now), near: this.#parts.near(name) }))
+    const least = Math.min(...tasks.map(({ step }) => (steps[step] as Step).needs.cpu))
+    const holder = choosePartition(id, cpuOf(job, tasks), least, rooms)
+    if (holder !== undefined) return this.#send(job, tasks, holder, false, now)
+    if (this.#asked.has(job)) return
+    const waitsAt = choosePartition(id, 0, 0, holders.map(name => ({ name, free: 1, near: this.#parts.near(name) })))
+    if (waitsAt !== undefined) this.#send(job, tasks, waitsAt, true, now)
+  }
+
+  /** Room of a partition; none when its holder has told nothing for long. */
+  #recentRoom (holder: string, now: number): number {
+    return now - (this.#roomsToldAt.get(holder) ?? Number.NEGATIVE_INFINITY) < HOLDER_SILENCE_MILLISECONDS ? this.#rooms.get(holder) ?? 0 : 0
+  }
+
+  /** Requests that stand elsewhere for jobs that have found all their room here are withdrawn. */
+  withdrawMet (): void {
+    for (const [job, { waits }] of this.#asked) if (waits && job.queued().length === 0) this.#withdraw(job)
+  }
+
+  /**
+   * Gives up requests without an answer; their jobs go where this entry itself sees room.
+   *
+   * @param since earliest time from which an answer may be expected
+   * @param patience added to the time that an answer may take, in milliseconds
+   * @returns the entries that have not answered, and how long they were waited for
+   */
+  giveUpUnanswered (since: number, patience: number, now: number): Array<{ peer: string, asked: number }> {
+    const unanswered: Array<{ peer: string, asked: number }> = []
+    for (const [job, { peer, waits, heardAt }] of this.#asked) {
+      const asked = now - Math.max(heardAt, since)
+      if (asked < patience + (waits ? ALLOCATOR_SILENCE_MILLISECONDS : UNANSWERED_MILLISECONDS)) continue
+      this.#withdraw(job)
+      this.#unansweredJobs.add(job)
+      this.#toAsk.add(job)
+      unanswered.push({ peer, asked })
+    }
+    return unanswered
+  }
+
+  /** Free room of a group, as last told and less what was asked for since; in thousandths of a core. */
+  roomOf (group: string): number | undefined {
+    return this.#rooms.get(group)
+  }
+
+  /** When the free room of a group was last told. */
+  roomToldAt (group: string): number | undefined {
+    return this.#roomsToldAt.get(group)
+  }
+
+  /** Figures for status pages. */
+  status (): { asked: number, waiting: number, answerMilliseconds: number } {
+    const waiting = [...this.#asked.values()].filter(({ waits }) => waits).length
+    return { asked: this.#asked.size, waiting, answerMilliseconds: Math.round(this.#answerTime) }
+  }
+
   /** Other entries give out the room now: requests that stand elsewhere are withdrawn, and asked anew. */
   allocatorsChanged (asks: boolean): void {
     for (const [job, { peer, group }] of this.#asked) {
@@ -129,13 +223,16 @@
     yield * this.#asked.values()
   }
 
-  noteRoom (group: string, free: number): void {
+  noteRoom (group: string, free: number, now: number): void {
     this.#rooms.set(group, free)
+    this.#roomsToldAt.set(group, now)
   }
 
-  noteWaiting (peer: string, job: Job, crowded: boolean): void {
+  noteWaiting (peer: string, job: Job, crowded: boolean, now: number): void {
     const asked = this.#asked.get(job)
-    if (asked?.peer === peer) asked.crowded = crowded
+    if (asked?.peer !== peer) return
+    asked.crowded = crowded
+    asked.heardAt = now
   }
 
   /**
@@ -210,7 +307,7 @@
     const { service } = job.request.queue
     const free = this.#rooms.get(group)
     if (free !== undefined) this.#rooms.set(group, free - cpuOf(job, tasks))
-    this.#asked.set(job, { peer, group, waits, at: now, crowded: false })
+    this.#asked.set(job, { peer, group, waits, at: now, heardAt: now, crowded: false })
     this.#parts.tell(peer, {
       type: 'ask',
       group,
--- a/packages/dispatch/src/roommessages.ts
+++ b/packages/dispatch/src/roommessages.ts
@@ -34,6 +34,8 @@
   able: boolean
   /** Speed of its processor against others, in doublings. */
   strength: number
+  /** Lateness of its ticks, in milliseconds; it holds no targets while that is long. Absent where no partitions are held. */
+  lag?: number
 }
 
 export type RoomMessage =
--- a/packages/dispatch/src/roomrequests.ts
+++ b/packages/dispatch/src/roomrequests.ts
@@ -1,13 +1,16 @@
 /** What other entries ask of this one: room at the targets that it gives out. */
 import type { Fleet } from './fleet.ts'
+import type { AgentView } from './fleetview.ts'
 import type { Grant, RoomMessage } from './roommessages.ts'
 import { RequestQueue } from './requestqueue.ts'
 import { RoomRequest } from './roomrequest.ts'
 
 export interface RoomRequestsParts {
   fleet: Fleet
-  /** The group of the targets in a data centre. */
-  groupOf: (dataCentre: string) => string
+  /** The group of a target. */
+  groupOf: (agent: AgentView) => string
+  /** Whether this entry gives out the room of a group, so that requests may wait here for it. */
+  gives: (group: string) => boolean
   /** Own jobs that wait for room. */
   ownWaiting: () => number
   tell: (peer: string, message: RoomMessage) => void
@@ -67,8 +70,8 @@
   /** Ends requests that are met, or that do not want to wait. */
   answer (): void {
     for (const request of this.#requests.values()) {
-      if (!request.done && request.waits) continue
       const { peer, job, group } = request
+      if (!request.done && request.waits && this.#parts.gives(group)) continue
       this.remove(peer, job)
       if (!request.done) this.#parts.tell(peer, { type: 'declined', job, group, free: this.freeOf(group) })
     }
@@ -77,7 +80,7 @@
   /** Free processors of a group, in thousandths of a core; 0 while requests wait there. */
   freeOf (group: string): number {
     for (const request of this.#requests.values()) if (request.group === group && request.waits) return 0
-    return this.#parts.fleet.freeCpu(dataCentre => this.#parts.groupOf(dataCentre) === group)
+    return this.#parts.fleet.freeCpu(agent => this.#parts.groupOf(agent) === group)
   }
 
   /** Gives a sign of life to the entries whose requests wait. */
--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -1,5 +1,6 @@
 /**
- * How the entries share the room at the targets: one of them gives out that of a group, the others ask it.
+ * How the entries share the room at the targets: one of them gives out that of a group, or each that of its own partition, and
+ * the others ask it.
  *
  * Entries that choose targets by themselves all see the same room, from load reports that are up to half a second old: a
  * third of their starts came back as full, each after a round trip, and the last tasks of wide jobs were late. The entry
@@ -13,19 +14,23 @@
 import type { JobQueue } from './jobqueue.ts'
 import type { Candidates } from './placing.ts'
 import type { Policy } from './policy.ts'
+import type { RoomMap } from './roommap.ts'
 import type { Grant, MemberFacts, RoomMessage } from './roommessages.ts'
-import {
-  ALLOCATOR_SILENCE_MILLISECONDS, MEMBER_INTERVAL_MILLISECONDS, PEER_SILENCE_MILLISECONDS, ROOM_CHANGE_PART,
-  ROOM_INTERVAL_MILLISECONDS, SETTLING_MILLISECONDS
-} from './defaults.ts'
-import { TargetGroups } from './groups.ts'
+import type { SharingStatus } from './sharingstatus.ts'
+import { SETTLING_MILLISECONDS } from './defaults.ts'
+import { GroupMap } from './groupmap.ts'
 import { TaskState } from './job.ts'
 import { RoomRole } from './messages.ts'
+import { PartitionMap } from './partitionmap.ts'
 import { Peers } from './peers.ts'
+import { PeerWatch } from './peerwatch.ts'
 import { Placing } from './placing.ts'
+import { ProcessorLag } from './processorlag.ts'
 import { RoomClient } from './roomclient.ts'
+import { RoomNews } from './roomnews.ts'
 import { RoomRequest } from './roomrequest.ts'
 import { RoomRequests } from './roomrequests.ts'
+import { sharingStatus } from './sharingstatus.ts'
 
 export interface RoomSharingParts {
   /** Name of this entry. */
@@ -41,6 +46,8 @@
   jobOf: (id: string) => Job | undefined
   /** Whether this entry takes callers. */
   serving: () => boolean
+  /** Whether it has jobs in progress. */
+  busy: () => boolean
   /** Is told of each job of which the first task is placed. */
   begun: (now: number) => void
   emit: (effect: EntryEffect) => void
@@ -52,70 +59,86 @@
 
 export class RoomSharing {
   readonly #parts: RoomSharingParts
+  readonly #partitions: boolean
   readonly #peers: Peers
-  readonly #groups = new TargetGroups()
+  readonly #map: RoomMap
+  readonly #lag = new ProcessorLag()
   readonly #placing: Placing
   readonly #client: RoomClient
   readonly #requests: RoomRequests
-  /** Who gives out the room of each group. */
-  #allocators = new Map<string, string | undefined>()
-  /** When that last changed. */
-  #allocatorsSince = Number.NEGATIVE_INFINITY
-  #home = ''
+  readonly #news: RoomNews
+  readonly #watch: PeerWatch
   #linkedSince: number | undefined
-  /** As the others were told last. */
-  #toldAble = false
-  #memberToldAt = Number.NEGATIVE_INFINITY
-  readonly #toldRooms = new Map<string, number>()
-  #roomToldAt = Number.NEGATIVE_INFINITY
 
   readonly #handlers: Handlers = {
-    member: (peer, { dataCentre, able, strength }) => this.#peers.noteFacts(peer, { dataCentre, able, strength }),
+    member: (peer, message, now) => this.#memberHeard(peer, message, now),
     ask: (peer, message, now) => this.#requests.add(new RoomRequest(peer, message, now)),
     unask: (peer, { job }) => this.#requests.remove(peer, job),
     grant: (peer, message, now) => this.#granted(peer, message, now),
-    declined: (peer, { job, group, free }) => this.#declined(peer, job, group, free),
+    declined: (peer, { job, group, free }, now) => this.#declined(peer, job, group, free, now),
     release: (_peer, { grants }) => this.#requests.release(grants),
-    waiting: (peer, { jobs, crowded }) => this.#noteWaiting(peer, jobs, crowded),
-    room: (_peer, { group, free }) => this.#client.noteRoom(group, free)
+    waiting: (peer, { jobs, crowded }, now) => this.#noteWaiting(peer, jobs, crowded, now),
+    room: (_peer, { group, free }, now) => this.#client.noteRoom(group, free, now)
   }
 
   constructor (parts: RoomSharingParts) {
     const { name, dataCentre, policy, fleet, queues, begun, emit } = parts
     const tell = (peer: string, message: RoomMessage): void => emit({ type: 'tell', peer, message })
     const note = (what: string, fields: Record<string, unknown>): void => emit({ type: 'note', what, fields })
+    const peers = new Peers(name)
     this.#parts = parts
-    this.#peers = new Peers(name)
+    this.#peers = peers
+    this.#partitions = policy.partitions
+    this.#map = this.#partitions
+      ? new PartitionMap({ name, fleet, peers, lag: () => this.#lag.milliseconds, note })
+      : new GroupMap({ dataCentre, fleet, peers, shares: policy.sharesRoom, note })
     this.#placing = new Placing({
       fleet,
       dataCentre,
       policy,
       begun,
       granted: (request, grants, now) => tell(request.peer, { type: 'grant', job: request.job, grants, waited: Math.round(now - request.arrivedAt) }),
-      dataCentreOf: peer => this.#peers.dataCentreOf(peer) ?? dataCentre,
-      entries: () => this.#peers.names.length + 1,
+      dataCentreOf: peer => peers.dataCentreOf(peer) ?? dataCentre,
+      entries: () => peers.names.length + 1,
       note
     })
     this.#client = new RoomClient({
       fleet,
       queues,
-      home: () => this.#home,
+      home: () => this.#map.home,
       allocatorOf: group => this.#otherAllocatorOf(group),
-      linked: peer => this.#peers.has(peer),
+      linked: peer => peers.has(peer),
+      near: peer => peers.dataCentreOf(peer) === dataCentre,
+      answers: (peer, now) => peers.answers(peer, now),
+      holders: () => this.#map.groups,
       tell,
       note
     })
-    this.#requests = new RoomRequests({ fleet, groupOf: of => this.#groups.of(of), ownWaiting: () => this.#ownWaiting(), tell })
+    this.#requests = new RoomRequests({
+      fleet,
+      groupOf: agent => this.#map.groupOf(agent),
+      gives: group => !this.#partitions || this.#map.allocatorOf(group) === name,
+      ownWaiting: () => this.#ownWaiting(),
+      tell
+    })
+    this.#news = new RoomNews({ name, dataCentre, partitions: this.#partitions, map: this.#map, peers, freeOf: group => this.#requests.freeOf(group), tell })
+    this.#watch = new PeerWatch({ name, map: this.#map, peers, client: this.#client, lag: this.#lag, news: this.#news, note })
   }
 
   /** Whether this entry chooses targets for its own jobs, and so wants to hear of their load. */
   get choosesItself (): boolean {
-    return this.#client.slow || this.#otherAllocatorOf(this.#home) === undefined
+    if (this.#partitions) return this.#client.slow || this.#map.groups.length === 0
+    return this.#client.slow || this.#otherAllocatorOf(this.#map.home) === undefined
   }
 
   /** Whether the job waits for room that other jobs want as well: an answer that is merely under way is no reason to refuse it. */
   isCrowded (job: Job): boolean {
-    return this.choosesItself ? this.#ownWaiting() + this.#requests.size > 1 : this.#client.isCrowded(job)
+    if (this.#partitions && this.#client.isUnderWay(job)) return false
+    return this.#partitions || this.choosesItself ? this.#ownWaiting() + this.#requests.size > 1 : this.#client.isCrowded(job)
+  }
+
+  status (): SharingStatus {
+    return sharingStatus(this.#parts.name, this.#map, this.#lag, this.#client, this.#requests)
   }
 
   peerLinked (peer: string, now: number): void {
@@ -126,7 +149,7 @@
   peerUnlinked (peer: string, now: number): void {
     this.#peers.unlink(peer)
     this.#requests.removeAllOf(peer)
-    this.#renewAllocators(now)
+    this.#renew(now)
   }
 
   received (peer: string, message: RoomMessage, now: number): void {
@@ -145,98 +168,90 @@
     this.#client.forget(job)
   }
 
+  /** This entry takes no more callers: what it gives out goes to others at once. */
+  stopping (now: number): void {
+    if (!this.#partitions) return
+    this.#news.tellFacts(this.#ownFacts(now), now)
+    this.#renew(now)
+  }
+
   tick (now: number): void {
-    this.#groups.update(this.#parts.fleet.targetsByDataCentre())
-    this.#home = this.#groups.home(this.#parts.dataCentre)
+    this.#lag.tick(now, this.#parts.busy())
+    this.#map.observe()
     if (this.#parts.fleet.linked === 0) this.#linkedSince = undefined
     else this.#linkedSince ??= now
-    this.#tellAble(now)
-    this.#suspectSilent(now)
-    this.#renewAllocators(now)
+    this.#news.tellFacts(this.#ownFacts(now), now)
+    if (this.#partitions) this.#watch.suspectSilentHolders(now)
+    else if (this.#watch.suspectSilentAllocators(now)) this.#rolesChanged()
+    this.#renew(now)
     this.#requests.tellWaiting()
-    if (this.#groups.names.length < 2) return
-    this.#tellRoom(now)
-    this.#client.lookFurther(!this.choosesItself)
+    if (this.#map.groups.length < 2) return
+    this.#news.tellRooms(now)
+    this.#client.lookFurther(!this.choosesItself && !this.#partitions)
   }
 
   /** Has all queued tasks placed or asked for. */
   settle (now: number): void {
-    const asks = !this.choosesItself || (this.#client.slow && this.#otherAllocatorOf(this.#home) !== undefined && this.#client.probes(now))
+    if (this.#partitions) return this.#settlePartition(now)
+    const asks = !this.choosesItself || (this.#client.slow && this.#otherAllocatorOf(this.#map.home) !== undefined && this.#client.probes(now))
     if (asks) this.#client.askAll(now)
+    this.#place(!asks, now)
+    this.#requests.answer()
+    if (!asks) this.#client.askElsewhere(now)
+  }
+
+  #settlePartition (now: number): void {
+    this.#lag.noteEvent(now)
+    this.#watch.giveUpUnanswered(now)
+    this.#place(true, now)
+    this.#requests.answer()
+    this.#client.withdrawMet()
+    this.#client.askPartitions(now)
+  }
+
+  /** @param own whether own jobs are placed here as well */
+  #place (own: boolean, now: number): void {
     for (const service of new Set([...this.#parts.queues.keys(), ...this.#requests.services])) {
-      const jobs = asks ? undefined : this.#parts.queues.get(service)
+      const jobs = own ? this.#parts.queues.get(service) : undefined
       const requests = this.#requests.queueOf(service)
       if ((jobs?.size ?? 0) + (requests?.size ?? 0) > 0) this.#placing.place(this.#candidates(service, now), jobs, requests, now)
     }
-    this.#requests.answer()
-    if (!asks) this.#client.askElsewhere(now)
   }
 
   // Who gives out what
 
   /** The entry that gives out the room of the group, unless it is this one or nobody does. */
   #otherAllocatorOf (group: string): string | undefined {
-    const allocator = this.#allocators.get(group)
+    const allocator = this.#map.allocatorOf(group)
     return allocator === this.#parts.name ? undefined : allocator
   }
 
   #ownFacts (now: number): MemberFacts {
+    const { dataCentre, strength, serving } = this.#parts
     const settled = this.#linkedSince !== undefined && now - this.#linkedSince >= SETTLING_MILLISECONDS
-    return { dataCentre: this.#parts.dataCentre, able: settled && this.#parts.serving(), strength: this.#parts.strength }
+    const facts = { dataCentre, able: settled && serving(), strength }
+    if (!this.#partitions) return facts
+    return { ...facts, able: facts.able && !this.#lag.lagging, lag: Math.round(this.#lag.milliseconds) }
   }
 
-  #tellAble (now: number): void {
-    const facts = this.#ownFacts(now)
-    const allocates = [...this.#allocators.values()].includes(this.#parts.name)
-    if (facts.able === this.#toldAble && (!allocates || now - this.#memberToldAt < MEMBER_INTERVAL_MILLISECONDS)) return
-    this.#toldAble = facts.able
-    this.#memberToldAt = now
-    this.#tellAll({ type: 'member', ...facts })
+  #memberHeard (peer: string, { dataCentre, able, strength, lag }: MemberFacts, now: number): void {
+    this.#peers.noteFacts(peer, { dataCentre, able, strength, lag })
+    if (this.#partitions) this.#renew(now)
   }
 
-  /** An entry that owes an answer gives a sign of life with each tick; one that gives out room, each second. */
-  #suspectSilent (now: number): void {
-    for (const allocator of this.#allocators.values()) {
-      if (allocator === undefined || allocator === this.#parts.name) continue
-      if (now - Math.max(this.#peers.heardAt(allocator), this.#allocatorsSince) >= PEER_SILENCE_MILLISECONDS) this.#peers.suspect(allocator)
-    }
-    let silent = false
-    for (const { peer, at } of this.#client.owing()) {
-      if (now - Math.max(at, this.#peers.heardAt(peer)) < ALLOCATOR_SILENCE_MILLISECONDS) continue
-      this.#note('allocator silent', { entry: peer, asked: Math.round(now - at) })
-      this.#peers.suspect(peer)
-      silent = true
-    }
-    if (!silent) return
-    this.#client.noteSilent()
-    this.#rolesChanged()
-  }
-
-  #renewAllocators (now: number): void {
-    const own = this.#ownFacts(now)
-    const allocators = new Map<string, string | undefined>()
-    let changed = false
-    for (const group of this.#groups.names) {
-      const allocator = this.#parts.policy.sharesRoom ? this.#peers.allocatorOf(group, dataCentre => this.#groups.of(dataCentre) === group, own) : undefined
-      allocators.set(group, allocator)
-      if (allocator === this.#allocators.get(group)) continue
-      changed = true
-      this.#note('room given out by', { group, entry: allocator })
-    }
-    changed ||= allocators.size !== this.#allocators.size
-    this.#allocators = allocators
-    if (!changed) return
-    this.#allocatorsSince = now
+  #renew (now: number): void {
+    if (!this.#map.renew(this.#ownFacts(now))) return
+    this.#watch.allocatorsChanged(now)
     this.#rolesChanged()
   }
 
   #rolesChanged (): void {
-    this.#parts.fleet.setRoles(dataCentre => this.#roleFor(this.#groups.of(dataCentre)))
+    this.#parts.fleet.setRoles(agent => this.#roleFor(this.#map.groupOf(agent)))
     this.#client.allocatorsChanged(!this.choosesItself)
   }
 
   #roleFor (group: string): RoomRole {
-    const allocator = this.#allocators.get(group)
+    const allocator = this.#map.allocatorOf(group)
     if (allocator === undefined || this.#peers.names.length === 0) return RoomRole.Chooses
     if (allocator === this.#parts.name) return RoomRole.Allocates
     return this.#client.slow ? RoomRole.Chooses : RoomRole.Asks
@@ -246,14 +261,15 @@
     const byGroup = new Map<string, AgentView[]>()
     const reachable = this.#parts.fleet.reachable(service, now).filter(({ free }) => free.cpu > 0)
     for (const agent of reachable) {
-      const group = this.#groups.of(agent.dataCentre ?? '')
+      const group = this.#map.groupOf(agent)
       const known = byGroup.get(group)
       if (known === undefined) byGroup.set(group, [agent])
       else known.push(agent)
     }
-    const anywhere = this.#allocators.get(this.#home) !== this.#parts.name
-    const own = reachable.filter(agent => agent.usable(now) && (anywhere || this.#otherAllocatorOf(this.#groups.of(agent.dataCentre ?? '')) === undefined))
-    return { own, byGroup }
+    const usable = reachable.filter(agent => agent.usable(now))
+    const given = usable.filter(agent => this.#otherAllocatorOf(this.#map.groupOf(agent)) === undefined)
+    const anywhere = this.#partitions ? this.#client.slow : this.#map.allocatorOf(this.#map.home) !== this.#parts.name
+    return { own: job => anywhere || this.#client.isUnanswered(job) ? usable : given, byGroup }
   }
 
   #ownWaiting (): number {
@@ -265,6 +281,7 @@
   // What others answer
 
   #granted (peer: string, { job: id, grants, waited }: Extract<RoomMessage, { type: 'grant' }>, now: number): void {
+    this.#peers.noteAnswered(peer)
     const job = this.#parts.jobOf(id)
     if (job !== undefined && this.#client.noteGranted(peer, job, waited, now)) this.#rolesChanged()
     const unused: Grant[] = []
@@ -273,7 +290,8 @@
     for (const grant of grants) {
       const task = job?.tasks.find(({ name }) => name === grant.task)
       const agent = this.#parts.fleet.agent(grant.agent)
-      if (task?.state !== TaskState.Queued || agent?.usable(now) !== true || !agent.hasPlace(planned.get(agent))) {
+      const placed = task?.state !== TaskState.Queued && this.#parts.fleet.guards.grantedOnce
+      if (task === undefined || placed || agent?.usable(now) !== true || !agent.hasPlace(planned.get(agent))) {
         unused.push(grant)
         continue
       }
@@ -291,39 +309,18 @@
     }
   }
 
-  #declined (peer: string, id: string, group: string, free: number): void {
-    this.#client.noteRoom(group, free)
+  #declined (peer: string, id: string, group: string, free: number, now: number): void {
+    this.#peers.noteAnswered(peer)
+    this.#client.noteRoom(group, free, now)
     const job = this.#parts.jobOf(id)
     if (job !== undefined) this.#client.noteDeclined(peer, job, group)
   }
 
-  #noteWaiting (peer: string, jobs: readonly string[], crowded: boolean): void {
+  #noteWaiting (peer: string, jobs: readonly string[], crowded: boolean, now: number): void {
+    this.#peers.noteAnswered(peer)
     for (const id of jobs) {
       const job = this.#parts.jobOf(id)
-      if (job !== undefined) this.#client.noteWaiting(peer, job, crowded)
-    }
-  }
-
-  // What others are told
-
-  #tellRoom (now: number): void {
-    if (now - this.#roomToldAt < ROOM_INTERVAL_MILLISECONDS) return
-    this.#roomToldAt = now
-    for (const [group, allocator] of this.#allocators) {
-      if (allocator !== this.#parts.name) continue
-      const free = this.#requests.freeOf(group)
-      const told = this.#toldRooms.get(group)
-      if (told !== undefined && Math.abs(free - told) <= ROOM_CHANGE_PART * told) continue
-      this.#toldRooms.set(group, free)
-      this.#tellAll({ type: 'room', group, free })
+      if (job !== undefined) this.#client.noteWaiting(peer, job, crowded, now)
     }
   }
-
-  #tellAll (message: RoomMessage): void {
-    for (const peer of this.#peers.names) this.#parts.emit({ type: 'tell', peer, message })
-  }
-
-  #note (what: string, fields: Record<string, unknown>): void {
-    this.#parts.emit({ type: 'note', what, fields })
-  }
 }
