--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -313,3 +313,9 @@
 
 /** How much rather an entry of the own data centre is asked or told than one elsewhere with the same room. */
 export const NEAR_WEIGHT = 8
+
+/**
+ * How much more seldom the longest quiet pings are, and how much longer silence is borne on their links: the holder of a target
+ * pings it often, and grants nothing there when it is silent.
+ */
+export const PARTITION_QUIET_FACTOR = 2
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -4,7 +4,7 @@
 import type { HeldTasks } from './heldtasks.ts'
 import type { AgentMessage, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskReference } from './messages.ts'
 import type { TargetWatch } from './targetwatch.ts'
-import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
+import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
 import { RoomRole } from './messages.ts'
 
@@ -182,7 +182,9 @@
     const { ping, idlePing } = this.#context.timings
     if (tasks > 0 || role === RoomRole.Allocates) return ping
     if (role !== RoomRole.Asks) return idlePing
-    return Math.min(LONGEST_QUIET_PING_MILLISECONDS, Math.max(idlePing, this.#context.policy.quietPing * this.#sessions.size))
+    const { partitions, quietPing } = this.#context.policy
+    const longest = LONGEST_QUIET_PING_MILLISECONDS * (partitions ? PARTITION_QUIET_FACTOR : 1)
+    return Math.min(longest, Math.max(idlePing, quietPing * this.#sessions.size))
   }
 
   announceToAll (now: number): void {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,7 +8,7 @@
 import type { PartitionTarget } from './partitions.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
-import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
+import { AGENT_MEMORY_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
 import { Cause, Outcome, RoomRole } from './messages.ts'
@@ -171,7 +171,7 @@
   agentLinked (name: string, incarnation: string, now: number): void {
     let agent = this.#agents.get(name)
     if (agent === undefined) {
-      agent = new AgentView(name)
+      agent = new AgentView(name, this.#options.policy.partitions ? PARTITION_QUIET_FACTOR : 1)
       this.#agents.set(name, agent)
       this.#trust.add(agent)
     }
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -61,13 +61,16 @@
   received = 0
   /** Starts in a row that the target did not answer. */
   unanswered = 0
+  readonly #quiet: number
   #busySince = 0
   #probed = false
   /** Nothing is placed before. */
   pausedUntil = Number.NEGATIVE_INFINITY
 
-  constructor (name: string) {
+  /** @param quiet how much more seldom than usual quiet links are pinged */
+  constructor (name: string, quiet = 1) {
     this.name = name
+    this.#quiet = quiet
   }
 
   noteTarget (target: TargetFacts | undefined): void {
@@ -156,12 +159,12 @@
   /** Silence after which the link is dialled anew, in milliseconds; it may be silent for good while a new one works. */
   deadAfter (contact: number): number {
     if (this.placements.size > 0) return contact
-    return this.role === RoomRole.Asks ? QUIET_CONTACT_MILLISECONDS : IDLE_CONTACT_MILLISECONDS
+    return this.role === RoomRole.Asks ? QUIET_CONTACT_MILLISECONDS * this.#quiet : IDLE_CONTACT_MILLISECONDS
   }
 
   /** Whether a start would reach a target that takes work. */
   reachable (now: number): boolean {
-    const idle = this.role === RoomRole.Asks ? QUIET_SUSPECT_MILLISECONDS : IDLE_SUSPECT_MILLISECONDS
+    const idle = this.role === RoomRole.Asks ? QUIET_SUSPECT_MILLISECONDS * this.#quiet : IDLE_SUSPECT_MILLISECONDS
     const silence = this.placements.size > 0 ? SUSPECT_MILLISECONDS : idle
     return this.linked && this.announced && this.target !== undefined && !this.target.leaving && !this.evacuated && this.silentFor(now) < silence
   }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -76,7 +76,7 @@
     this.#peers = new PeerLinks(timeline, this.entries, (from, to) => this.#delay(plan.entries[from]?.dataCentre, plan.entries[to]?.dataCentre))
     const timings = timingsFor(BOUNDS)
     for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + timeline.now, policy }))
-    for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy }))
+    for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy, strength: strengthOf(plan.processor.entries[index]) }))
     for (const agent of this.agents) agent.start()
     for (const index of this.entries.keys()) this.#startEntry(index)
     this.#dialAll()
@@ -267,6 +267,11 @@
   }
 }
 
+/** Speed of an entry's processor against one core, in whole doublings, as entries measure it. */
+function strengthOf (cores = 1): number {
+  return Math.round(Math.log2(cores))
+}
+
 /** @param cores speed of the processor, in cores; undefined where each event but a tick costs the same */
 function costsOn<Event extends { type: string }, Effect> (cores: number | undefined, flat: number, event: (event: Event) => number, effect: (effect: Effect) => number): Costs<Event, Effect> {
   if (cores === undefined) return { event: ({ type }) => type === 'tick' ? 0 : flat, effect: () => 0 }
