--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -282,6 +282,9 @@
 /** Speed of a processor, in parts of the strongest able one's, below which an entry holds no targets. */
 export const WEAK_PROCESSOR_PART = 0.2
 
+/** Weight of the newest step in the mean of what tasks need: less free room at a target is of no use. */
+export const TYPICAL_RATE = 0.02
+
 /** Intervals of ticks at which a process with work and an idle one are told of the time. */
 export const TICK_INTERVAL_MILLISECONDS = 50
 export const IDLE_TICK_INTERVAL_MILLISECONDS = 100
@@ -302,7 +305,7 @@
 export const UNANSWERING_MILLISECONDS = 1000
 
 /** Others that an entry tells of its free room, those of its own data centre first. */
-export const ROOM_NEIGHBOURS = 8
+export const ROOM_NEIGHBOURS = 6
 
 /** Longest pause between two such messages to one entry, and the silence from which its partition goes to others. */
 export const ROOM_BEAT_MILLISECONDS = 250
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -8,7 +8,7 @@
   QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS, UNANSWERED_MILLISECONDS
 } from './defaults.ts'
 import { endOfStep, JobState } from './job.ts'
-import { choosePartition } from './partitionchoice.ts'
+import { choosePartition, UNKNOWN_ROOM } from './partitionchoice.ts'
 
 export interface RoomClientParts {
   fleet: Fleet
@@ -33,6 +33,8 @@
 interface Asked {
   peer: string
   group: string
+  /** Tasks that it asks for and that have no grant yet. */
+  left: number
   /** It stays there until it is met. */
   waits: boolean
   at: number
@@ -135,7 +137,7 @@
     const { id, steps } = job.request
     const tried = this.#tried.get(job) ?? NOTHING_TRIED
     const holders = this.#parts.holders().filter(name => this.#parts.allocatorOf(name) !== undefined && this.#parts.answers(name, now))
-    const rooms = holders.filter(name => !tried.has(name)).map(name => ({ name, free: this.#recentRoom(name, now), near: this.#parts.near(name) }))
+    const rooms = holders.filter(name => !tried.has(name)).map(name => ({ name, free: this.#recentRoom(name, now) ?? UNKNOWN_ROOM, near: this.#parts.near(name) }))
     const least = Math.min(...tasks.map(({ step }) => (steps[step] as Step).needs.cpu))
     const holder = choosePartition(id, cpuOf(job, tasks), least, rooms)
     if (holder !== undefined) return this.#send(job, tasks, holder, false, now)
@@ -144,9 +146,26 @@
     if (waitsAt !== undefined) this.#send(job, tasks, waitsAt, true, now)
   }
 
-  /** Room of a partition; none when its holder has told nothing for long. */
-  #recentRoom (holder: string, now: number): number {
-    return now - (this.#roomsToldAt.get(holder) ?? Number.NEGATIVE_INFINITY) < HOLDER_SILENCE_MILLISECONDS ? this.#rooms.get(holder) ?? 0 : 0
+  /** Everything that waits is asked for again wherever there is room by now. */
+  lookAgain (): void {
+    this.#tried.clear()
+    for (const [job, { waits }] of this.#asked) if (waits) this.#toAsk.add(job)
+    for (const queue of this.#parts.queues.values()) for (const job of queue.jobs()) if (!this.#asked.has(job)) this.#toAsk.add(job)
+  }
+
+  /** Room of a partition; undefined when its holder has told nothing for long. */
+  #recentRoom (holder: string, now: number): number | undefined {
+    return now - (this.#roomsToldAt.get(holder) ?? Number.NEGATIVE_INFINITY) < HOLDER_SILENCE_MILLISECONDS ? this.#rooms.get(holder) : undefined
+  }
+
+  /** Ends a request of which every task has a grant; the job may have others by now, or have given some back. */
+  noteGrants (peer: string, job: Job, grants: number): void {
+    const asked = this.#asked.get(job)
+    if (asked?.peer !== peer) return
+    asked.left -= grants
+    if (asked.left > 0) return
+    this.#asked.delete(job)
+    this.#toAsk.add(job)
   }
 
   /** Requests that stand elsewhere for jobs that have found all their room here are withdrawn. */
@@ -307,7 +326,7 @@
     const { service } = job.request.queue
     const free = this.#rooms.get(group)
     if (free !== undefined) this.#rooms.set(group, free - cpuOf(job, tasks))
-    this.#asked.set(job, { peer, group, waits, at: now, heardAt: now, crowded: false })
+    this.#asked.set(job, { peer, group, left: tasks.length, waits, at: now, heardAt: now, crowded: false })
     this.#parts.tell(peer, {
       type: 'ask',
       group,
--- a/packages/dispatch/src/roomrequests.ts
+++ b/packages/dispatch/src/roomrequests.ts
@@ -13,6 +13,8 @@
   gives: (group: string) => boolean
   /** Own jobs that wait for room. */
   ownWaiting: () => number
+  /** Free processors of a target that are fewer than this count as none, in thousandths of a core. */
+  typicalCpu: () => number
   tell: (peer: string, message: RoomMessage) => void
 }
 
@@ -77,10 +79,10 @@
     }
   }
 
-  /** Free processors of a group, in thousandths of a core; 0 while requests wait there. */
+  /** Free processors of a group that are of use, in thousandths of a core; 0 while requests wait there. */
   freeOf (group: string): number {
     for (const request of this.#requests.values()) if (request.group === group && request.waits) return 0
-    return this.#parts.fleet.freeCpu(agent => this.#parts.groupOf(agent) === group)
+    return this.#parts.fleet.freeCpu(agent => this.#parts.groupOf(agent) === group && agent.free.cpu >= this.#parts.typicalCpu())
   }
 
   /** Gives a sign of life to the entries whose requests wait. */
--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -17,7 +17,7 @@
 import type { RoomMap } from './roommap.ts'
 import type { Grant, MemberFacts, RoomMessage } from './roommessages.ts'
 import type { SharingStatus } from './sharingstatus.ts'
-import { SETTLING_MILLISECONDS } from './defaults.ts'
+import { SETTLING_MILLISECONDS, TYPICAL_RATE } from './defaults.ts'
 import { GroupMap } from './groupmap.ts'
 import { TaskState } from './job.ts'
 import { RoomRole } from './messages.ts'
@@ -69,6 +69,8 @@
   readonly #news: RoomNews
   readonly #watch: PeerWatch
   #linkedSince: number | undefined
+  /** Processors of a usual task, in thousandths of a core. */
+  #typicalCpu = 0
 
   readonly #handlers: Handlers = {
     member: (peer, message, now) => this.#memberHeard(peer, message, now),
@@ -78,7 +80,10 @@
     declined: (peer, { job, group, free }, now) => this.#declined(peer, job, group, free, now),
     release: (_peer, { grants }) => this.#requests.release(grants),
     waiting: (peer, { jobs, crowded }, now) => this.#noteWaiting(peer, jobs, crowded, now),
-    room: (_peer, { group, free }, now) => this.#client.noteRoom(group, free, now)
+    room: (_peer, { group, free }, now) => {
+      this.#client.noteRoom(group, free, now)
+      if (this.#partitions && free > 0) this.#client.lookAgain()
+    }
   }
 
   constructor (parts: RoomSharingParts) {
@@ -119,6 +124,7 @@
       groupOf: agent => this.#map.groupOf(agent),
       gives: group => !this.#partitions || this.#map.allocatorOf(group) === name,
       ownWaiting: () => this.#ownWaiting(),
+      typicalCpu: () => this.#typicalCpu,
       tell
     })
     this.#news = new RoomNews({ name, dataCentre, partitions: this.#partitions, map: this.#map, peers, freeOf: group => this.#requests.freeOf(group), tell })
@@ -127,7 +133,7 @@
 
   /** Whether this entry chooses targets for its own jobs, and so wants to hear of their load. */
   get choosesItself (): boolean {
-    if (this.#partitions) return this.#client.slow || this.#map.groups.length === 0
+    if (this.#partitions) return this.#map.groups.length === 0
     return this.#client.slow || this.#otherAllocatorOf(this.#map.home) === undefined
   }
 
@@ -160,9 +166,14 @@
 
   /** Tasks of the job wait for room, some of them perhaps anew. */
   noteQueued (job: Job): void {
+    if (this.#partitions) this.#noteNeeds(job)
     this.#client.noteQueued(job)
   }
 
+  #noteNeeds (job: Job): void {
+    for (const { needs } of job.request.steps) this.#typicalCpu += (needs.cpu - this.#typicalCpu) * TYPICAL_RATE
+  }
+
   /** Nothing is to be placed for the job any more. */
   forget (job: Job): void {
     this.#client.forget(job)
@@ -187,7 +198,8 @@
     this.#requests.tellWaiting()
     if (this.#map.groups.length < 2) return
     this.#news.tellRooms(now)
-    this.#client.lookFurther(!this.choosesItself && !this.#partitions)
+    if (this.#partitions) this.#client.lookAgain()
+    else this.#client.lookFurther(!this.choosesItself)
   }
 
   /** Has all queued tasks placed or asked for. */
@@ -254,7 +266,7 @@
     const allocator = this.#map.allocatorOf(group)
     if (allocator === undefined || this.#peers.names.length === 0) return RoomRole.Chooses
     if (allocator === this.#parts.name) return RoomRole.Allocates
-    return this.#client.slow ? RoomRole.Chooses : RoomRole.Asks
+    return this.#client.slow && !this.#partitions ? RoomRole.Chooses : RoomRole.Asks
   }
 
   #candidates (service: string, now: number): Candidates {
@@ -268,7 +280,7 @@
     }
     const usable = reachable.filter(agent => agent.usable(now))
     const given = usable.filter(agent => this.#otherAllocatorOf(this.#map.groupOf(agent)) === undefined)
-    const anywhere = this.#partitions ? this.#client.slow : this.#map.allocatorOf(this.#map.home) !== this.#parts.name
+    const anywhere = this.#partitions ? false : this.#map.allocatorOf(this.#map.home) !== this.#parts.name
     return { own: job => anywhere || this.#client.isUnanswered(job) ? usable : given, byGroup }
   }
 
@@ -283,7 +295,7 @@
   #granted (peer: string, { job: id, grants, waited }: Extract<RoomMessage, { type: 'grant' }>, now: number): void {
     this.#peers.noteAnswered(peer)
     const job = this.#parts.jobOf(id)
-    if (job !== undefined && this.#client.noteGranted(peer, job, waited, now)) this.#rolesChanged()
+    if (job !== undefined && this.#client.noteGranted(peer, job, waited, now) && !this.#partitions) this.#rolesChanged()
     const unused: Grant[] = []
     const places: Array<{ task: Task, agent: AgentView }> = []
     const planned = new Map<AgentView, number>()
@@ -298,6 +310,7 @@
       places.push({ task, agent })
       planned.set(agent, (planned.get(agent) ?? 0) + 1)
     }
+    if (this.#partitions && job !== undefined) this.#client.noteGrants(peer, job, grants.length)
     if (unused.length > 0) this.#parts.emit({ type: 'tell', peer, message: { type: 'release', grants: unused } })
     if (job === undefined) return
     this.#placing.start(job, places, now)
