--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -9,7 +9,9 @@
   /** Processes, workers and links. */
   Processes = 'processes',
   /** The same, workers that start again under their names, and evacuations. */
-  Operators = 'operators'
+  Operators = 'operators',
+  /** Processes, workers and links while entries give out room in partitions, and entries that give out the same targets. */
+  Partitions = 'partitions'
 }
 
 /** Length of one run of the world, in milliseconds: faults for most of it, then a quiet end. */
@@ -75,9 +77,16 @@
   }
 }
 
+const PARTITION_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  claimAll: world => world.claimAll(anyEntry(world)),
+  claimAllEach: world => { for (const entry of world.entries.keys()) world.claimAll(entry) }
+}
+
 const FAULTS_OF: Readonly<Record<Theme, Readonly<Record<string, Fault>>>> = {
   [Theme.Processes]: FAULTS,
-  [Theme.Operators]: OPERATOR_FAULTS
+  [Theme.Operators]: OPERATOR_FAULTS,
+  [Theme.Partitions]: PARTITION_FAULTS
 }
 
 /** For a guard that is switched off: the faults that it is for, made likelier. */
@@ -88,6 +97,7 @@
   lifeProof: ['lateHeartbeat'],
   evacuation: ['evacuate', 'cutStore'],
   evacuationReads: ['evacuate', 'cutStoreOfEntries'],
+  grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers'],
   heldStarts: ['cutOne', 'cutEntry', 'resetOne', 'freezeAgent']
 }
 
@@ -114,7 +124,7 @@
  */
 export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1 }, trace)
+  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, partitions: theme === Theme.Partitions }, trace)
   world.submitUntil(FAULTS_END)
   strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
   world.timeline.runUntil(LENGTH)
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -42,6 +42,7 @@
 const DIAL_AGAIN = 60
 const JOB_INTERVAL = 120
 const TASK_CPU = 3000
+const SCARCE_CPU = 6000
 const CHECK_INTERVAL = 5
 const FASTEST_MESSAGE = 0.1
 const MESSAGE_SPREAD = 2.9
@@ -60,6 +61,8 @@
   entries: number
   agents: number
   dataCentres: number
+  /** Entries give out the room in partitions, and targets have little of it, so that they ask each other. */
+  partitions: boolean
 }
 
 export interface Violation {
@@ -84,6 +87,7 @@
   readonly answers = new Map<string, number>()
   readonly operators: Operators
   readonly #dataCentres: number
+  readonly #partitions: boolean
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
@@ -96,6 +100,7 @@
   constructor (seed: number, guards: Guards, sizes: WorldSizes, trace?: (line: string) => void) {
     this.#trace = trace
     this.#dataCentres = sizes.dataCentres
+    this.#partitions = sizes.partitions
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
@@ -134,6 +139,13 @@
     this.#peers.cut(entry, milliseconds)
   }
 
+  /** An entry takes the others for unable and gives out all targets, beside those that hold them, until it hears better. */
+  claimAll (index: number): void {
+    for (const [other, { name }] of this.entries.entries()) {
+      if (other !== index) this.entries[index]?.post({ type: 'peerMessage', peer: name, message: { type: 'member', dataCentre: 'one', able: false, strength: 0 } })
+    }
+  }
+
   restartEntry (index: number, milliseconds: number): void {
     const entry = this.entries[index] as EntryProcess
     if (!entry.alive) return
@@ -185,7 +197,7 @@
 
   #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     // Clocks of different runs of one machine may be set back between them.
-    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing } })
+    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, partitions: this.#partitions } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
     this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => agent.post(event)))
@@ -196,7 +208,7 @@
       service: 'service',
       dataCentre,
       labels: [],
-      capacity: { cpu: 32_000, memory: 65_536, accelerators: 0 },
+      capacity: { cpu: this.#partitions ? SCARCE_CPU : 32_000, memory: 65_536, accelerators: 0 },
       clockRate: 1 - CLOCK_SLOWNESS * this.random.next(),
       longestLease: BOUNDS.longestLease,
       heartbeat: 1500,
@@ -207,7 +219,7 @@
   }
 
   #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
-    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet })
+    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { partitions: this.#partitions } })
     this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
   }
 
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -305,7 +305,7 @@
 export const UNANSWERING_MILLISECONDS = 1000
 
 /** Others that an entry tells of its free room, those of its own data centre first. */
-export const ROOM_NEIGHBOURS = 6
+export const ROOM_NEIGHBOURS = 7
 
 /** Longest pause between two such messages to one entry, and the silence from which its partition goes to others. */
 export const ROOM_BEAT_MILLISECONDS = 250
--- a/packages/dispatch/src/peers.ts
+++ b/packages/dispatch/src/peers.ts
@@ -3,7 +3,8 @@
 import { hashString } from '@amaranthmast/coordination/rendezvous'
 
 interface Peer {
-  linkedAt: number
+  /** It tells of its room, and so that it is there, several times a second. */
+  tells: boolean
   heardAt: number
   /** It did not answer: nothing is asked of it before it is heard again. */
   suspected: boolean
@@ -28,7 +29,7 @@
   }
 
   link (name: string, now: number): void {
-    this.#peers.set(name, { linkedAt: now, heardAt: now, suspected: false, unansweringUntil: Number.NEGATIVE_INFINITY })
+    this.#peers.set(name, { tells: false, heardAt: now, suspected: false, unansweringUntil: Number.NEGATIVE_INFINITY })
   }
 
   unlink (name: string): void {
@@ -61,8 +62,14 @@
     return this.#peers.get(name)?.heardAt ?? Number.NEGATIVE_INFINITY
   }
 
-  linkedAt (name: string): number {
-    return this.#peers.get(name)?.linkedAt ?? Number.NEGATIVE_INFINITY
+  noteTells (name: string): void {
+    const peer = this.#peers.get(name)
+    if (peer !== undefined) peer.tells = true
+  }
+
+  /** Whether it tells of its room, and so that it is there, several times a second. */
+  tells (name: string): boolean {
+    return this.#peers.get(name)?.tells === true
   }
 
   suspect (name: string): void {
--- a/packages/dispatch/src/peerwatch.ts
+++ b/packages/dispatch/src/peerwatch.ts
@@ -58,12 +58,10 @@
 
   /** A holder of which nothing is heard is frozen, cut off or gone: its partition goes to others until it is heard again. */
   suspectSilentHolders (now: number): void {
-    const { name, map, peers, client, lag, news, note } = this.#parts
+    const { name, map, peers, lag, news, note } = this.#parts
     for (const holder of map.groups) {
       if (holder === name) continue
-      const told = client.roomToldAt(holder)
-      const beats = told !== undefined && told >= peers.linkedAt(holder)
-      const patience = beats ? HOLDER_SILENCE_MILLISECONDS : MEMBERS_MISSED * news.memberInterval
+      const patience = peers.tells(holder) ? HOLDER_SILENCE_MILLISECONDS : MEMBERS_MISSED * news.memberInterval
       const silence = now - Math.max(peers.heardAt(holder), lag.stoodUntil)
       if (silence < patience) continue
       note('holder silent', { entry: holder, silence: Math.round(silence) })
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -198,11 +198,6 @@
     return this.#rooms.get(group)
   }
 
-  /** When the free room of a group was last told. */
-  roomToldAt (group: string): number | undefined {
-    return this.#roomsToldAt.get(group)
-  }
-
   /** Figures for status pages. */
   status (): { asked: number, waiting: number, answerMilliseconds: number } {
     const waiting = [...this.#asked.values()].filter(({ waits }) => waits).length
--- a/packages/dispatch/src/roomnews.ts
+++ b/packages/dispatch/src/roomnews.ts
@@ -25,6 +25,7 @@
   #memberToldAt = Number.NEGATIVE_INFINITY
   readonly #toldRooms = new Map<string, number>()
   #roomToldAt = Number.NEGATIVE_INFINITY
+  readonly #neighbourNames = new Set<string>()
   #beatAt = Number.NEGATIVE_INFINITY
 
   constructor (parts: RoomNewsParts) {
@@ -69,11 +70,16 @@
     for (const peer of this.#neighbours()) tell(peer, { type: 'room', group: name, free })
   }
 
-  #neighbours (): string[] {
+  /** Those that are told already stay: they take silence for a sign that this entry is gone. */
+  #neighbours (): Iterable<string> {
     const { name, dataCentre, peers } = this.#parts
+    for (const peer of this.#neighbourNames) if (!peers.has(peer)) this.#neighbourNames.delete(peer)
+    if (this.#neighbourNames.size >= Math.min(ROOM_NEIGHBOURS, peers.names.length)) return this.#neighbourNames
     const hash = hashString(name)
     const drawn = peers.names.map(peer => ({ peer, place: drawOf(hash, peer, peers.dataCentreOf(peer) === dataCentre ? NEAR_WEIGHT : 1) }))
-    return drawn.sort((one, other) => one.place - other.place).slice(0, ROOM_NEIGHBOURS).map(({ peer }) => peer)
+    drawn.sort((one, other) => one.place - other.place)
+    for (const { peer } of drawn) if (this.#neighbourNames.size < ROOM_NEIGHBOURS) this.#neighbourNames.add(peer)
+    return this.#neighbourNames
   }
 
   #changed (group: string, free: number): boolean {
--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -80,10 +80,7 @@
     declined: (peer, { job, group, free }, now) => this.#declined(peer, job, group, free, now),
     release: (_peer, { grants }) => this.#requests.release(grants),
     waiting: (peer, { jobs, crowded }, now) => this.#noteWaiting(peer, jobs, crowded, now),
-    room: (_peer, { group, free }, now) => {
-      this.#client.noteRoom(group, free, now)
-      if (this.#partitions && free > 0) this.#client.lookAgain()
-    }
+    room: (peer, { group, free }, now) => this.#roomHeard(peer, group, free, now)
   }
 
   constructor (parts: RoomSharingParts) {
@@ -251,6 +248,13 @@
     if (this.#partitions) this.#renew(now)
   }
 
+  #roomHeard (peer: string, group: string, free: number, now: number): void {
+    this.#client.noteRoom(group, free, now)
+    if (!this.#partitions) return
+    this.#peers.noteTells(peer)
+    if (free > 0) this.#client.lookAgain()
+  }
+
   #renew (now: number): void {
     if (!this.#map.renew(this.#ownFacts(now))) return
     this.#watch.allocatorsChanged(now)
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -20,7 +20,8 @@
   nextLife: { first: 61, runs: 60, theme: Theme.Operators },
   lifeProof: { first: 1, runs: 60, theme: Theme.Operators },
   evacuation: { first: 61, runs: 60, theme: Theme.Operators },
-  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators }
+  evacuationReads: { first: 1, runs: 60, theme: Theme.Operators },
+  grantedOnce: { first: 1, runs: 60, theme: Theme.Partitions }
 }
 
 test('no task runs twice at one time under random faults', () => {
@@ -31,6 +32,10 @@
   expect(search(5000, 60, Theme.Operators)).toEqual(undefined)
 })
 
+test('entries that give out the same targets start nothing twice', () => {
+  expect(search(5000, 60, Theme.Partitions)).toEqual(undefined)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which once failed, breaks no promise`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
