--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -147,7 +147,7 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, room: this.#sharing.status() }
   }
 
   /** Whether new callers may be sent here. */
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -1,6 +1,7 @@
 /** Events and effects of an entry. */
 import type { EvacuationState } from './evacuations.ts'
 import type { FleetGuards } from './fleetguards.ts'
+import type { SharingStatus } from './sharingstatus.ts'
 import type { JobRequest } from './job.ts'
 import type { AgentMessage, EntryMessage } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
@@ -105,4 +106,6 @@
   agents: number
   open: number
   queued: number
+  /** Who gives out the room of which targets. */
+  room: SharingStatus
 }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -164,7 +164,7 @@
     if (!agent.linked || agent.role === role) return
     agent.role = role
     // Its answer to the new role tells its load, which a quiet link has not told for long.
-    if (this.#options.policy.partitions && role === RoomRole.Allocates) agent.noteFull()
+    if (this.#options.policy.partitions && role !== RoomRole.Asks) agent.noteFull()
     this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'role', role } })
   }
 
--- /dev/null
+++ b/packages/dispatch/test/partitionsharing.test.ts
@@ -0,0 +1,202 @@
+import type { PeerMessage } from '../src/roommessages.ts'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { HOLDER_SILENCE_MILLISECONDS, QUICK_FOR_MILLISECONDS, SETTLING_MILLISECONDS, UNANSWERED_MILLISECONDS } from '../src/defaults.ts'
+import { Entry } from '../src/entry.ts'
+import { partition } from '../src/partitions.ts'
+import { TIMINGS } from './agentbench.ts'
+import { EntryBench, NO_LOAD, QUEUE, step } from './entrybench.ts'
+
+type MessageOf<Type extends PeerMessage['type']> = Extract<PeerMessage, { type: Type }>
+
+const AGENTS = ['one', 'two', 'three', 'four', 'five', 'six']
+const ROOM: MessageOf<'room'> = { type: 'room', group: 'other', free: 24_000 }
+
+/** Half of a tick: how late a time limit of the entry may be seen to have passed. */
+const TICK = 50
+
+class PartitionBench extends EntryBench {
+  override readonly entry = new Entry({ name: 'self', dataCentre: 'one', timings: TIMINGS, grace: 6000, policy: { partitions: true } })
+
+  /** Whole seconds in which the other entries tell of themselves as holders do. */
+  live (milliseconds: number, peers: string[] = []): void {
+    for (let passed = 0; passed < milliseconds; passed += 200) {
+      for (const peer of peers) this.hear(peer, { ...ROOM, group: peer })
+      this.pass(Math.min(200, milliseconds - passed), AGENTS)
+    }
+  }
+
+  messages<Type extends PeerMessage['type']> (peer: string, type: Type): Array<MessageOf<Type>> {
+    return this.told(peer).filter((message): message is MessageOf<Type> => message.type === type)
+  }
+
+  notes (what: string): number {
+    return this.take().filter(effect => effect.type === 'note' && effect.what === what).length
+  }
+}
+
+/** Targets of an entry when these entries hold some. */
+function heldBy (name: string, ...entries: string[]): string[] {
+  const held = partition(AGENTS.map(agent => ({ name: agent, service: 'checks', dataCentre: 'one' })), entries.map(entry => ({ name: entry, dataCentre: 'one', strength: 0 })))
+  return AGENTS.filter(agent => held.get(agent) === name)
+}
+
+function bench (...peers: string[]): PartitionBench {
+  const made = new PartitionBench()
+  made.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  for (const agent of AGENTS) made.link(agent)
+  for (const peer of peers) made.peer(peer)
+  made.live(SETTLING_MILLISECONDS + 300, peers)
+  made.take()
+  return made
+}
+
+/** Agents at which starts were sent. */
+function startedAt (made: EntryBench): string[] {
+  return made.starts().map(start => start.split(' ')[0] as string)
+}
+
+function fill (made: PartitionBench): void {
+  made.submit('filler', [step(4 * heldBy('self', 'self', 'other').length)])
+  made.take()
+}
+
+test('own jobs start in the own partition without a message to another entry', () => {
+  const made = bench('other')
+  made.submit('job', [step(6)])
+  expect(startedAt(made).length).toEqual(6)
+  expect(startedAt(made).every(agent => heldBy('self', 'self', 'other').includes(agent))).toEqual(true)
+  expect(made.told('other')).toEqual([])
+})
+
+test('what finds no room in the own partition is asked of the holder that has told of some', () => {
+  const made = bench('other')
+  fill(made)
+  made.submit('job')
+  expect(made.messages('other', 'ask').map(({ group, waits }) => [group, waits])).toEqual([['other', false]])
+  made.hear('other', { type: 'grant', job: 'job', grants: [{ task: 'job.0.0', agent: heldBy('other', 'self', 'other')[0] as string }], waited: 0 })
+  expect(startedAt(made)).toEqual([heldBy('other', 'self', 'other')[0] as string])
+})
+
+test('an entry gives others room in its partition and nowhere else', () => {
+  const made = bench('other')
+  const { needs, label, rack, perTarget } = step(1)
+  const tasks = Array.from({ length: 4 * AGENTS.length }, (_none, index) => ({ name: `job.0.${index}`, avoid: '' }))
+  made.hear('other', { type: 'ask', group: 'self', service: 'checks', job: 'job', within: 200, waits: false, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, endBy: 500, tasks, placed: [] }], except: [] })
+  const granted = made.messages('other', 'grant').flatMap(({ grants }) => grants.map(({ agent }) => agent))
+  expect(granted.length).toEqual(4 * heldBy('self', 'self', 'other').length)
+  expect(new Set(granted)).toEqual(new Set(heldBy('self', 'self', 'other')))
+  expect(made.messages('other', 'declined').length).toEqual(1)
+})
+
+// A holder dies: its links end at once.
+test('the partition of an entry that is gone is taken at once', () => {
+  const made = bench('other')
+  made.do({ type: 'peerUnlinked', peer: 'other' })
+  for (const agent of AGENTS) made.ping(agent)
+  made.submit('job', [step(4 * AGENTS.length)])
+  expect(new Set(startedAt(made))).toEqual(new Set(AGENTS))
+})
+
+// A holder is frozen or its machine has lost power: its links stand, and nothing comes back.
+test('a job whose request is not answered starts where the entry itself sees room', () => {
+  const made = bench('other')
+  fill(made)
+  made.submit('job')
+  const asked = made.now
+  while (made.starts().length === 0) made.pass(TICK, AGENTS)
+  expect(made.now - asked <= UNANSWERED_MILLISECONDS + TICK).toEqual(true)
+})
+
+// Messages of a holder arrive here, and none reaches it.
+test('an entry that does not answer is not waited for by the next jobs', () => {
+  const made = bench('other')
+  fill(made)
+  made.submit('first')
+  made.live(UNANSWERED_MILLISECONDS + TICK)
+  made.hear('other', ROOM)
+  made.take()
+  made.submit('second')
+  expect(made.messages('other', 'ask')).toEqual([])
+})
+
+// A holder that is frozen keeps its links; its targets must not stand idle until it is back.
+test('the partition of a silent holder is taken, and given back when it is heard again', () => {
+  const made = bench('other')
+  made.pass(HOLDER_SILENCE_MILLISECONDS + TICK, AGENTS)
+  expect(made.notes('partition taken')).toEqual(1)
+  made.hear('other', ROOM)
+  made.pass(TICK, AGENTS)
+  expect(made.notes('partition handed over')).toEqual(1)
+})
+
+// This entry itself was frozen: everyone seems silent, and their messages wait behind the first tick.
+test('an entry that stood still does not take others for silent', () => {
+  const made = bench('other')
+  made.now += 3000
+  made.do({ type: 'tick' })
+  expect(made.notes('holder silent')).toEqual(0)
+})
+
+// The event loop of the holder is late: whoever asks it would wait.
+test('an entry that lags hands its partition over and tells so, until it has been quick for a while', () => {
+  const made = bench('other')
+  made.submit('filler')
+  made.pass(TICK, AGENTS)
+  made.take()
+  made.now += 2 * TICK
+  made.do({ type: 'tick' })
+  expect(made.messages('other', 'member').map(({ able }) => able)).toEqual([false])
+  expect(made.entry.status().room.groups.map(({ entry }) => entry)).toEqual(['other'])
+  expect(made.notes('partition handed over')).toEqual(1)
+  made.live(QUICK_FOR_MILLISECONDS + 400, ['other'])
+  expect(made.entry.status().room.groups.map(({ entry }) => entry).sort()).toEqual(['other', 'self'])
+})
+
+// An entry is rolled: what waits there must be asked for elsewhere, not when its process ends.
+test('an entry that stops hands over at once and declines what waits there', () => {
+  const made = bench('other')
+  fill(made)
+  const { needs, label, rack, perTarget } = step(1)
+  made.hear('other', { type: 'ask', group: 'self', service: 'checks', job: 'job', within: 200, waits: true, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, endBy: 500, tasks: [{ name: 'job.0.0', avoid: '' }], placed: [] }], except: [] })
+  made.take()
+  made.do({ type: 'stopOrdered' })
+  expect(made.messages('other', 'member').map(({ able }) => able)).toEqual([false])
+  expect(made.messages('other', 'declined').map(({ job }) => job)).toEqual(['job'])
+})
+
+test('a new entry takes its share within a second', () => {
+  const made = bench()
+  expect(made.entry.status().room.groups.map(({ entry }) => entry)).toEqual(['self'])
+  made.peer('new')
+  made.pass(1000, AGENTS)
+  expect(heldBy('new', 'self', 'new').length > 0).toEqual(true)
+  expect(made.entry.status().room.groups.map(({ entry }) => entry).sort()).toEqual(['new', 'self'])
+})
+
+// A request waits at another holder when a place becomes free here: its grant is under way while the task starts.
+test('a grant for a task that has found a place meanwhile is given back', () => {
+  const made = bench('other')
+  fill(made)
+  made.hear('other', { ...ROOM, free: 0 })
+  made.submit('job')
+  expect(made.messages('other', 'ask').map(({ waits }) => waits)).toEqual([true])
+  const [agent = ''] = heldBy('self', 'self', 'other')
+  made.end(agent, 'filler.0.0')
+  expect(made.messages('other', 'unask').map(({ job }) => job)).toEqual(['job'])
+  made.take()
+  made.hear('other', { type: 'grant', job: 'job', grants: [{ task: 'job.0.0', agent: heldBy('other', 'self', 'other')[0] as string }], waited: 0 })
+  expect(made.starts()).toEqual([])
+  expect(made.messages('other', 'release').length).toEqual(1)
+})
+
+// What an entry knew of a target on a quiet link is seconds old.
+test('a target that comes with a partition gets nothing before it has told its load', () => {
+  const made = bench('other')
+  made.do({ type: 'peerUnlinked', peer: 'other' })
+  made.take()
+  made.submit('job', [step(4 * AGENTS.length)])
+  expect(startedAt(made).some(agent => heldBy('other', 'self', 'other').includes(agent))).toEqual(false)
+  made.do({ type: 'agentMessage', agent: heldBy('other', 'self', 'other')[0] as string, message: { type: 'load', load: NO_LOAD } })
+  expect(startedAt(made)).toInclude(heldBy('other', 'self', 'other')[0] as string)
+})
