Merge: room given out in partitions

Cause: one entry gave out the room of a whole group, and was the limit of how fast the fleet starts tasks; with 0.6 ms an event it took everyone with it. Change (room: partitions, off by default): targets divided among the able entries by weighted rendezvous hashing with a bound on each share, own jobs first at own targets, the rest asked of another holder; a holder that lags, falls silent or stops hands over.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -13,7 +13,9 @@
   /** Cancellations in waves, late orders, lost links, workers that crash, and starters that are removed; tasks outlast the bounds. */
   Cancels = 'cancels',
   /** The same as the first, targets that shrink, grow and leave, and that do not guard themselves. */
-  Capacity = 'capacity'
+  Capacity = 'capacity',
+  /** Processes, workers and links while entries give out room in partitions, and entries that give out the same targets. */
+  Partitions = 'partitions'
 }
 
 /** Length of one run of the world, in milliseconds: faults for most of it, then a quiet end. */
@@ -128,11 +130,18 @@
   world.timeline.after(milliseconds, () => world.workers[agent]?.setSize(1))
 }
 
+const PARTITION_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  claimAll: world => world.claimAll(anyEntry(world)),
+  claimAllEach: world => { for (const entry of world.entries.keys()) world.claimAll(entry) }
+}
+
 const FAULTS_OF: Readonly<Record<Theme, Readonly<Record<string, Fault>>>> = {
   [Theme.Processes]: FAULTS,
   [Theme.Operators]: OPERATOR_FAULTS,
   [Theme.Cancels]: CANCEL_FAULTS,
-  [Theme.Capacity]: CAPACITY_FAULTS
+  [Theme.Capacity]: CAPACITY_FAULTS,
+  [Theme.Partitions]: PARTITION_FAULTS
 }
 
 /** For a guard that is switched off: the faults that it is for, made likelier. */
@@ -148,7 +157,8 @@
   cancelMemory: ['cancelWave', 'cancelWaveAndRemovedEntry'],
   cancelNews: ['cancelWave'],
   capacityNews: ['shrink', 'shrinkAll'],
-  drain: ['notice']
+  drain: ['notice'],
+  grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers']
 }
 
 /** How often one of the faults in focus is taken. */
@@ -174,7 +184,7 @@
  */
 export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels, isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1, changing: theme === Theme.Capacity }, trace)
+  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels, isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1, changing: theme === Theme.Capacity, partitions: theme === Theme.Partitions }, trace)
   world.submitUntil(FAULTS_END)
   strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
   world.timeline.runUntil(theme === Theme.Cancels ? LONG_LENGTH : LENGTH)
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -49,6 +49,7 @@
 const LEARNING = 200
 const JOB_INTERVAL = 120
 const TASK_CPU = 3000
+const SCARCE_CPU = 6000
 const CHECK_INTERVAL = 5
 const HEARTBEAT = 1500
 
@@ -81,6 +82,8 @@
   isolatesSuspects: boolean
   /** Whether targets shrink, grow and leave, are used until they are gone, and start whatever they are told. */
   changing: boolean
+  /** Entries give out the room in partitions, and targets have little of it, so that they ask each other. */
+  partitions: boolean
 }
 
 export interface Violation {
@@ -111,6 +114,7 @@
   readonly #changing: boolean
   /** When the notice of each target was acknowledged. */
   readonly #noticed = new Map<number, number>()
+  readonly #partitions: boolean
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
@@ -128,6 +132,7 @@
     this.#longTasks = sizes.longTasks
     this.#isolatesSuspects = sizes.isolatesSuspects
     this.#changing = sizes.changing
+    this.#partitions = sizes.partitions
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
@@ -167,6 +172,13 @@
     this.#peers.cut(entry, milliseconds)
   }
 
+  /** An entry takes the others for unable and gives out all targets, beside those that hold them, until it hears better. */
+  claimAll (index: number): void {
+    for (const [other, { name }] of this.entries.entries()) {
+      if (other !== index) this.entries[index]?.post({ type: 'peerMessage', peer: name, message: { type: 'member', dataCentre: 'one', able: false, strength: 0 } })
+    }
+  }
+
   restartEntry (index: number, milliseconds: number): void {
     const entry = this.entries[index] as EntryProcess
     if (!entry.alive) return
@@ -231,7 +243,7 @@
 
   #addAgent (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     // Clocks of different runs of one machine may be set back between them.
-    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing } })
+    const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing, partitions: this.#partitions } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
     this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => {
@@ -245,7 +257,7 @@
       service: 'service',
       dataCentre,
       labels: [],
-      capacity: { cpu: this.#changing ? CHANGING_CAPACITY : CAPACITY, memory: 65_536, accelerators: 0 },
+      capacity: { cpu: this.#capacity, memory: 65_536, accelerators: 0 },
       clockRate: 1 - CLOCK_SLOWNESS * this.random.next(),
       longestLease: BOUNDS.longestLease,
       heartbeat: HEARTBEAT,
@@ -257,8 +269,13 @@
     }
   }
 
+  get #capacity (): number {
+    if (this.#partitions) return SCARCE_CPU
+    return this.#changing ? CHANGING_CAPACITY : CAPACITY
+  }
+
   #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
-    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing } })
+    const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing, partitions: this.#partitions } })
     this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
   }
 
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -95,6 +95,7 @@
     stopOrdered: (_event, now) => {
       this.#endsAt ??= now + this.#options.grace
       this.#note('stop ordered', { open: this.#jobs.size })
+      this.#sharing.stopping(now)
     },
     ending: (_event, now) => this.#answerAll(now)
   }
@@ -139,6 +140,7 @@
       queues: this.#queues,
       jobOf: id => this.#openJob(id),
       serving: () => this.ready,
+      busy: () => this.busy,
       begun: now => this.#pressure.noteBegun(now),
       emit: effect => this.#effects.push(effect)
     })
@@ -167,7 +169,7 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, ...this.#suspects.status() }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, room: this.#sharing.status(), ...this.#suspects.status() }
   }
 
   /** Whether new callers may be sent here. */
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -6,7 +6,7 @@
 import type { Resources } from './resources.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { takeFrom } from './resources.ts'
-import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
+import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
 import { Isolation, RoomRole } from './messages.ts'
 
@@ -199,7 +199,9 @@
     const { ping, idlePing } = this.#context.timings
     if (tasks > 0 || role === RoomRole.Allocates) return ping
     if (role !== RoomRole.Asks) return idlePing
-    return Math.min(LONGEST_QUIET_PING_MILLISECONDS, Math.max(idlePing, this.#context.policy.quietPing * this.#sessions.size))
+    const { partitions, quietPing } = this.#context.policy
+    const longest = LONGEST_QUIET_PING_MILLISECONDS * (partitions ? PARTITION_QUIET_FACTOR : 1)
+    return Math.min(longest, Math.max(idlePing, quietPing * this.#sessions.size))
   }
 
   announceToAll (now: number): void {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -6,9 +6,10 @@
 import type { Placement } from './fleetview.ts'
 import type { Job, Task } from './job.ts'
 import type { AgentMessage, CrashRecord, Echo, SlowTask, TaskEnd, TaskReference } from './messages.ts'
+import type { PartitionTarget } from './partitions.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
-import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
+import { AGENT_MEMORY_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { CapacityForecast } from './capacityforecast.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
@@ -49,7 +50,7 @@
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
   readonly #forecast = new CapacityForecast()
-  #roleIn: (dataCentre: string) => RoomRole = () => RoomRole.Chooses
+  #roleOf: (agent: AgentView) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
 
   readonly #handlers: Handlers = {
@@ -150,30 +151,43 @@
     return this.#forecast.status([...this.#agents.values()], service, now)
   }
 
-  /** Free processors at the targets of some data centres, in thousandths of a core. */
-  freeCpu (within: (dataCentre: string) => boolean): number {
+  /** Targets that are given out in partitions: those that take work, also when they are away for a moment. */
+  partitionTargets (): PartitionTarget[] {
+    const targets: PartitionTarget[] = []
+    for (const { name, service, dataCentre, evacuated } of this.#agents.values()) if (dataCentre !== undefined && service !== undefined && !evacuated) targets.push({ name, service, dataCentre })
+    return targets
+  }
+
+  /** Free processors at some of the targets, in thousandths of a core. */
+  freeCpu (within: (agent: AgentView) => boolean): number {
     let sum = 0
-    for (const { target, free, linked, evacuated } of this.#agents.values()) if (linked && target?.leaving === false && !evacuated && within(target.dataCentre)) sum += Math.max(0, free.cpu)
+    for (const agent of this.#agents.values()) if (agent.linked && agent.target?.leaving === false && !agent.evacuated && within(agent)) sum += Math.max(0, agent.free.cpu)
     return sum
   }
 
+  get guards (): FleetGuards {
+    return this.#options.guards
+  }
+
   /** Tells the agents how this entry comes to the room of their targets. */
-  setRoles (roleIn: (dataCentre: string) => RoomRole): void {
-    this.#roleIn = roleIn
+  setRoles (roleOf: (agent: AgentView) => RoomRole): void {
+    this.#roleOf = roleOf
     for (const agent of this.#agents.values()) this.#tellRole(agent)
   }
 
   #tellRole (agent: AgentView): void {
-    const role = agent.dataCentre === undefined ? RoomRole.Chooses : this.#roleIn(agent.dataCentre)
+    const role = agent.dataCentre === undefined ? RoomRole.Chooses : this.#roleOf(agent)
     if (!agent.linked || agent.role === role) return
     agent.role = role
+    // Its answer to the new role tells its load, which a quiet link has not told for long.
+    if (this.#options.policy.partitions && role !== RoomRole.Asks) agent.noteFull()
     this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'role', role } })
   }
 
   agentLinked (name: string, incarnation: string, now: number): void {
     let agent = this.#agents.get(name)
     if (agent === undefined) {
-      agent = new AgentView(name)
+      agent = new AgentView(name, this.#options.policy.partitions ? PARTITION_QUIET_FACTOR : 1)
       this.#agents.set(name, agent)
       this.#trust.add(agent)
     }
--- a/packages/dispatch/src/fleetguards.ts
+++ b/packages/dispatch/src/fleetguards.ts
@@ -10,6 +10,8 @@
   cancelMemory: boolean
   /** The other entries are told of cancellations. */
   cancelNews: boolean
+  /** Room granted to a task that has found another place meanwhile is given back. */
+  grantedOnce: boolean
 }
 
-export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, cancelMemory: true, cancelNews: true }
+export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, cancelMemory: true, cancelNews: true, grantedOnce: true }
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -25,7 +25,8 @@
   cancelMemory: { first: 1, runs: 40, theme: Theme.Cancels },
   cancelNews: { first: 1, runs: 40, theme: Theme.Cancels },
   capacityNews: { first: 1, runs: 60, theme: Theme.Capacity },
-  drain: { first: 1, runs: 60, theme: Theme.Capacity }
+  drain: { first: 1, runs: 60, theme: Theme.Capacity },
+  grantedOnce: { first: 1, runs: 60, theme: Theme.Partitions }
 }
 
 test('no task runs twice at one time under random faults', () => {
@@ -44,6 +45,10 @@
   expect(search(5000, 60, Theme.Capacity)).toEqual(undefined)
 })
 
+test('entries that give out the same targets start nothing twice', () => {
+  expect(search(5000, 60, Theme.Partitions)).toEqual(undefined)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which once failed, breaks no promise`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
