Crash suspects: targets that fall silent together are one wave, also when the first of them is back

Of a rack that fell silent the first target to be back proved its crash alone, and convicted a task that had met a crash before. Silent lives count in a wave as crashed ones do.

--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -46,8 +46,8 @@
 export class CrashSuspects {
   /** Losses of each task, by agent and life of the target. */
   readonly #losses = new Map<string, Map<string, Loss>>()
-  /** When each life that went down lately did. */
-  readonly #crashes = new Map<string, number>()
+  /** When each life was lost lately, and what is known of it. */
+  readonly #lives = new Map<string, { at: number, evidence: CrashEvidence }>()
   readonly #targets: () => number
   #convictions = 0
 
@@ -57,7 +57,8 @@
   }
 
   status (): CrashStatus {
-    return { suspects: this.#losses.size, convictions: this.#convictions, crashes: this.#crashes.size }
+    const crashes = [...this.#lives.values()].filter(({ evidence }) => evidence === CrashEvidence.Crashed).length
+    return { suspects: this.#losses.size, convictions: this.#convictions, crashes }
   }
 
   /** Takes in what an agent tells of its target; an older word on the same life is replaced. */
@@ -66,10 +67,11 @@
       const at = now - ago
       const life = `${agent}/${instance}`
       if (evidence === CrashEvidence.Answered) {
+        this.#lives.delete(life)
         this.#forget(task, life)
         continue
       }
-      if (evidence === CrashEvidence.Crashed && !this.#crashes.has(life)) this.#crashes.set(life, at)
+      this.#lives.set(life, { at: this.#lives.get(life)?.at ?? at, evidence })
       const losses = this.#losses.get(task) ?? new Map<string, Loss>()
       const known = losses.get(life)
       losses.set(life, { beside, evidence, at: known?.at ?? at })
@@ -102,18 +104,18 @@
   }
 
   tick (now: number): void {
-    for (const [life, at] of this.#crashes) if (now - at >= CRASH_MEMORY_MILLISECONDS) this.#crashes.delete(life)
+    for (const [life, { at }] of this.#lives) if (now - at >= CRASH_MEMORY_MILLISECONDS) this.#lives.delete(life)
     for (const [task, losses] of this.#losses) {
       for (const [life, { at }] of losses) if (now - at >= CRASH_MEMORY_MILLISECONDS) losses.delete(life)
       if (losses.size === 0) this.#losses.delete(task)
     }
   }
 
-  /** Whether so many targets went down about that time that it had another cause than a task. */
+  /** Whether so many targets went down or fell silent about that time that it had another cause than a task. */
   #inWave (at: number): boolean {
     const many = Math.max(CRASH_WAVE_LEAST, CRASH_WAVE_PART * this.#targets())
     let near = 0
-    for (const other of this.#crashes.values()) if (Math.abs(other - at) < CRASH_WAVE_MILLISECONDS) near += 1
+    for (const other of this.#lives.values()) if (Math.abs(other.at - at) < CRASH_WAVE_MILLISECONDS) near += 1
     return near >= many
   }
 
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -113,6 +113,22 @@
   expect(bench.starts().length).toEqual(3)
 })
 
+// Guards against a rack that falls silent, of which one target is back, and proved to have crashed, before the others.
+test('targets that fall silent together convict nobody when the first of them is back', () => {
+  const bench = entry()
+  bench.submit('one')
+  const first = crash(bench, 'one.0.0', OTHERS)
+  const { agent, attempt } = lastStart(bench, 'one.0.0')
+  const rack = [agent, ...AGENTS.filter(name => name !== first && name !== agent).slice(0, 2)]
+  for (const name of rack) lost(bench, name, [name === agent ? 'one.0.0' : `${name}.0.0`], { evidence: CrashEvidence.Silent })
+  goes(bench, agent)
+  bench.end(agent, 'one.0.0', Outcome.Gone, Cause.Lapsed, attempt)
+  bench.pass(2000, AGENTS)
+  lost(bench, agent, ['one.0.0'], { ago: 2000 })
+  bench.pass(100, AGENTS)
+  expect(bench.answers()).toEqual([])
+})
+
 // Guards against an entry that dies after the first crash: its caller comes back with the job through this one.
 test('a job that comes from an entry that died does not begin at no crashes', () => {
   const bench = entry()
