Agents tell of a suspect with their load, so that no other is sent there

An entry that gives out the room did not know of suspects at a target once their starts had arrived, nor one that chooses of those of others: further suspects were sent there and turned down as full. The load says so now, and room given to a suspect marks its target until the agent's next word. The test fails without it.

--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -251,6 +251,7 @@
     session.freed = false
     return {
       ...(taken.length > 0 ? { taken } : {}),
+      ...(this.#held.suspected ? { suspect: true } : {}),
       pace: Math.round(this.#parts.target.pace.value(now) * PACE_PARTS) / PACE_PARTS,
       others
     }
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -61,6 +61,8 @@
   unanswered = 0
   #busySince = 0
   #probed = false
+  /** As the agent tells it, or one of another entry was given room there since. */
+  #suspectTold = false
   /** Nothing is placed before. */
   pausedUntil = Number.NEGATIVE_INFINITY
 
@@ -74,7 +76,8 @@
     this.#measure()
   }
 
-  noteLoad ({ others, pace, taken = [] }: Load): void {
+  noteLoad ({ others, pace, suspect = false, taken = [] }: Load): void {
+    this.#suspectTold = suspect
     this.others = others
     this.pace = pace
     for (const task of taken) this.#ungrant(task)
@@ -100,8 +103,9 @@
   }
 
   /** Takes room for a task of another entry, until its start arrives there, the entry gives it back, or it never comes. */
-  grant (task: string, needs: Resources, now: number): void {
+  grant (task: string, needs: Resources, isolation: Isolation, now: number): void {
     this.#ungrant(task)
+    this.#suspectTold ||= isolation !== Isolation.None
     this.#granted.set(task, { needs, at: now })
     addTo(this.#grantedSum, needs)
     this.#measure()
@@ -178,8 +182,9 @@
     return !this.#probed || (this.placements.size === 0 && this.#granted.size === 0 && this.others.cpu === 0)
   }
 
-  /** Whether a suspect of this entry is there. */
+  /** Whether a suspect is there, as far as known. */
   get hasSuspect (): boolean {
+    if (this.#suspectTold) return true
     for (const { task } of this.placements.values()) if (task.isolation !== Isolation.None) return true
     return false
   }
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -123,6 +123,8 @@
   others: Resources
   /** Pace of its tasks lately, in parts of what entries expect of an average target; 0 when it had too few. */
   pace: number
+  /** A suspect is there. Left out for none. */
+  suspect?: boolean
   /** Starts of other entries that arrived since this entry was told last; only for one that gives out the room. */
   taken?: string[]
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -136,7 +136,8 @@
       if (agent === undefined) continue
       counts.add(step.index, agent.name)
       request.noteGranted(step, task, agent.name)
-      agent.grant(task.name, task.isolation === Isolation.Alone ? { ...agent.free } : step.needs, now)
+      const { isolation = Isolation.None } = task
+      agent.grant(task.name, isolation === Isolation.Alone ? { ...agent.free } : step.needs, isolation, now)
       agent.noteUse(request.peer, now + step.expected)
       grants.push({ task: task.name, agent: agent.name })
     }
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -259,3 +259,23 @@
   const load = alone.of('send').filter(({ entry, message }) => entry !== ENTRY && message.type === 'ping').at(-1)?.message
   expect(load?.type === 'ping' ? load.load.others.cpu : 0).toEqual(8000)
 })
+
+// Guards against an entry that gives out the room and does not know of the suspects at it: they were turned down one by one.
+test('the entry that gives out the room keeps suspects of others apart, and the target of one that is to be alone free', () => {
+  const bench = entry()
+  bench.peer('other', -1)
+  bench.pass(1000, AGENTS)
+  bench.take()
+  const asked = (job: string, isolation?: Isolation): string => {
+    const { needs, label, rack, perTarget } = step(1)
+    const task = { name: `${job}.0.0`, avoid: '', ...(isolation === undefined ? {} : { isolation }) }
+    bench.hear('other', { type: 'ask', group: '', service: 'checks', job, within: 200, waits: true, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, endBy: 500, tasks: [task], placed: [] }], except: [] })
+    const [granted] = bench.told('other').flatMap(message => message.type === 'grant' ? message.grants : []).slice(-1)
+    return granted?.agent ?? ''
+  }
+  const suspects = ['one', 'two', 'three'].map(job => asked(job, Isolation.Apart))
+  expect(new Set(suspects).size).toEqual(3)
+  const alone = asked('four', Isolation.Alone)
+  const rest = Array.from({ length: 12 }, (_none, number) => asked(`next${number}`))
+  expect([suspects.includes(alone), rest.includes(alone)]).toEqual([false, false])
+})
