--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -113,6 +113,22 @@
   expect(bench.starts().length).toEqual(3)
 })
 
+// Guards against a rack that falls silent, of which one target is back, and proved to have crashed, before the others.
+test('targets that fall silent together convict nobody when the first of them is back', () => {
+  const bench = entry()
+  bench.submit('one')
+  const first = crash(bench, 'one.0.0', OTHERS)
+  const { agent, attempt } = lastStart(bench, 'one.0.0')
+  const rack = [agent, ...AGENTS.filter(name => name !== first && name !== agent).slice(0, 2)]
+  for (const name of rack) lost(bench, name, [name === agent ? 'one.0.0' : `${name}.0.0`], { evidence: CrashEvidence.Silent })
+  goes(bench, agent)
+  bench.end(agent, 'one.0.0', Outcome.Gone, Cause.Lapsed, attempt)
+  bench.pass(2000, AGENTS)
+  lost(bench, agent, ['one.0.0'], { ago: 2000 })
+  bench.pass(100, AGENTS)
+  expect(bench.answers()).toEqual([])
+})
+
 // Guards against an entry that dies after the first crash: its caller comes back with the job through this one.
 test('a job that comes from an entry that died does not begin at no crashes', () => {
   const bench = entry()
@@ -243,3 +259,23 @@
   const load = alone.of('send').filter(({ entry, message }) => entry !== ENTRY && message.type === 'ping').at(-1)?.message
   expect(load?.type === 'ping' ? load.load.others.cpu : 0).toEqual(8000)
 })
+
+// Guards against an entry that gives out the room and does not know of the suspects at it: they were turned down one by one.
+test('the entry that gives out the room keeps suspects of others apart, and the target of one that is to be alone free', () => {
+  const bench = entry()
+  bench.peer('other', -1)
+  bench.pass(1000, AGENTS)
+  bench.take()
+  const asked = (job: string, isolation?: Isolation): string => {
+    const { needs, label, rack, perTarget } = step(1)
+    const task = { name: `${job}.0.0`, avoid: '', ...(isolation === undefined ? {} : { isolation }) }
+    bench.hear('other', { type: 'ask', group: '', service: 'checks', job, within: 200, waits: true, steps: [{ index: 0, needs, label, rack, perTarget, expected: 300, endBy: 500, tasks: [task], placed: [] }], except: [] })
+    const [granted] = bench.told('other').flatMap(message => message.type === 'grant' ? message.grants : []).slice(-1)
+    return granted?.agent ?? ''
+  }
+  const suspects = ['one', 'two', 'three'].map(job => asked(job, Isolation.Apart))
+  expect(new Set(suspects).size).toEqual(3)
+  const alone = asked('four', Isolation.Alone)
+  const rest = Array.from({ length: 12 }, (_none, number) => asked(`next${number}`))
+  expect([suspects.includes(alone), rest.includes(alone)]).toEqual([false, false])
+})
