--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -55,6 +55,8 @@
   cleared: boolean
   silent: boolean
   tasks: number
+  /** Runs at the target that take room though no task here holds it. */
+  unheld: number
   entries: number
 }
 
@@ -176,7 +178,7 @@
 
   status (): AgentStatus {
     const { facts, cleared, lease } = this.#target
-    return { target: facts, cleared, silent: lease.silent, tasks: this.#held.size, entries: this.#entries.linked }
+    return { target: facts, cleared, silent: lease.silent, tasks: this.#held.size, unheld: this.#room.unheld, entries: this.#entries.linked }
   }
 
   // The target
