Emulator: bursts of one data centre, work used and in time, refusals told at once

Cause: comparisons of admission need to say how much of the used capacity ended in time, how soon refusals are told, and how the worst kind and the largest jobs of a kind fare; bursts could only come from every data centre at once.

A figure of the used work goes by what agents report of ended tasks: runs that were cut off count nothing.

--- a/packages/dispatch/src/jobqueue.ts
+++ b/packages/dispatch/src/jobqueue.ts
@@ -3,7 +3,7 @@
 import type { Policy } from './policy.ts'
 import { IndexedHeap } from '@amaranthmast/coordination/heap'
 
-type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept'>
+type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept' | 'shortestFirst'>
 
 /**
  * The job comes first that would be refused first, so that long jobs, which can wait long before they must begin, are not
@@ -31,7 +31,8 @@
 
   /** The job with the smallest one is served first. */
   orderOf (job: Job): number {
-    const { byKept, priorityStep } = this.#policy
+    const { byKept, priorityStep, shortestFirst } = this.#policy
+    if (shortestFirst) return job.chain
     return (byKept ? job.keptUntil : job.startBy) + priorityStep * job.request.queue.priority
   }
 
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -45,6 +45,8 @@
   priorityStep: number
   /** Jobs wait in the order of the times until which they are kept, not of the latest times to begin. @default true */
   byKept: boolean
+  /** Jobs with little work go first, whatever their objective. @default false */
+  shortestFirst: boolean
   /** One entry gives out the room of a group of targets, the others ask it. @default true */
   sharesRoom: boolean
   /** Interval of pings on links that may be quiet, for each linked entry, in milliseconds. @default 60 */
@@ -87,6 +89,7 @@
   pollsSooner: true,
   priorityStep: PRIORITY_MILLISECONDS,
   byKept: true,
+  shortestFirst: false,
   sharesRoom: true,
   quietPing: QUIET_PING_PER_ENTRY_MILLISECONDS,
   tellsRoom: true,
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -26,6 +26,8 @@
   took: number
   /** Part of the job's worth that its caller got. */
   credit: number
+  /** From the last submission to the answer, in milliseconds. */
+  answeredAfter: number
 }
 
 /** A late answer counts a fifth, up to three times the objective (the users' rule of credit). */
@@ -38,6 +40,7 @@
   job: JobPlan
   entry: number
   request: number
+  submittedAt: number
 }
 
 export class Callers {
@@ -74,7 +77,7 @@
     this.#timeline.after(this.#plan.delays.callers, () => {
       if (kind === AnswerKind.TimedOut) return this.#comeBack(caller.job)
       if (kind === AnswerKind.Refused && caller.job.returns) return this.#comeBack(caller.job, wholeSeconds(retryAfter))
-      this.#settle(caller.job, kind)
+      this.#settle(caller, kind)
     })
   }
 
@@ -93,7 +96,7 @@
     if (entry === undefined) return this.#comeBack(job)
     this.#requests += 1
     const request = this.#requests
-    this.#waiting.set(request, { job, entry, request })
+    this.#waiting.set(request, { job, entry, request, submittedAt: this.#timeline.now })
     const step = { count: job.tasks.length, needs: { cpu: job.cpu, memory: 64, accelerators: 0 }, estimated: job.declared, after: [], label: '', rack: '', perTarget: 0 }
     const remaining = job.at + job.deadline - this.#timeline.now
     this.#timeline.after(this.#plan.delays.callers, () => {
@@ -122,11 +125,11 @@
     this.#record(job, byItself ? Fate.Left : Fate.TooLate)
   }
 
-  #settle (job: JobPlan, kind: AnswerKind): void {
+  #settle ({ job, submittedAt }: Caller, kind: AnswerKind): void {
     if (this.#settled.has(job.id)) return
-    if (kind === AnswerKind.Refused) return this.#record(job, Fate.Refused)
-    if (kind !== AnswerKind.Completed) return this.#record(job, job.poisoned && kind === AnswerKind.Failed ? this.#timeliness(job) : Fate.Failed)
-    this.#record(job, this.#timeliness(job))
+    if (kind === AnswerKind.Refused) return this.#record(job, Fate.Refused, submittedAt)
+    if (kind !== AnswerKind.Completed) return this.#record(job, job.poisoned && kind === AnswerKind.Failed ? this.#timeliness(job) : Fate.Failed, submittedAt)
+    this.#record(job, this.#timeliness(job), submittedAt)
   }
 
   #timeliness (job: JobPlan): Fate {
@@ -137,10 +140,10 @@
     return took <= LATE_FACTOR * objective ? Fate.Late : Fate.TooLate
   }
 
-  #record (job: JobPlan, fate: Fate): void {
+  #record (job: JobPlan, fate: Fate, submittedAt = job.at): void {
     this.#settled.add(job.id)
     const part = fate === Fate.InTime ? 1 : fate === Fate.Late ? LATE_CREDIT : 0
-    this.verdicts.push({ job, fate, took: this.#timeline.now - job.at, credit: part * job.worth })
+    this.verdicts.push({ job, fate, took: this.#timeline.now - job.at, credit: part * job.worth, answeredAfter: this.#timeline.now - submittedAt })
   }
 }
 
--- a/packages/emulator/src/comparison.ts
+++ b/packages/emulator/src/comparison.ts
@@ -10,6 +10,8 @@
   /** Credit of each window, for plots. */
   overTime: Array<{ second: number, credit: number }>
   byKind: Record<string, number>
+  /** Part of the callers of each kind that were in time. */
+  inTimeByKind: Record<string, number>
 }
 
 export interface FigureSummary {
--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -38,7 +38,7 @@
   callers.begin()
   schedule(plan, { fleet, timeline, random })
   timeline.runUntil(LEAD_MILLISECONDS + plan.length)
-  const counts = { starts: fleet.starts, fullStarts: fleet.fullStarts, messages: fleet.messages - messagesBefore, entryLoads: fleet.entryLoads, agentLoads: fleet.agentLoads }
+  const counts = { work: fleet.work, seconds: experiment.seconds, callerDelay: plan.delays.callers, starts: fleet.starts, fullStarts: fleet.fullStarts, messages: fleet.messages - messagesBefore, entryLoads: fleet.entryLoads, agentLoads: fleet.agentLoads }
   const longest = Math.max(...plan.jobs.map(({ deadline }) => deadline))
   timeline.runUntil(LEAD_MILLISECONDS + plan.length + longest + 1)
   return { figures: figuresOf(callers.verdicts, counts), verdicts: callers.verdicts }
--- a/packages/emulator/src/dayplan.ts
+++ b/packages/emulator/src/dayplan.ts
@@ -4,6 +4,7 @@
 import type { Draw } from './distributions.ts'
 import type { Experiment, KindPlan, TroublePlan } from './experiment.ts'
 import { SeededRandom } from '@amaranthmast/standins/random'
+import { mean } from 'simple-statistics'
 import { drawFigure, factorDraw, pauseDraw, spreadDraw } from './distributions.ts'
 import { TroubleKind } from './troubletypes.ts'
 
@@ -56,6 +57,8 @@
   share: number
   factor: number
   kindOfJob: string | undefined
+  /** Whose callers a burst comes from, counted from 0. */
+  dataCentre: number | undefined
 }
 
 export interface DayPlan {
@@ -175,7 +178,8 @@
     lasts: drawFigure(trouble.for, random) * MILLISECONDS_PER_SECOND,
     share: drawFigure(trouble.share, random),
     factor: drawFigure(trouble.factor, random),
-    kindOfJob: trouble.kindOfJob
+    kindOfJob: trouble.kindOfJob,
+    dataCentre: trouble.dataCentre
   }
 }
 
@@ -186,10 +190,10 @@
   const jobs: JobPlan[] = []
   for (const kind of kinds) {
     let now = 0
-    const rate = (): number => kind.perMillisecond * (1 + swing * Math.sin((now + phase) / WAVE_MILLISECONDS * 2 * Math.PI)) * burstAt(troubles, kind, now)
+    const rate = (): number => kind.perMillisecond * (1 + swing * Math.sin((now + phase) / WAVE_MILLISECONDS * 2 * Math.PI)) * mean(dataCentres.map((_name, index) => burstAt(troubles, kind, now, index)))
     const pause = pauseDraw(rate, random)
     for (now = pause(); now < seconds * MILLISECONDS_PER_SECOND; now += pause()) {
-      jobs.push({ ...drawJob(kind, now, random.pick(dataCentres), jobs.length, troubles, random), returns: share > 0 && random.next() < share })
+      jobs.push({ ...drawJob(kind, now, pickDataCentre(dataCentres, dataCentres.map((_name, index) => burstAt(troubles, kind, now, index)), random), jobs.length, troubles, random), returns: share > 0 && random.next() < share })
     }
   }
   return jobs.sort((one, other) => one.at - other.at)
@@ -200,8 +204,19 @@
     (trouble.kindOfJob === undefined || trouble.kindOfJob === kind.plan.name))
 }
 
-function burstAt (troubles: readonly TroubleAt[], kind: Kind, at: number): number {
-  return activeAt(troubles, TroubleKind.Burst, kind, at).reduce((factor, trouble) => factor * trouble.factor, 1)
+function burstAt (troubles: readonly TroubleAt[], kind: Kind, at: number, dataCentre: number): number {
+  const bursts = activeAt(troubles, TroubleKind.Burst, kind, at).filter(trouble => trouble.dataCentre === undefined || trouble.dataCentre === dataCentre)
+  return bursts.reduce((factor, trouble) => factor * trouble.factor, 1)
+}
+
+/** One of the data centres, each as likely as its weight. */
+function pickDataCentre (dataCentres: readonly string[], weights: readonly number[], random: SeededRandom): string {
+  let left = random.next() * mean(weights) * weights.length
+  for (const [index, weight] of weights.entries()) {
+    left -= weight
+    if (left < 0) return dataCentres[index] as string
+  }
+  return dataCentres[dataCentres.length - 1] as string
 }
 
 function drawJob (kind: Kind, at: number, dataCentre: string, number: number, troubles: readonly TroubleAt[], random: SeededRandom): JobPlan {
--- a/packages/emulator/src/experiment.ts
+++ b/packages/emulator/src/experiment.ts
@@ -57,7 +57,8 @@
   for: described(figure, 'Seconds that it lasts', 4),
   share: described(z._default(figure, 0.15), 'Part of the targets, entries or orders that it strikes', 0.15),
   factor: described(z._default(figure, 1), 'How strong it is', 1.3),
-  kindOfJob: described(z.optional(nameSchema), 'The kind of job that it concerns; all when absent', 'check')
+  kindOfJob: described(z.optional(nameSchema), 'The kind of job that it concerns; all when absent', 'check'),
+  dataCentre: described(z.optional(countSchema), 'The data centre, counted from 0, whose callers a burst comes from; all when absent', 0)
 })
 
 const policySchema = z.partial(z.strictObject(Object.fromEntries(Object.entries(DEFAULT_POLICY).map(([name, value]) =>
--- a/packages/emulator/src/figures.ts
+++ b/packages/emulator/src/figures.ts
@@ -11,6 +11,12 @@
 /** Largest part of a kind of job that is judged by itself. */
 const LARGEST_PART = 0.1
 
+/** A refusal within this time is told at once, in milliseconds. */
+const SOON_MILLISECONDS = 20
+
+const THOUSANDTHS = 1000
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Credit got over credit owed, 0 to 1, and counts of callers. */
 export interface DayFigures {
   credit: number
@@ -24,6 +30,15 @@
   failed: number
   /** Callers in time, over all that were owed an answer. */
   inTimePart: number
+  /** Cores whose work ended in time, mean of the day, and their part of those that were used. */
+  coresInTime: number
+  usefulPart: number
+  /** Part of the refusals that were told within 20 ms, the way to and from the caller not counted. */
+  soonRefusals: number
+  /** The kind with the least part of its callers in time, over all callers' part. */
+  worstKindPart: number
+  /** Of each kind, the tenth of the jobs with the most work: its part in time over the kind's; the worst kind's. */
+  largestTenthPart: number
   startsFullPart: number
   messagesPerTask: number
   /** Milliseconds of processor time a second of the busiest and the mean entry, and the mean agent, as priced. */
@@ -33,6 +48,12 @@
 }
 
 export interface Counts {
+  /** Work done for each job, in thousandths of a core times milliseconds. */
+  work: ReadonlyMap<string, number>
+  /** Length of the load. */
+  seconds: number
+  /** One way to callers, in milliseconds. */
+  callerDelay: number
   starts: number
   fullStarts: number
   messages: number
@@ -41,13 +62,16 @@
   agentLoads: readonly number[]
 }
 
-export function figuresOf (all: readonly Verdict[], { starts, fullStarts, messages, entryLoads, agentLoads }: Counts): DayFigures {
+export function figuresOf (all: readonly Verdict[], { work, seconds, callerDelay, starts, fullStarts, messages, entryLoads, agentLoads }: Counts): DayFigures {
   const owed = all.filter(({ fate }) => fate !== Fate.Left)
   const kinds = groupBy(owed, ({ job }) => job.kind)
   const windows = groupBy(owed, ({ job }) => String(Math.floor(job.at / WINDOW_MILLISECONDS)))
   const byWindow = [...windows.values()].map(creditOf).sort((one, other) => one - other)
   const tasks = owed.reduce((sum, { job }) => sum + job.tasks.length, 0)
   const count = (...fates: Fate[]): number => owed.filter(({ fate }) => fates.includes(fate)).length
+  const inTime = owed.filter(({ fate }) => fate === Fate.InTime)
+  const refusals = owed.filter(({ fate }) => fate === Fate.Refused)
+  const workInTime = sum(inTime.map(({ job }) => work.get(job.id) ?? 0))
   return {
     credit: creditOf(owed),
     worstKind: Math.min(...[...kinds.values()].map(creditOf)),
@@ -59,6 +83,11 @@
     refused: count(Fate.Refused),
     failed: count(Fate.Failed, Fate.TooLate),
     inTimePart: count(Fate.InTime) / Math.max(1, owed.length),
+    coresInTime: workInTime / THOUSANDTHS / (seconds * MILLISECONDS_PER_SECOND),
+    usefulPart: workInTime / Math.max(1, sum([...work.values()])),
+    soonRefusals: refusals.filter(({ answeredAfter }) => answeredAfter - 2 * callerDelay <= SOON_MILLISECONDS).length / Math.max(1, refusals.length),
+    worstKindPart: Math.min(...[...kinds.values()].map(inTimePartOf)) / Math.max(Number.EPSILON, inTimePartOf(owed)),
+    largestTenthPart: Math.min(...[...kinds.values()].map(verdicts => inTimePartOf(largest(verdicts)) / Math.max(Number.EPSILON, inTimePartOf(verdicts)))),
     startsFullPart: fullStarts / Math.max(1, starts),
     messagesPerTask: messages / Math.max(1, tasks),
     entryMost: Math.max(...entryLoads),
@@ -79,6 +108,15 @@
   return Object.fromEntries([...groupBy(all.filter(({ fate }) => fate !== Fate.Left), ({ job }) => job.kind)].map(([kind, verdicts]) => [kind, creditOf(verdicts)]))
 }
 
+/** Part of the callers of each kind of job that were in time. */
+export function inTimeByKind (all: readonly Verdict[]): Record<string, number> {
+  return Object.fromEntries([...groupBy(all.filter(({ fate }) => fate !== Fate.Left), ({ job }) => job.kind)].map(([kind, verdicts]) => [kind, inTimePartOf(verdicts)]))
+}
+
+function inTimePartOf (verdicts: readonly Verdict[]): number {
+  return verdicts.filter(({ fate }) => fate === Fate.InTime).length / Math.max(1, verdicts.length)
+}
+
 /** Each kind of job weighs the same in the whole, as on the users' sheets. */
 function creditOf (verdicts: readonly Verdict[]): number {
   const kinds = [...groupBy(verdicts, ({ job }) => job.kind).values()]
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -53,6 +53,8 @@
   /** Starts that came back for want of room, and all that were sent. */
   fullStarts = 0
   starts = 0
+  /** Work that agents have told of, by job: thousandths of a core times milliseconds. */
+  readonly work = new Map<string, number>()
   readonly #plan: DayPlan
   readonly #timeline: Timeline
   readonly #random: SeededRandom
@@ -223,10 +225,17 @@
 
   #toEntry (pair: string, message: AgentMessage): void {
     this.messages += 1
-    if (message.type === 'ends') this.fullStarts += message.ends.filter(({ cause }) => cause === Cause.Full).length
+    if (message.type === 'ends') {
+      this.fullStarts += message.ends.filter(({ cause }) => cause === Cause.Full).length
+      for (const { task, ran } of message.ends) this.#noteWork(this.#jobOf(task), ran)
+    }
     this.#connections.toEntry(pair, message)
   }
 
+  #noteWork ({ id, cpu }: JobPlan, ran: number): void {
+    this.work.set(id, (this.work.get(id) ?? 0) + ran * cpu)
+  }
+
   #toAgent (pair: string, message: EntryMessage): void {
     this.messages += 1
     if (message.type === 'start') this.starts += message.tasks.length
--- a/packages/emulator/src/player.ts
+++ b/packages/emulator/src/player.ts
@@ -3,7 +3,7 @@
 import type { Played } from './comparison.ts'
 import { Worker } from 'node:worker_threads'
 import { playDay } from './day.ts'
-import { creditByKind, creditOverTime } from './figures.ts'
+import { creditByKind, creditOverTime, inTimeByKind } from './figures.ts'
 
 /** The thread's program as it is built, beside this one. */
 const THREAD_FILE = './playthread.js'
@@ -22,7 +22,7 @@
 
 export function play (experiment: Experiment, { variant, seed }: Order): Played {
   const { figures, verdicts } = playDay(experiment, seed, experiment.variants[variant] ?? {})
-  return { variant, seed, figures, overTime: creditOverTime(verdicts), byKind: creditByKind(verdicts) }
+  return { variant, seed, figures, overTime: creditOverTime(verdicts), byKind: creditByKind(verdicts), inTimeByKind: inTimeByKind(verdicts) }
 }
 
 /** @param threads days played at one time */
--- a/packages/emulator/src/report.ts
+++ b/packages/emulator/src/report.ts
@@ -4,13 +4,13 @@
 import { drawPlot, pageOf } from '@amaranthmast/bench/reportpage'
 import { mean } from 'simple-statistics'
 
-const COLUMNS = ['credit', 'worstKind', 'worstWindows', 'largestTenth', 'inTimePart', 'late', 'refused', 'failed', 'startsFullPart', 'messagesPerTask'] as const
+const COLUMNS = ['credit', 'worstKind', 'worstWindows', 'largestTenth', 'inTimePart', 'coresInTime', 'usefulPart', 'soonRefusals', 'worstKindPart', 'largestTenthPart', 'late', 'refused', 'failed', 'startsFullPart', 'messagesPerTask'] as const
 
 /** Digits after the point: counts of callers have one. */
 const PART_DIGITS = 3
 const COUNT_DIGITS = 1
 
-const COUNTS: ReadonlySet<string> = new Set(['late', 'refused', 'failed'])
+const COUNTS: ReadonlySet<string> = new Set(['coresInTime', 'late', 'refused', 'failed'])
 
 /** One line a variant: mean, and the difference to the first with its standard error. */
 export function tableOf (summaries: readonly VariantSummary[]): string {
