Entries: a job waits while all targets have shrunk below it

Cause: it was refused as one that can never run, and told to come back in five seconds, though targets grow again.

Change: whether a job can ever run goes by the largest capacity that each target has had in its life.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -202,7 +202,7 @@
     if (this.#endsAt !== undefined && this.#tooLongToStop(queue, steps, now)) return refused(Reason.Stopping, SHORTEST_RETRY_AFTER_MILLISECONDS)
     const known = this.#fleet.known(queue.service)
     if (known.length === 0) return undefined
-    const unfit = steps.some(step => !known.some(agent => agent.target !== undefined && fits(step.needs, agent.target.capacity)))
+    const unfit = steps.some(step => !known.some(({ largest }) => fits(step.needs, largest)))
     if (unfit) return refused(Reason.NeverRunnable, LONGEST_RETRY_AFTER_MILLISECONDS)
     return this.#fleet.evacuatedWhole(queue.service) ? refused(Reason.Evacuated, LONGEST_RETRY_AFTER_MILLISECONDS) : undefined
   }
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -6,7 +6,7 @@
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
 import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, LEAVING_ESTIMATE_FACTOR, LEAVING_RESERVE_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
 import { RoomRole } from './messages.ts'
-import { addTo, NO_RESOURCES, takeFrom } from './resources.ts'
+import { addTo, mostOf, NO_RESOURCES, takeFrom } from './resources.ts'
 
 /** A start of a task that has not ended yet. */
 export interface Placement {
@@ -32,6 +32,8 @@
   /** Nothing may be started in its data centre. */
   evacuated = false
   target: TargetFacts | undefined
+  /** Most that the target has had in its present life: it may grow to that again. */
+  largest: Resources = { ...NO_RESOURCES }
   /** Until when a leaving target is used; in the past when it is not. */
   usedUntil = Number.NEGATIVE_INFINITY
   health = new TargetHealth(1)
@@ -72,6 +74,8 @@
 
   /** @param usedUntil until when it is used while it leaves */
   noteTarget (target: TargetFacts | undefined, usedUntil = Number.NEGATIVE_INFINITY): void {
+    const before = target?.instance === this.target?.instance ? this.largest : NO_RESOURCES
+    this.largest = mostOf(before, target?.capacity ?? NO_RESOURCES)
     this.target = target
     this.usedUntil = usedUntil
     this.dataCentre = target?.dataCentre ?? this.dataCentre
--- a/packages/dispatch/src/resources.ts
+++ b/packages/dispatch/src/resources.ts
@@ -27,3 +27,12 @@
   sum.memory -= amount.memory
   sum.accelerators -= amount.accelerators
 }
+
+/** The larger of each. */
+export function mostOf (one: Resources, other: Resources): Resources {
+  return {
+    cpu: Math.max(one.cpu, other.cpu),
+    memory: Math.max(one.memory, other.memory),
+    accelerators: Math.max(one.accelerators, other.accelerators)
+  }
+}
--- a/packages/dispatch/test/capacitychanges.test.ts
+++ b/packages/dispatch/test/capacitychanges.test.ts
@@ -198,6 +198,16 @@
   expect(bench.starts().slice(4)).toEqual(['agent-1 b.0.0 1'])
 })
 
+// Refused as one that can never run, it was told to come back in five seconds.
+test('a job waits while its only target has shrunk below it', () => {
+  const bench = EntryBench.withAgents('agent-1')
+  announce(bench, 'agent-1', 1000)
+  bench.submit('a', [step(1)])
+  expect(bench.answers()).toEqual([])
+  announce(bench, 'agent-1', 8000)
+  expect(bench.starts()).toEqual(['agent-1 a.0.0 1'])
+})
+
 test('an entry places nothing over a capacity that has shrunk', () => {
   const bench = EntryBench.withAgents('agent-1', 'agent-2')
   announce(bench, 'agent-1', 1000)
