--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -320,7 +320,9 @@
   #taskDone (agent: AgentView, { task }: Placement, end: TaskEnd, now: number): void {
     const { job } = task
     const { queue, steps } = job.request
-    this.#admission.learn(queue, steps[task.step] as Step, end.ran * agent.speed)
+    const step = steps[task.step] as Step
+    this.#fleet.speeds.noteRun(agent, step.estimated, end.ran)
+    this.#admission.learn(queue, step, end.ran * agent.speed)
     const unblocked = job.finish(task)
     if (job.done) return this.#close(job, { kind: AnswerKind.Completed, reason: Reason.None, retryAfter: 0 }, now)
     if (!unblocked) return
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -3,6 +3,7 @@
 import type { EvacuationState } from './evacuations.ts'
 import type { HeldTasks } from './heldtasks.ts'
 import type { AgentMessage, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskReference } from './messages.ts'
+import type { PaceTold } from './steadypace.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS } from './defaults.ts'
 import { EntrySession, nameOf } from './entrysession.ts'
@@ -14,6 +15,9 @@
 /** Paces are told in hundredths. */
 const PACE_PARTS = 100
 
+/** Steady ones in thousandths: a whole fleet's are compared. */
+const STEADY_PARTS = 1000
+
 export interface EntrySessionsParts {
   context: AgentContext
   held: HeldTasks
@@ -234,10 +238,12 @@
     session.toldOthers = used.cpu - session.used.cpu
     session.toldAt = now
     const { taken } = session
+    const steady = this.#parts.target.pace.steady(now)
     session.taken = []
     session.freed = false
     return {
       ...(taken.length > 0 ? { taken } : {}),
+      ...(steady === undefined ? {} : { steady: rounded(steady) }),
       pace: Math.round(this.#parts.target.pace.value(now) * PACE_PARTS) / PACE_PARTS,
       others: { cpu: used.cpu - session.used.cpu, memory: used.memory - session.used.memory, accelerators: used.accelerators - session.used.accelerators }
     }
@@ -247,3 +253,7 @@
     if (session.connected) this.#context.emit({ type: 'send', entry: session.entry, message })
   }
 }
+
+function rounded ({ pace, error }: PaceTold): PaceTold {
+  return { pace: Math.round(pace * STEADY_PARTS) / STEADY_PARTS, error: Math.round(error * STEADY_PARTS) / STEADY_PARTS }
+}
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
+import { FleetSpeeds } from './fleetspeeds.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
 import { Cause, Outcome, RoomRole } from './messages.ts'
@@ -44,6 +45,7 @@
   readonly #options: FleetOptions
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
+  readonly speeds: FleetSpeeds
   #roleIn: (dataCentre: string) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
 
@@ -72,6 +74,7 @@
 
   constructor (options: FleetOptions) {
     this.#options = options
+    this.speeds = new FleetSpeeds({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
     this.#trust = new FleetTrust({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
   }
 
@@ -221,7 +224,7 @@
 
   tick (now: number): void {
     const { contact, ping, silence } = this.#options.timings
-    this.#noteSpeeds()
+    this.speeds.review([...this.#agents.values()], now)
     for (const agent of this.#agents.values()) {
       this.#trust.probeIfDue(agent, now)
       agent.expireGrants(now)
@@ -258,13 +261,6 @@
     return { sent: toEcho, received, waiting: this.#options.waiting() }
   }
 
-  /** Entries and agents only compare paces, so the middle one stands for an average target. */
-  #noteSpeeds (): void {
-    const paces = [...this.#agents.values()].filter(({ linked, pace }) => linked && pace > 0).map(({ pace }) => pace).sort((one, other) => one - other)
-    const middle = paces[Math.floor(paces.length / 2)] ?? 0
-    for (const agent of this.#agents.values()) agent.noteSpeed(middle, this.#options.policy)
-  }
-
   #announced (agent: AgentView, message: Extract<AgentMessage, { type: 'announce' }>, now: number): void {
     const { target, held, load } = message
     const opening = !agent.announced
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -3,6 +3,7 @@
 import type { Load, TargetFacts } from './messages.ts'
 import type { Policy } from './policy.ts'
 import type { Resources } from './resources.ts'
+import type { PaceTold } from './steadypace.ts'
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
 import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
 import { RoomRole } from './messages.ts'
@@ -37,6 +38,8 @@
   speed = 1
   /** As the agent tells it; 0 when unknown. */
   pace = 0
+  /** The same over the last seconds; undefined when it does not say. */
+  steady: PaceTold | undefined
   others: Resources = { ...NO_RESOURCES }
   /** Room for further tasks, as far as known. */
   free: Resources = { ...NO_RESOURCES }
@@ -74,9 +77,10 @@
     this.#measure()
   }
 
-  noteLoad ({ others, pace, taken = [] }: Load): void {
+  noteLoad ({ others, pace, steady, taken = [] }: Load): void {
     this.others = others
     this.pace = pace
+    this.steady = steady
     for (const task of taken) this.#ungrant(task)
     this.#measure()
   }
@@ -145,6 +149,12 @@
     this.#probed = probesSlow && this.speed < PROBED_SPEED
   }
 
+  /** Sets a speed that was inferred from what is known of all targets. */
+  noteLearned (speed: number, probed: boolean): void {
+    this.speed = Math.min(FASTEST_SPEED, Math.max(SLOWEST_SPEED, speed))
+    this.#probed = probed
+  }
+
   /** Time without a sign of life that was due: an agent pings seldom until it has got its first task. */
   silentFor (now: number): number {
     return now - Math.max(this.heardAt, this.placements.size > 0 ? this.#busySince : Number.NEGATIVE_INFINITY)
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between entries and agents, and what they are about. */
 import type { EvacuationState } from './evacuations.ts'
 import type { Resources } from './resources.ts'
+import type { PaceTold } from './steadypace.ts'
 
 /** One start of one task. `attempt` rises with each start of the task. */
 export interface TaskReference {
@@ -87,6 +88,8 @@
   others: Resources
   /** Pace of its tasks lately, in parts of what entries expect of an average target; 0 when it had too few. */
   pace: number
+  /** The same over the last seconds, with its error; left out when nothing is known, or kinds are not learned. */
+  steady?: PaceTold
   /** Starts of other entries that arrived since this entry was told last; only for one that gives out the room. */
   taken?: string[]
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -10,6 +10,8 @@
   step: Pick<Step, 'needs' | 'label' | 'rack' | 'perTarget'>
   /** Expected run time at an average target, in milliseconds. */
   expected: number
+  /** Milliseconds until the task must have ended for its job to be in time; negative when that has passed. */
+  left: number
   /** Target to be taken only when no other has room. */
   avoid: string
   dataCentre: string
@@ -22,6 +24,8 @@
   /** Entries that may place tasks there. */
   entries: number
   policy: Policy
+  /** What a target of another data centre is worth avoiding, in milliseconds. */
+  farPenalty: number
 }
 
 /**
@@ -42,21 +46,32 @@
   return best
 }
 
-function allows ({ step, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+/** Whether the target may get the task now. */
+export function allows ({ step, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
   if (!hasPlace(agent) || !fits(step.needs, agent.free)) return false
   if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
   return step.perTarget === 0 || placedAt(agent) < step.perTarget
 }
 
 /** Time that the choice costs, in milliseconds. */
-function costOf ({ step, expected, avoid, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView): number {
+function costOf (request: PlacementRequest, agent: AgentView): number {
+  return runOf(request, agent) + sideCostOf(request, agent)
+}
+
+/** How long the task is expected to run there, in milliseconds. */
+export function runOf ({ step, expected, policy }: PlacementRequest, { target, health, speed }: AgentView): number {
+  if (target === undefined) return Infinity
+  const sound = policy.countsFailures ? 1 - Math.min(COUNTED_FAILURE_RATE, health.failureRate) : 1
+  const run = expected / speed / sound
+  return step.rack === '' || target.labels.includes(step.rack) ? run : run * 1.5
+}
+
+/** What the choice costs besides the run, in milliseconds. */
+export function sideCostOf ({ expected, avoid, dataCentre, isUsed, entries, policy, farPenalty }: PlacementRequest, agent: AgentView): number {
   const { target } = agent
   if (target === undefined) return Infinity
-  const sound = policy.countsFailures ? 1 - Math.min(COUNTED_FAILURE_RATE, agent.health.failureRate) : 1
-  const run = expected / agent.speed / sound
-  const far = target.dataCentre === dataCentre ? 0 : policy.farPenalty
-  const remote = step.rack === '' || target.labels.includes(step.rack) ? 0 : run / 2
+  const far = target.dataCentre === dataCentre ? 0 : farPenalty
   const load = policy.loadPenalty * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
   const fresh = isUsed(agent) ? 0 : policy.affinity * entries
-  return fresh + run + far + remote + load + (agent.name === avoid ? expected : 0)
+  return fresh + far + load + (agent.name === avoid ? expected : 0)
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -3,12 +3,14 @@
 import type { AgentView } from './fleetview.ts'
 import type { Job, Step, Task } from './job.ts'
 import type { JobQueue } from './jobqueue.ts'
+import type { PlacementRequest } from './placement.ts'
 import type { Policy } from './policy.ts'
 import type { RoomRequest } from './roomrequest.ts'
 import type { Grant } from './roommessages.ts'
-import { JobState, TaskState } from './job.ts'
+import { endOfStep, JobState, TaskState } from './job.ts'
 import { choose } from './placement.ts'
 import { RequestQueue } from './requestqueue.ts'
+import { chooseBySlack } from './slackplacement.ts'
 
 /** Where tasks may go now. */
 export interface Candidates {
@@ -83,9 +85,11 @@
     const counts = new StepCounts(index => this.#parts.fleet.agentsOf(job, index))
     for (const task of job.queued()) {
       const step = job.request.steps[task.step] as Step
-      const agent = choose({
+      const agent = this.#choose({
         step,
         expected: job.expected[task.step] ?? 0,
+        left: this.#parts.policy.placesBySlack ? endOfStep(job, task.step) - now : Infinity,
+        farPenalty: this.#parts.policy.farPenalty,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentre,
         placedAt: ({ name }) => counts.at(task.step, name),
@@ -93,7 +97,7 @@
         isUsed: agent => agent.placements.size > 0,
         entries: this.#parts.entries(),
         policy: this.#parts.policy
-      }, candidates)
+      }, candidates, job.request.queue.service)
       if (agent === undefined) continue
       counts.add(task.step, agent.name)
       const start = plan(job, task)
@@ -114,14 +118,21 @@
     this.#parts.note('tasks placed', { job: job.request.id, at, waited: Math.round(now - job.arrivedAt), left: job.queued().length })
   }
 
+  #choose (request: PlacementRequest, candidates: readonly AgentView[], service: string): AgentView | undefined {
+    if (!this.#parts.policy.placesBySlack) return choose(request, candidates)
+    return chooseBySlack(request, candidates, this.#parts.fleet.speeds.fastest(service, request.step.label))
+  }
+
   #grant (request: RoomRequest, group: readonly AgentView[], now: number): void {
     const candidates = group.filter(({ name }) => request.allows(name))
     const grants: Grant[] = []
     const counts = new StepCounts(index => request.placed(index))
     for (const { step, task } of request.tasks()) {
-      const agent = choose({
+      const agent = this.#choose({
         step,
         expected: step.expected,
+        left: request.arrivedAt + step.endBy - now,
+        farPenalty: this.#parts.policy.farPenalty,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentreOf(request.peer),
         hasPlace: agent => agent.hasRoomForOthers,
@@ -129,7 +140,7 @@
         entries: this.#parts.entries(),
         placedAt: ({ name }) => counts.at(step.index, name),
         policy: this.#parts.policy
-      }, candidates)
+      }, candidates, request.service)
       if (agent === undefined) continue
       counts.add(step.index, agent.name)
       request.noteGranted(step, task, agent.name)
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -1,8 +1,12 @@
 /** Tells from the progress of tasks whether they, and the target as a whole, get on as expected. */
 import type { HeldTask } from './heldtasks.ts'
+import type { Policy } from './policy.ts'
+import type { PaceTold } from './steadypace.ts'
 import {
   PACE_EVIDENCE_MILLISECONDS, PACE_HALF_LIFE_MILLISECONDS, PROGRESS_WINDOW_MILLISECONDS, SLOW_FACTOR, SLOW_PACE, STUCK_MILLISECONDS, STUCK_PART
 } from './defaults.ts'
+import { SteadyPace } from './steadypace.ts'
+import { TypicalPace } from './typicalpace.ts'
 
 /** Time left of a task that does not advance. */
 export const NEVER = -1
@@ -16,17 +20,29 @@
  * first of them ends.
  */
 export class TargetPace {
+  readonly #steady: SteadyPace | undefined
+  readonly #typical: TypicalPace | undefined
   #work = 0
   #time = 0
   #fadedAt = 0
 
+  constructor ({ learnsKinds }: Pick<Policy, 'learnsKinds'>) {
+    if (!learnsKinds) return
+    this.#steady = new SteadyPace()
+    this.#typical = new TypicalPace()
+  }
+
   /** Takes in how far a task has come since it was observed last. */
   observe (held: HeldTask, percent: number, now: number): void {
     // Polls may be answered out of order.
     if (percent < held.observedPercent) return
     this.#fade(now)
-    this.#work += (percent - held.observedPercent) / WHOLE_PERCENT * held.order.expected
-    this.#time += Math.max(0, now - held.observedAt)
+    const work = (percent - held.observedPercent) / WHOLE_PERCENT * held.order.expected
+    const time = Math.max(0, now - held.observedAt)
+    this.#work += work
+    this.#time += time
+    this.#typical?.observe(held, work, time, now)
+    if (percent === WHOLE_PERCENT) this.#steady?.noteEnd(held.order.expected, now - held.startedAt, now)
     held.observedPercent = percent
     held.observedAt = now
   }
@@ -34,7 +50,13 @@
   /** In parts of the expected pace; 0 when too little was observed lately. */
   value (now: number): number {
     this.#fade(now)
-    return this.#time < PACE_EVIDENCE_MILLISECONDS ? 0 : this.#work / this.#time
+    if (this.#time < PACE_EVIDENCE_MILLISECONDS) return 0
+    return this.#typical?.value(now) ?? this.#work / this.#time
+  }
+
+  /** Over the last seconds; undefined when nothing is known, or kinds are not learned. */
+  steady (now: number): PaceTold | undefined {
+    return this.#steady?.value(this.value(now), now)
   }
 
   #fade (now: number): void {
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -40,7 +40,7 @@
   readonly #context: AgentContext
   readonly #held: HeldTasks
   #lease: TargetLease
-  #pace = new TargetPace()
+  #pace: TargetPace
   #answers = new AnswerTimes()
   #facts: TargetFacts | undefined
   /** Whether nothing of a predecessor runs there any more. */
@@ -64,6 +64,7 @@
   constructor (context: AgentContext, held: HeldTasks) {
     this.#context = context
     this.#held = held
+    this.#pace = new TargetPace(context.policy)
     this.#lease = new TargetLease(context.timings)
     this.#token = Math.floor(context.wallClock())
   }
@@ -177,7 +178,7 @@
     this.#inheritLease()
     this.#answeredSent = Number.NEGATIVE_INFINITY
     this.#polledAt = Number.NEGATIVE_INFINITY
-    this.#pace = new TargetPace()
+    this.#pace = new TargetPace(this.#context.policy)
     this.#answers = new AnswerTimes()
     if (clock !== undefined) this.#lease.noteClock(clock, now)
     this.#cleared = !this.#context.guards.clearing
--- /dev/null
+++ b/packages/dispatch/src/typicalpace.ts
@@ -0,0 +1,69 @@
+/** Pace of the middle one of a target's tasks: a few that take many times as long as expected do not move it. */
+import type { HeldTask } from './heldtasks.ts'
+import { TYPICAL_HALF_LIFE_MILLISECONDS, TYPICAL_REVIEW_MILLISECONDS, TYPICAL_TASKS, TYPICAL_WEIGHT_MILLISECONDS } from './defaults.ts'
+
+interface Sample {
+  /** Expected work done, and the time that it took, in milliseconds; older parts fade out. */
+  work: number
+  time: number
+  at: number
+}
+
+/** Below this, a faded sample tells nothing, in milliseconds. */
+const LEAST_TIME = 5
+
+/**
+ * A task weighs by the time that it was observed, up to a limit: one that runs seven times as long as expected weighs no
+ * more than an ordinary one, while at a target that has become slow all that run there weigh against what has ended.
+ */
+export class TypicalPace {
+  readonly #samples = new Map<HeldTask, Sample>()
+  #value = 0
+  #valueAt = Number.NEGATIVE_INFINITY
+
+  observe (held: HeldTask, work: number, time: number, now: number): void {
+    const sample = this.#samples.get(held)
+    if (sample === undefined) this.#samples.set(held, { work, time, at: now })
+    else add(sample, work, time, now)
+    if (this.#samples.size <= TYPICAL_TASKS) return
+    const oldest = this.#samples.keys().next().value
+    if (oldest !== undefined) this.#samples.delete(oldest)
+  }
+
+  /** In parts of the expected pace; 0 when nothing was observed. */
+  value (now: number): number {
+    if (now - this.#valueAt < TYPICAL_REVIEW_MILLISECONDS) return this.#value
+    this.#valueAt = now
+    this.#value = this.#median(now)
+    return this.#value
+  }
+
+  #median (now: number): number {
+    const rates: Array<{ rate: number, weight: number }> = []
+    let whole = 0
+    for (const [held, sample] of this.#samples) {
+      add(sample, 0, 0, now)
+      if (sample.time < LEAST_TIME) {
+        this.#samples.delete(held)
+        continue
+      }
+      const weight = Math.min(sample.time, TYPICAL_WEIGHT_MILLISECONDS)
+      whole += weight
+      rates.push({ rate: sample.work / sample.time, weight })
+    }
+    rates.sort((one, other) => one.rate - other.rate)
+    let below = 0
+    for (const { rate, weight } of rates) {
+      below += weight
+      if (2 * below >= whole) return rate
+    }
+    return 0
+  }
+}
+
+function add (sample: Sample, work: number, time: number, now: number): void {
+  const factor = 2 ** (-(now - sample.at) / TYPICAL_HALF_LIFE_MILLISECONDS)
+  sample.work = sample.work * factor + work
+  sample.time = sample.time * factor + time
+  sample.at = now
+}
--- a/packages/emulator/src/dayplan.ts
+++ b/packages/emulator/src/dayplan.ts
@@ -22,6 +22,7 @@
 export interface TargetPlan {
   dataCentre: string
   capacity: Resources
+  labels: string[]
   speed: number
 }
 
@@ -35,6 +36,8 @@
   deadline: number
   /** Work of each task on a target of speed 1, in milliseconds. */
   tasks: number[]
+  /** How many times as long each task takes, whatever its work. */
+  stretch: number[]
   cpu: number
   /** As the caller declares it. */
   declared: number
@@ -83,6 +86,7 @@
   work: Draw
   cpu: Draw
   declaredFactor: Draw
+  tail: { share: number, factor: number }
   meanWork: number
 }
 
@@ -117,11 +121,23 @@
 function drawTargets ({ fleet }: Experiment, dataCentres: readonly string[], random: SeededRandom): TargetPlan[] {
   const cpu = drawFigure(fleet.cpu, random)
   const memory = drawFigure(fleet.memory, random)
-  return Array.from({ length: fleet.targets }, (_none, index) => ({
-    dataCentre: dataCentres[index % dataCentres.length] as string,
-    capacity: { cpu: cpu * (fleet.sizes[index % fleet.sizes.length] ?? 1), memory, accelerators: 0 },
-    speed: random.pick(fleet.speeds)
-  }))
+  return Array.from({ length: fleet.targets }, (_none, index) => {
+    const place = Math.floor(index / dataCentres.length)
+    const kind = fleet.kinds[place % Math.max(1, fleet.kinds.length)]
+    const dataCentre = dataCentres[index % dataCentres.length] as string
+    const size = (fleet.sizes[index % fleet.sizes.length] ?? 1) * (kind?.size ?? 1)
+    return {
+      dataCentre,
+      capacity: { cpu: cpu * size, memory, accelerators: 0 },
+      labels: [...(kind === undefined ? [] : [kind.label]), ...(fleet.racks === 0 ? [] : [`${dataCentre}-rack${rackOf(place, fleet)}`])],
+      speed: random.pick(fleet.speeds) * (kind?.speed ?? 1)
+    }
+  })
+}
+
+/** Each rack holds targets of every kind. */
+function rackOf (place: number, { racks, kinds }: Experiment['fleet']): number {
+  return Math.floor(place / Math.max(1, kinds.length)) % racks
 }
 
 function drawKind (plan: KindPlan, random: SeededRandom): Kind {
@@ -148,6 +164,7 @@
     work,
     cpu,
     declaredFactor: factorDraw(drawFigure(plan.estimateError, random), random),
+    tail: { share: drawFigure(plan.tail.share, random), factor: drawFigure(plan.tail.factor, random) },
     meanWork: meanOf(() => Math.max(1, Math.round(tasks())) * work() * cpu())
   }
 }
@@ -179,22 +196,32 @@
   }
 }
 
-function drawJobs ({ seconds, wave, returning }: Experiment, kinds: readonly Kind[], dataCentres: readonly string[], troubles: readonly TroubleAt[], random: SeededRandom): JobPlan[] {
+function drawJobs ({ seconds, wave, returning, peaks }: Experiment, kinds: readonly Kind[], dataCentres: readonly string[], troubles: readonly TroubleAt[], random: SeededRandom): JobPlan[] {
   const swing = drawFigure(wave, random)
   const phase = random.next() * WAVE_MILLISECONDS
   const share = drawFigure(returning, random)
+  const peak = drawFigure(peaks, random)
   const jobs: JobPlan[] = []
   for (const kind of kinds) {
     let now = 0
     const rate = (): number => kind.perMillisecond * (1 + swing * Math.sin((now + phase) / WAVE_MILLISECONDS * 2 * Math.PI)) * burstAt(troubles, kind, now)
     const pause = pauseDraw(rate, random)
     for (now = pause(); now < seconds * MILLISECONDS_PER_SECOND; now += pause()) {
-      jobs.push({ ...drawJob(kind, now, random.pick(dataCentres), jobs.length, troubles, random), returns: share > 0 && random.next() < share })
+      jobs.push({ ...drawJob(kind, now, pickDataCentre(dataCentres, peak, now, random), jobs.length, troubles, random), returns: share > 0 && random.next() < share })
     }
   }
   return jobs.sort((one, other) => one.at - other.at)
 }
 
+/** One after the other each data centre has its peak, once in a wave. */
+function pickDataCentre (dataCentres: readonly string[], swing: number, at: number, random: SeededRandom): string {
+  if (swing === 0) return random.pick(dataCentres)
+  const shares = dataCentres.map((_name, index) => 1 + swing * Math.sin((at / WAVE_MILLISECONDS + index / dataCentres.length) * 2 * Math.PI))
+  let left = random.next() * shares.reduce((sum, share) => sum + share, 0)
+  const chosen = shares.findIndex(share => (left -= share) < 0)
+  return dataCentres[Math.max(0, chosen)] as string
+}
+
 function activeAt (troubles: readonly TroubleAt[], wanted: TroubleKind, kind: Kind, at: number): TroubleAt[] {
   return troubles.filter(trouble => trouble.kind === wanted && at >= trouble.at && at < trouble.at + trouble.lasts &&
     (trouble.kindOfJob === undefined || trouble.kindOfJob === kind.plan.name))
@@ -212,6 +239,8 @@
   const { slackFactor, latency } = kind.queue
   const leaving = activeAt(troubles, TroubleKind.GiveUp, kind, at).find(({ share }) => random.next() < share)
   const poisoned = activeAt(troubles, TroubleKind.Poison, kind, at).some(({ share }) => random.next() < share)
+  const works = Array.from({ length: count }, () => work * uneven())
+  const declared = work * kind.declaredFactor()
   return {
     id: `job${number}`,
     kind: kind.plan.name,
@@ -219,9 +248,10 @@
     at,
     dataCentre,
     deadline: kind.deadline,
-    tasks: Array.from({ length: count }, () => work * uneven()),
+    tasks: works,
+    stretch: works.map(() => kind.tail.share > 0 && random.next() < kind.tail.share ? kind.tail.factor : 1),
     cpu,
-    declared: work * kind.declaredFactor(),
+    declared,
     worth: Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * count * work * cpu / kind.meanWork),
     poisoned,
     returns: false,
--- a/packages/emulator/src/experiment.ts
+++ b/packages/emulator/src/experiment.ts
@@ -19,6 +19,12 @@
   most: described(figure, 'No job has more', 32)
 })
 
+const targetKindSchema = z.strictObject({
+  label: described(nameSchema, 'The label that names the kind', 'b'),
+  speed: described(z.number(), 'Speed against a target of speed 1', 1.3),
+  size: described(z.number(), 'Size against a target of size 1', 1.5)
+})
+
 const fleetSchema = z.strictObject({
   dataCentres: described(countSchema, 'Data centres', 4),
   entries: described(countSchema, 'Entries, dealt to the data centres in turn', 4),
@@ -27,6 +33,8 @@
   memory: described(figure, 'Megabytes of a target', 65_536),
   sizes: described(z.array(z.number()), 'Sizes of targets, dealt in turn', [1, 1, 1.5]),
   speeds: described(z.array(z.number()), 'Speeds of targets, drawn', [0.8, 1, 1.25]),
+  kinds: described(z._default(z.array(targetKindSchema), []), 'Kinds of target, dealt to those of each data centre in turn; speeds and sizes count on top'),
+  racks: described(z._default(countSchema, 0), 'Racks of each data centre, named by a label of their targets; 0 for none', 3),
   within: described(figure, 'One way between processes of a data centre, in milliseconds', 0.1),
   between: described(figure, 'One way between data centres, in milliseconds', [0.5, 1.5]),
   callers: described(figure, 'One way to callers, in milliseconds', [1, 3]),
@@ -37,6 +45,11 @@
   startMilliseconds: described(figure, 'From the start of a process until it serves', 350)
 })
 
+const tailSchema = z.strictObject({
+  share: described(figure, 'Part of the tasks', 0.03),
+  factor: described(figure, 'How many times as long', 7)
+})
+
 const kindSchema = z.strictObject({
   name: described(nameSchema, 'Name of the kind and of its queue', 'check'),
   perSecond: described(figure, 'Jobs a second; only their proportion counts where a load is stated', 24),
@@ -48,7 +61,8 @@
   deadline: described(figure, 'How long a caller waits, in milliseconds', 13_000),
   priority: described(countSchema, '0 comes first', 0),
   attempts: described(countSchema, 'Failed runs of a task that make its job fail', 2),
-  estimateError: described(figure, 'Standard deviation of the logarithm of the declared over the true run time', 0.4)
+  estimateError: described(figure, 'Standard deviation of the logarithm of the declared over the true run time', 0.4),
+  tail: described(z._default(tailSchema, { share: 0, factor: 1 }), 'Tasks that take much longer than their work, wherever they run')
 })
 
 const troubleSchema = z.strictObject({
@@ -68,6 +82,7 @@
   seconds: described(z.number(), 'Length of the load', 30),
   load: described(z.optional(figure), 'Demand over what the fleet can do; the kinds\' rates are scaled to it', [0.6, 0.8]),
   wave: described(z._default(figure, 0.15), 'Swing of the load around its mean, as a part', 0.15),
+  peaks: described(z._default(figure, 0), 'Swing of each data centre\'s part of the load, whose peaks come one after the other', 0.6),
   returning: described(z._default(figure, 0), 'Part of the refused callers that come back when they are told to', 0.5),
   fleet: described(fleetSchema, 'The machines'),
   kinds: described(z.array(kindSchema).check(z.minLength(1)), 'Kinds of job'),
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -162,11 +162,11 @@
   #addAgent (index: number, make: () => Agent): void {
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.#timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect), costsOn(this.#plan.processor.agents[index], this.#plan.processor.agent, priceOfAgentEvent, priceOfAgentEffect))
     this.agents.push(agent)
-    const { dataCentre, capacity, speed } = this.#plan.targets[index] as DayPlan['targets'][number]
+    const { dataCentre, capacity, labels, speed } = this.#plan.targets[index] as DayPlan['targets'][number]
     this.targets.push(new EmulatedTarget(this.#timeline, this.#random, {
       service: SERVICE,
       dataCentre,
-      labels: [],
+      labels,
       capacity,
       clockRate: 1,
       longestLease: BOUNDS.longestLease,
@@ -193,7 +193,7 @@
     const job = this.#jobOf(task)
     const index = Number(task.slice(task.lastIndexOf('.') + 1))
     const failing = this.#failing.get(target) ?? 0
-    return { duration: (job.tasks[index] ?? 0) / speed, fails: job.poisoned || (failing > 0 && this.#random.next() < failing) }
+    return { duration: (job.tasks[index] ?? 0) * (job.stretch[index] ?? 1) / speed, fails: job.poisoned || (failing > 0 && this.#random.next() < failing) }
   }
 
   #jobOf (task: string): JobPlan {
