--- a/packages/dispatch/src/steadypace.ts
+++ b/packages/dispatch/src/steadypace.ts
@@ -12,6 +12,9 @@
 /** Batches from which their own spread tells the error. */
 const BATCHES_NEEDED = 5
 
+/** Errors of tasks of one job count as one: by this much the error is larger than that of so many tasks, before batches tell it. */
+const FEW_BATCHES_FACTOR = 1.5
+
 /** Half-lives after which a batch is forgotten. */
 const HALF_LIVES_KEPT = 3
 
@@ -54,7 +57,7 @@
     const { mean, weight, batches } = this.#mean(now)
     if (weight === 0) return undefined
     const byTasks = TASK_LOG_DEVIATION / Math.sqrt(weight)
-    if (batches.length < BATCHES_NEEDED) return { pace: Math.exp(mean), error: byTasks * BATCHES_NEEDED / batches.length }
+    if (batches.length < BATCHES_NEEDED) return { pace: Math.exp(mean), error: byTasks * FEW_BATCHES_FACTOR }
     const squares = batches.reduce((sum, batch) => sum + (batch.weight * (batch.mean - mean)) ** 2, 0)
     const byBatches = Math.sqrt(squares * batches.length / (batches.length - 1)) / weight
     return { pace: Math.exp(mean), error: Math.max(byTasks, byBatches) }
