--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -340,3 +340,7 @@
 
 /** Part of all processors that the fastest targets must make for a task to wait for one of them. */
 export const FASTEST_PART = 0.1
+
+/** Part of the near processors that is free from which far targets are avoided in full, and the weight of the newest task in the mean way. */
+export const NEAR_ROOM_PART = 0.2
+export const WAY_RATE = 0.02
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -98,6 +98,7 @@
     this.#admission = new Admission(this.#policy, this.#pressure)
     this.#fleet = new Fleet({
       timings: options.timings,
+      dataCentre: options.dataCentre,
       guards: options.guards ?? ALL_FLEET_GUARDS,
       policy: this.#policy,
       emit: effect => this.#effects.push(effect),
@@ -320,9 +321,7 @@
   #taskDone (agent: AgentView, { task }: Placement, end: TaskEnd, now: number): void {
     const { job } = task
     const { queue, steps } = job.request
-    const step = steps[task.step] as Step
-    this.#fleet.speeds.noteRun(agent, step.estimated, end.ran)
-    this.#admission.learn(queue, step, end.ran * agent.speed)
+    this.#admission.learn(queue, steps[task.step] as Step, end.ran * agent.speed)
     const unblocked = job.finish(task)
     if (job.done) return this.#close(job, { kind: AnswerKind.Completed, reason: Reason.None, retryAfter: 0 }, now)
     if (!unblocked) return
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS } from './defaults.ts'
+import { FarCost } from './farcost.ts'
 import { FleetSpeeds } from './fleetspeeds.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
@@ -23,6 +24,8 @@
 
 export interface FleetOptions {
   timings: Timings
+  /** Of this entry. */
+  dataCentre: string
   guards: FleetGuards
   policy: Policy
   emit: (effect: EntryEffect) => void
@@ -46,6 +49,7 @@
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
   readonly speeds: FleetSpeeds
+  readonly farCost: FarCost
   #roleIn: (dataCentre: string) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
 
@@ -75,6 +79,7 @@
   constructor (options: FleetOptions) {
     this.#options = options
     this.speeds = new FleetSpeeds({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
+    this.farCost = new FarCost({ penalty: options.policy.farPenalty, agents: () => this.#agents.values() })
     this.#trust = new FleetTrust({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
   }
 
@@ -295,9 +300,15 @@
     if (placement === undefined) return
     agent.remove(placement)
     this.#trust.judge(agent, placement, end, now)
+    if (end.outcome === Outcome.Done) this.#ran(agent, placement, end.ran, now)
     this.#options.ended(agent, placement, end, now)
   }
 
+  #ran (agent: AgentView, { task, placedAt }: Placement, ran: number, now: number): void {
+    this.speeds.noteRun(agent, task.job.request.steps[task.step]?.estimated ?? 0, ran)
+    this.farCost.noteRun(agent.dataCentre === this.#options.dataCentre, now - placedAt - ran)
+  }
+
   /** A task that stood still there speaks against the target as a failed one does. */
   noteStuck (agent: AgentView, now: number): void {
     this.#trust.noteStuck(agent, now)
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -26,6 +26,8 @@
   policy: Policy
   /** What a target of another data centre is worth avoiding, in milliseconds. */
   farPenalty: number
+  /** How much longer a task takes there and back, in milliseconds. */
+  farWay: number
 }
 
 /**
@@ -55,7 +57,7 @@
 
 /** Time that the choice costs, in milliseconds. */
 function costOf (request: PlacementRequest, agent: AgentView): number {
-  return runOf(request, agent) + sideCostOf(request, agent)
+  return runOf(request, agent) + sideCostOf(request, agent, request.farPenalty)
 }
 
 /** How long the task is expected to run there, in milliseconds. */
@@ -66,8 +68,12 @@
   return step.rack === '' || target.labels.includes(step.rack) ? run : run * 1.5
 }
 
-/** What the choice costs besides the run, in milliseconds. */
-export function sideCostOf ({ expected, avoid, dataCentre, isUsed, entries, policy, farPenalty }: PlacementRequest, agent: AgentView): number {
+/**
+ * What the choice costs besides the run, in milliseconds.
+ *
+ * @param farPenalty what a target of another data centre is worth avoiding, in milliseconds
+ */
+export function sideCostOf ({ expected, avoid, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView, farPenalty: number): number {
   const { target } = agent
   if (target === undefined) return Infinity
   const far = target.dataCentre === dataCentre ? 0 : farPenalty
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -46,6 +46,7 @@
 
   /** Places what fits; what is left goes back into its queue. */
   place (candidates: Candidates, jobs: JobQueue | undefined, requests: RequestQueue = NO_REQUESTS, now: number): void {
+    this.#parts.fleet.farCost.begin()
     const waiting: Job[] = []
     const asking: RoomRequest[] = []
     const { scanLimit } = this.#parts.policy
@@ -89,7 +90,6 @@
         step,
         expected: job.expected[task.step] ?? 0,
         left: this.#parts.policy.placesBySlack ? endOfStep(job, task.step) - now : Infinity,
-        farPenalty: this.#parts.policy.farPenalty,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentre,
         placedAt: ({ name }) => counts.at(task.step, name),
@@ -118,9 +118,11 @@
     this.#parts.note('tasks placed', { job: job.request.id, at, waited: Math.round(now - job.arrivedAt), left: job.queued().length })
   }
 
-  #choose (request: PlacementRequest, candidates: readonly AgentView[], service: string): AgentView | undefined {
-    if (!this.#parts.policy.placesBySlack) return choose(request, candidates)
-    return chooseBySlack(request, candidates, this.#parts.fleet.speeds.fastest(service, request.step.label))
+  #choose (wanted: Omit<PlacementRequest, 'farPenalty' | 'farWay'>, candidates: readonly AgentView[], service: string): AgentView | undefined {
+    const { policy, fleet: { farCost, speeds } } = this.#parts
+    if (!policy.placesBySlack) return choose({ ...wanted, farPenalty: policy.farPenalty, farWay: 0 }, candidates)
+    const request = { ...wanted, farPenalty: farCost.of(wanted.dataCentre), farWay: farCost.way }
+    return chooseBySlack(request, candidates, speeds.fastest(service, request.step.label))
   }
 
   #grant (request: RoomRequest, group: readonly AgentView[], now: number): void {
@@ -132,7 +134,6 @@
         step,
         expected: step.expected,
         left: request.arrivedAt + step.endBy - now,
-        farPenalty: this.#parts.policy.farPenalty,
         avoid: task.avoid,
         dataCentre: this.#parts.dataCentreOf(request.peer),
         hasPlace: agent => agent.hasRoomForOthers,
--- a/packages/dispatch/src/slackplacement.ts
+++ b/packages/dispatch/src/slackplacement.ts
@@ -19,10 +19,10 @@
 
 /** What the choice costs among targets that fit alike. */
 const COSTS: { readonly [Key in Fit]: Rank } = {
-  [Fit.Safe]: (request, agent) => FAST_PLACE_MILLISECONDS * Math.log(agent.speed) + sideCostOf(request, agent),
-  [Fit.Tight]: (request, agent) => runOf(request, agent) + sideCostOf(request, agent),
-  [Fit.Late]: (request, agent) => FAST_PLACE_MILLISECONDS * Math.log(agent.speed) + sideCostOf(request, agent),
-  [Fit.Useless]: (request, agent) => runOf(request, agent) + sideCostOf(request, agent)
+  [Fit.Safe]: (request, agent) => FAST_PLACE_MILLISECONDS * Math.log(agent.speed) + sideCostOf(request, agent, request.farPenalty),
+  [Fit.Tight]: (request, agent) => runOf(request, agent) + sideCostOf(request, agent, request.farWay),
+  [Fit.Late]: (request, agent) => FAST_PLACE_MILLISECONDS * Math.log(agent.speed) + sideCostOf(request, agent, request.farPenalty),
+  [Fit.Useless]: (request, agent) => runOf(request, agent) + sideCostOf(request, agent, request.farWay)
 }
 
 /**
@@ -53,8 +53,9 @@
 }
 
 function fitOf (request: PlacementRequest, agent: AgentView): Fit {
-  const { left, expected } = request
+  const { expected, dataCentre, farWay } = request
   const run = runOf(request, agent)
+  const left = request.left - (agent.target?.dataCentre === dataCentre ? 0 : farWay)
   if (run * (1 + SLACK_MARGIN_PART) <= left) return Fit.Safe
   if (run <= left) return Fit.Tight
   return run <= Math.max(left, expected) * LATE_FACTOR ? Fit.Late : Fit.Useless
