--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -344,3 +344,6 @@
 /** Part of the near processors that is free from which far targets are avoided in full, and the weight of the newest task in the mean way. */
 export const NEAR_ROOM_PART = 0.2
 export const WAY_RATE = 0.02
+
+/** Waiting time that it is worth to a begun job that nearly all of its tasks are placed: its last ones decide its end. */
+export const LAST_TASKS_MILLISECONDS = 150
--- a/packages/dispatch/src/jobqueue.ts
+++ b/packages/dispatch/src/jobqueue.ts
@@ -2,8 +2,9 @@
 import type { Job } from './job.ts'
 import type { Policy } from './policy.ts'
 import { IndexedHeap } from '@amaranthmast/coordination/heap'
+import { LAST_TASKS_MILLISECONDS } from './defaults.ts'
 
-type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept'>
+type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept' | 'placesBySlack'>
 
 /**
  * The job comes first that would be refused first, so that long jobs, which can wait long before they must begin, are not
@@ -31,8 +32,9 @@
 
   /** The job with the smallest one is served first. */
   orderOf (job: Job): number {
-    const { byKept, priorityStep } = this.#policy
-    return (byKept ? job.keptUntil : job.startBy) + priorityStep * job.request.queue.priority
+    const { byKept, priorityStep, placesBySlack } = this.#policy
+    const begun = placesBySlack && job.started ? LAST_TASKS_MILLISECONDS * (1 - job.queued().length / job.tasks.length) : 0
+    return (byKept ? job.keptUntil : job.startBy) + priorityStep * job.request.queue.priority - begun
   }
 
   /** Order of the next job; infinite when there is none. */
