--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -277,7 +277,7 @@
 // Speeds of targets
 
 /** Half-life of what a task got done, for the pace of the middle task, and the longest time for which it is taken as known. */
-export const TYPICAL_HALF_LIFE_MILLISECONDS = 1000
+export const TYPICAL_HALF_LIFE_MILLISECONDS = 600
 export const TYPICAL_REVIEW_MILLISECONDS = 50
 
 /** Most that one task weighs in that pace, in milliseconds, and tasks remembered for it. */
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -72,6 +72,7 @@
   }
 
   noteTarget (target: TargetFacts | undefined): void {
+    if (target?.instance !== this.target?.instance) this.steady = undefined
     this.target = target
     this.dataCentre = target?.dataCentre ?? this.dataCentre
     this.#measure()
@@ -80,7 +81,8 @@
   noteLoad ({ others, pace, steady, taken = [] }: Load): void {
     this.others = others
     this.pace = pace
-    this.steady = steady
+    // A target without work says nothing; one whose pace is told without a steady one has changed.
+    if (steady !== undefined || pace > 0) this.steady = steady
     for (const task of taken) this.#ungrant(task)
     this.#measure()
   }
--- a/packages/dispatch/test/entrybench.ts
+++ b/packages/dispatch/test/entrybench.ts
@@ -2,6 +2,7 @@
 import type { Answer, EntryEffect, EntryEvent } from '../src/entrytypes.ts'
 import type { JobRequest, Step } from '../src/job.ts'
 import type { TaskReference } from '../src/messages.ts'
+import type { Policy } from '../src/policy.ts'
 import type { Queue } from '../src/queues.ts'
 import type { PeerMessage } from '../src/roommessages.ts'
 import { Entry } from '../src/entry.ts'
@@ -17,18 +18,26 @@
 
 export class EntryBench {
   now = 1000
-  readonly entry = new Entry({ name: 'self', dataCentre: 'one', timings: TIMINGS, grace: 6000 })
+  readonly entry: Entry
   #effects: EntryEffect[] = []
   #request = 0
 
+  constructor (policy: Partial<Policy> = {}) {
+    this.entry = new Entry({ name: 'self', dataCentre: 'one', timings: TIMINGS, grace: 6000, policy })
+  }
+
   static withAgents (...names: string[]): EntryBench {
     const bench = new EntryBench()
-    bench.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+    bench.configure()
     for (const name of names) bench.link(name)
     bench.take()
     return bench
   }
 
+  configure (): void {
+    this.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  }
+
   do (event: EntryEvent): void {
     this.#effects.push(...this.entry.handle(event, this.now))
   }
--- /dev/null
+++ b/packages/dispatch/test/learnedspeeds.test.ts
@@ -0,0 +1,84 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { EntryBench, NO_LOAD, step } from './entrybench.ts'
+
+const POLICY = { learnsKinds: true, placesBySlack: true }
+const SLOW = ['slow0', 'slow1']
+const FAST = ['fast0', 'fast1', 'fast2', 'fast3']
+
+function told (bench: EntryBench, agent: string, pace: number, error = 0.05): void {
+  bench.do({ type: 'agentMessage', agent, message: { type: 'ping', sent: bench.now, load: { ...NO_LOAD, pace, steady: { pace, error } } } })
+}
+
+/** An entry that hears of its fleet for the first time. */
+function started (): EntryBench {
+  const bench = new EntryBench(POLICY)
+  bench.configure()
+  for (const name of SLOW) bench.link(name, { labels: ['a'] })
+  for (const name of FAST) bench.link(name, { labels: ['b'] })
+  return bench
+}
+
+function tellAll (bench: EntryBench): void {
+  for (const name of SLOW) told(bench, name, 0.5)
+  for (const name of FAST) told(bench, name, 1.1)
+}
+
+function placedAt (bench: EntryBench): string[] {
+  const agents = bench.starts().map(start => start.split(' ')[0] as string)
+  bench.take()
+  return agents
+}
+
+/** Submits a task with so much time for each millisecond of work, and tells where it went. */
+function place (bench: EntryBench, id: string, estimated: number): string | undefined {
+  bench.submit(id, [step(1, { estimated })])
+  return placedAt(bench)[0]
+}
+
+// The speeds that an entry had learned went with it, and its successor left long tasks on slow targets for seconds.
+test('an entry that has just started places by the speeds that agents tell', () => {
+  const bench = started()
+  tellAll(bench)
+  bench.pass(100)
+  bench.take()
+  expect(SLOW.includes(place(bench, 'short', 50) ?? '')).toEqual(true)
+  expect(FAST.includes(place(bench, 'long', 900) ?? '')).toEqual(true)
+})
+
+// A target that is throttled while its steady pace is no longer told drew the next long tasks.
+test('a target that turns slow gets one task at a time until it is certain', () => {
+  const bench = started()
+  tellAll(bench)
+  bench.pass(100)
+  for (const name of FAST.slice(1)) bench.ping(name, 8000)
+  for (const name of SLOW) bench.ping(name, 8000)
+  bench.do({ type: 'agentMessage', agent: 'fast0', message: { type: 'ping', sent: bench.now, load: { ...NO_LOAD, pace: 0.1 } } })
+  bench.pass(150)
+  bench.take()
+  for (const id of ['one', 'two', 'three']) bench.submit(id, [step(1, { estimated: 20 })])
+  expect(placedAt(bench).length <= 1).toEqual(true)
+})
+
+test('a target that nobody knows yet is placed at as one of its kind', () => {
+  const bench = started()
+  tellAll(bench)
+  bench.pass(100)
+  for (const name of [...SLOW, ...FAST]) bench.ping(name, 8000)
+  bench.link('new', { labels: ['a'] })
+  bench.pass(150)
+  bench.take()
+  expect(place(bench, 'long', 900)).toEqual(undefined)
+  expect(place(bench, 'short', 50)).toEqual('new')
+})
+
+test('the speed of a kind is logged once', () => {
+  const bench = started()
+  const notes: unknown[] = []
+  for (let second = 0; second < 40; second += 1) {
+    tellAll(bench)
+    bench.pass(250)
+    notes.push(...bench.take().flatMap(effect => effect.type === 'note' && effect.what === 'speed of a kind learned' ? [effect.fields['kind']] : []))
+  }
+  expect(notes.sort()).toEqual(['a', 'b'])
+})
--- /dev/null
+++ b/packages/dispatch/test/targetpace.test.ts
@@ -0,0 +1,87 @@
+import type { HeldTask } from '../src/heldtasks.ts'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { SeededRandom } from '@amaranthmast/standins/random'
+import { randomNormal } from 'd3-random'
+import { SLOW_PACE } from '../src/defaults.ts'
+import { TargetPace } from '../src/progress.ts'
+import { learnSpeeds } from '../src/targetspeeds.ts'
+import { order } from './agentbench.ts'
+
+const POLL_MILLISECONDS = 100
+const SLOTS = 8
+
+interface Running {
+  held: HeldTask
+  /** Work done and to be done, in milliseconds at a sound target. */
+  done: number
+  work: number
+}
+
+interface Run {
+  seed: number
+  milliseconds: number
+  /** Speed of the target at a time. */
+  speed?: (now: number) => number
+  /** Part of the tasks that take seven times as long. */
+  tail?: number
+  each?: (pace: TargetPace, now: number) => void
+}
+
+/** A busy target, whose tasks are estimated with an error of 40%. */
+function run ({ seed, milliseconds, speed = () => 1, tail = 0, each = () => {} }: Run): TargetPace {
+  const random = new SeededRandom(seed)
+  const off = randomNormal.source(() => random.next())(0, 0.4)
+  const pace = new TargetPace({ learnsKinds: true })
+  let running: Running[] = []
+  const begin = (now: number): Running => {
+    const expected = 60 + random.next() * random.next() * 1200
+    const work = expected * Math.exp(off()) * (random.next() < tail ? 7 : 1)
+    return { held: { order: { ...order('job.0.0'), expected }, startedAt: now, observedAt: now, observedPercent: 0 } as HeldTask, done: 0, work }
+  }
+  for (let now = 0; now < milliseconds; now += POLL_MILLISECONDS) {
+    for (const task of running) {
+      const left = (task.work - task.done) / speed(now)
+      task.done = left <= POLL_MILLISECONDS ? task.work : task.done + POLL_MILLISECONDS * speed(now)
+      pace.observe(task.held, Math.floor(100 * task.done / task.work), left <= POLL_MILLISECONDS ? now - POLL_MILLISECONDS + left : now)
+    }
+    running = running.filter(({ done, work }) => done < work)
+    while (running.length < SLOTS) running.push(begin(now))
+    each(pace, now)
+  }
+  return pace
+}
+
+// One task of seven times its expected time at one of ten places takes a tenth off the mean pace, and several of them make a
+// sound target look slow.
+test('with a heavy tail of run times no sound target is called slow', () => {
+  let lowest = Infinity
+  for (let seed = 1; seed <= 48; seed += 1) {
+    run({ seed, milliseconds: 10_000, tail: 0.03, each: (pace, now) => { if (now > 1000 && pace.value(now) > 0) lowest = Math.min(lowest, pace.value(now)) } })
+  }
+  expect(lowest > SLOW_PACE).toEqual(true)
+})
+
+test('with a heavy tail of run times equal targets count as equally fast', () => {
+  const paces = Array.from({ length: 48 }, (_none, index) => run({ seed: 100 + index, milliseconds: 8000, tail: 0.03 }).steady(8000))
+  const { byTarget } = learnSpeeds(paces.map((told, index) => ({ name: `agent${index}`, labels: [], pace: told?.pace ?? 0, error: told?.error ?? 1 })))
+  expect([...byTarget.values()].filter(({ speed }) => speed < 0.85 || speed > 1.18)).toEqual([])
+})
+
+test('a slow target beside sound ones is known within two seconds', () => {
+  const told = (seed: number, speed: number): number => run({ seed, milliseconds: 2000, speed: () => speed }).steady(2000)?.pace ?? 0
+  for (let seed = 1; seed <= 20; seed += 1) expect(told(seed, 0.55) < 0.75 * told(seed + 50, 1.2)).toEqual(true)
+})
+
+// A target that is throttled under its tasks kept the steady pace of the seconds before.
+test('a target that turns slow is told within a second and a half', () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const pace = run({ seed, milliseconds: 6500, speed: now => now < 5000 ? 1 : 0.2 })
+    const told = pace.steady(6500)?.pace ?? pace.value(6500)
+    expect(told < 0.5).toEqual(true)
+  }
+})
+
+test('without learning of kinds nothing is told beside the pace', () => {
+  expect(new TargetPace({ learnsKinds: false }).steady(0)).toEqual(undefined)
+})
