--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -345,5 +345,5 @@
 export const NEAR_ROOM_PART = 0.2
 export const WAY_RATE = 0.02
 
-/** Waiting time that it is worth to a begun job that nearly all of its tasks are placed: its last ones decide its end. */
-export const LAST_TASKS_MILLISECONDS = 150
+/** Waiting time, in parts of its objective, that it is worth to a begun job that nearly all of its tasks are placed: its last ones decide its end. */
+export const LAST_TASKS_PART = 0.1
--- a/packages/dispatch/src/jobqueue.ts
+++ b/packages/dispatch/src/jobqueue.ts
@@ -2,7 +2,7 @@
 import type { Job } from './job.ts'
 import type { Policy } from './policy.ts'
 import { IndexedHeap } from '@amaranthmast/coordination/heap'
-import { LAST_TASKS_MILLISECONDS } from './defaults.ts'
+import { LAST_TASKS_PART } from './defaults.ts'
 
 type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept' | 'placesBySlack'>
 
@@ -33,7 +33,7 @@
   /** The job with the smallest one is served first. */
   orderOf (job: Job): number {
     const { byKept, priorityStep, placesBySlack } = this.#policy
-    const begun = placesBySlack && job.started ? LAST_TASKS_MILLISECONDS * (1 - job.queued().length / job.tasks.length) : 0
+    const begun = placesBySlack && job.started ? LAST_TASKS_PART * (job.objectiveAt - job.arrivedAt) * (1 - job.queued().length / job.tasks.length) : 0
     return (byKept ? job.keptUntil : job.startBy) + priorityStep * job.request.queue.priority - begun
   }
 
