Merge: placement by slack, learned speeds of targets and kinds

Cause: placement took the soonest end for the task in hand, so that short tasks held the fast targets.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -104,6 +104,7 @@
     this.#admission = new Admission(this.#policy.fleetAdmission ? { ...this.#policy, refusalMargin: 0 } : this.#policy, this.#pressure)
     this.#fleet = new Fleet({
       timings: options.timings,
+      dataCentre: options.dataCentre,
       guards: options.guards ?? ALL_FLEET_GUARDS,
       policy: this.#policy,
       emit: effect => this.#effects.push(effect),
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -4,6 +4,7 @@
 import type { HeldTasks } from './heldtasks.ts'
 import type { AgentMessage, CrashRecord, Echo, EntryMessage, Load, SlowTask, TargetFacts, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
 import type { Resources } from './resources.ts'
+import type { PaceTold } from './steadypace.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { takeFrom } from './resources.ts'
 import { LOAD_CHANGE_PART, LOAD_INTERVAL_MILLISECONDS, LONGEST_QUIET_PING_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
@@ -16,6 +17,9 @@
 /** Paces are told in hundredths. */
 const PACE_PARTS = 100
 
+/** Steady ones in thousandths: a whole fleet's are compared. */
+const STEADY_PARTS = 1000
+
 export interface EntrySessionsParts {
   context: AgentContext
   held: HeldTasks
@@ -257,11 +261,13 @@
     session.toldOthers = others.cpu
     session.toldAt = now
     const { taken } = session
+    const steady = this.#parts.target.pace.steady(now)
     session.taken = []
     session.freed = false
     return {
       ...(taken.length > 0 ? { taken } : {}),
       ...(this.#held.suspected ? { suspect: true } : {}),
+      ...(steady === undefined ? {} : { steady: rounded(steady) }),
       pace: Math.round(this.#parts.target.pace.value(now) * PACE_PARTS) / PACE_PARTS,
       others
     }
@@ -280,3 +286,7 @@
     if (session.connected) this.#context.emit({ type: 'send', entry: session.entry, message })
   }
 }
+
+function rounded ({ pace, error }: PaceTold): PaceTold {
+  return { pace: Math.round(pace * STEADY_PARTS) / STEADY_PARTS, error: Math.round(error * STEADY_PARTS) / STEADY_PARTS }
+}
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -11,6 +11,8 @@
 import type { Timings } from './timings.ts'
 import { AGENT_MEMORY_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { CapacityForecast } from './capacityforecast.ts'
+import { FarCost } from './farcost.ts'
+import { FleetSpeeds } from './fleetspeeds.ts'
 import { FleetTrust } from './fleettrust.ts'
 import { AgentView } from './fleetview.ts'
 import { Cause, Isolation, Outcome, RoomRole } from './messages.ts'
@@ -25,6 +27,8 @@
 
 export interface FleetOptions {
   timings: Timings
+  /** Of this entry. */
+  dataCentre: string
   guards: FleetGuards
   policy: Policy
   emit: (effect: EntryEffect) => void
@@ -49,6 +53,8 @@
   readonly #options: FleetOptions
   readonly #agents = new Map<string, AgentView>()
   readonly #trust: FleetTrust
+  readonly speeds: FleetSpeeds
+  readonly farCost: FarCost
   readonly #forecast = new CapacityForecast()
   #roleOf: (agent: AgentView) => RoomRole = () => RoomRole.Chooses
   #evacuated: (dataCentre: string | undefined) => boolean = () => false
@@ -79,6 +85,8 @@
 
   constructor (options: FleetOptions) {
     this.#options = options
+    this.speeds = new FleetSpeeds({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
+    this.farCost = new FarCost({ penalty: options.policy.farPenalty, agents: () => this.#agents.values() })
     this.#trust = new FleetTrust({ policy: options.policy, note: (what, fields) => this.#note(what, fields) })
   }
 
@@ -252,7 +260,7 @@
 
   tick (now: number): void {
     const { contact, ping, silence } = this.#options.timings
-    this.#noteSpeeds()
+    this.speeds.review([...this.#agents.values()], now)
     for (const agent of this.#agents.values()) {
       this.#trust.probeIfDue(agent, now)
       agent.expireGrants(now)
@@ -291,13 +299,6 @@
     return { sent: toEcho, received, waiting: this.#options.waiting() }
   }
 
-  /** Entries and agents only compare paces, so the middle one stands for an average target. */
-  #noteSpeeds (): void {
-    const paces = [...this.#agents.values()].filter(({ linked, pace }) => linked && pace > 0).map(({ pace }) => pace).sort((one, other) => one - other)
-    const middle = paces[Math.floor(paces.length / 2)] ?? 0
-    for (const agent of this.#agents.values()) agent.noteSpeed(middle, this.#options.policy)
-  }
-
   #announced (agent: AgentView, message: Extract<AgentMessage, { type: 'announce' }>, now: number): void {
     const { target, held, load } = message
     const opening = !agent.announced
@@ -340,9 +341,15 @@
     if (placement === undefined) return
     agent.remove(placement)
     this.#trust.judge(agent, placement, end, now)
+    if (end.outcome === Outcome.Done) this.#ran(agent, placement, end.ran, now)
     this.#options.ended(agent, placement, end, now)
   }
 
+  #ran (agent: AgentView, { task, placedAt }: Placement, ran: number, now: number): void {
+    this.speeds.noteRun(agent, task.job.request.steps[task.step]?.estimated ?? 0, ran)
+    this.farCost.noteRun(agent.dataCentre === this.#options.dataCentre, now - placedAt - ran)
+  }
+
   /** A task that stood still there speaks against the target as a failed one does. */
   noteStuck (agent: AgentView, now: number): void {
     this.#trust.noteStuck(agent, now)
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -3,6 +3,7 @@
 import type { Load, TargetFacts } from './messages.ts'
 import type { Policy } from './policy.ts'
 import type { Resources } from './resources.ts'
+import type { PaceTold } from './steadypace.ts'
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
 import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, LEAVING_ESTIMATE_FACTOR, LEAVING_RESERVE_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
 import { Isolation, RoomRole } from './messages.ts'
@@ -41,6 +42,8 @@
   speed = 1
   /** As the agent tells it; 0 when unknown. */
   pace = 0
+  /** The same over the last seconds; undefined when it does not say. */
+  steady: PaceTold | undefined
   others: Resources = { ...NO_RESOURCES }
   /** Room for further tasks, as far as known. */
   free: Resources = { ...NO_RESOURCES }
@@ -83,6 +86,7 @@
   noteTarget (target: TargetFacts | undefined, usedUntil = Number.NEGATIVE_INFINITY): void {
     const before = target?.instance === this.target?.instance ? this.largest : NO_RESOURCES
     this.largest = mostOf(before, target?.capacity ?? NO_RESOURCES)
+    if (target?.instance !== this.target?.instance) this.steady = undefined
     this.target = target
     this.usedUntil = usedUntil
     this.dataCentre = target?.dataCentre ?? this.dataCentre
@@ -90,10 +94,12 @@
     this.#measure()
   }
 
-  noteLoad ({ others, pace, suspect = false, taken = [] }: Load): void {
+  noteLoad ({ others, pace, steady, suspect = false, taken = [] }: Load): void {
     this.#suspectTold = suspect
     this.others = others
     this.pace = pace
+    // A target without work says nothing; one whose pace is told without a steady one has changed.
+    if (steady !== undefined || pace > 0) this.steady = steady
     for (const task of taken) this.#ungrant(task)
     this.#measure()
   }
@@ -163,6 +169,12 @@
     this.#probed = probesSlow && this.speed < PROBED_SPEED
   }
 
+  /** Sets a speed that was inferred from what is known of all targets. */
+  noteLearned (speed: number, probed: boolean): void {
+    this.speed = Math.min(FASTEST_SPEED, Math.max(SLOWEST_SPEED, speed))
+    this.#probed = probed
+  }
+
   /** Time without a sign of life that was due: an agent pings seldom until it has got its first task. */
   silentFor (now: number): number {
     return now - Math.max(this.heardAt, this.placements.size > 0 ? this.#busySince : Number.NEGATIVE_INFINITY)
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between entries and agents, and what they are about. */
 import type { EvacuationState } from './evacuations.ts'
 import type { Resources } from './resources.ts'
+import type { PaceTold } from './steadypace.ts'
 
 /** One start of one task. `attempt` rises with each start of the task. */
 export interface TaskReference {
@@ -125,6 +126,8 @@
   pace: number
   /** A suspect is there. Left out for none. */
   suspect?: boolean
+  /** The same over the last seconds, with its error; left out when nothing is known, or kinds are not learned. */
+  steady?: PaceTold
   /** Starts of other entries that arrived since this entry was told last; only for one that gives out the room. */
   taken?: string[]
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -12,6 +12,8 @@
   /** Expected run time at an average target, in milliseconds. */
   expected: number
   now: number
+  /** Milliseconds until the task must have ended for its job to be in time; negative when that has passed. */
+  left: number
   /** Target to be taken only when no other has room. */
   avoid: string
   /** A suspect goes to the emptiest target without another one. */
@@ -26,6 +28,10 @@
   /** Entries that may place tasks there. */
   entries: number
   policy: Policy
+  /** What a target of another data centre is worth avoiding, in milliseconds. */
+  farPenalty: number
+  /** How much longer a task takes there and back, in milliseconds. */
+  farWay: number
 }
 
 /**
@@ -46,7 +52,8 @@
   return best
 }
 
-function allows ({ step, expected, now, isolation, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
+/** Whether the target may get the task now. */
+export function allows ({ step, expected, now, isolation, placedAt, hasPlace }: PlacementRequest, agent: AgentView): boolean {
   if (isolation !== Isolation.None && agent.hasSuspect) return false
   if (!hasPlace(agent) || !fits(step.needs, agent.free) || !agent.outlasts(expected, now)) return false
   if (step.label !== '' && agent.target?.labels.includes(step.label) !== true) return false
@@ -54,15 +61,29 @@
 }
 
 /** Time that the choice costs, in milliseconds. */
-function costOf ({ step, expected, avoid, isolation, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView): number {
+function costOf (request: PlacementRequest, agent: AgentView): number {
+  return runOf(request, agent) + sideCostOf(request, agent, request.farPenalty)
+}
+
+/** How long the task is expected to run there, in milliseconds. */
+export function runOf ({ step, expected, policy }: PlacementRequest, { target, health, speed }: AgentView): number {
+  if (target === undefined) return Infinity
+  const sound = policy.countsFailures ? 1 - Math.min(COUNTED_FAILURE_RATE, health.failureRate) : 1
+  const run = expected / speed / sound
+  return step.rack === '' || target.labels.includes(step.rack) ? run : run * 1.5
+}
+
+/**
+ * What the choice costs besides the run, in milliseconds.
+ *
+ * @param farPenalty what a target of another data centre is worth avoiding, in milliseconds
+ */
+export function sideCostOf ({ expected, avoid, isolation, dataCentre, isUsed, entries, policy }: PlacementRequest, agent: AgentView, farPenalty: number): number {
   const { target } = agent
   if (target === undefined) return Infinity
-  const sound = policy.countsFailures ? 1 - Math.min(COUNTED_FAILURE_RATE, agent.health.failureRate) : 1
-  const run = expected / agent.speed / sound
-  const far = target.dataCentre === dataCentre ? 0 : policy.farPenalty
-  const remote = step.rack === '' || target.labels.includes(step.rack) ? 0 : run / 2
+  const far = target.dataCentre === dataCentre ? 0 : farPenalty
   const load = (isolation === Isolation.None ? policy.loadPenalty : SUSPECT_LOAD_MILLISECONDS) * (agent.used.cpu + agent.others.cpu) / Math.max(1, target.capacity.cpu)
-  const avoidance = isolation === Isolation.None ? expected : SUSPECT_LOAD_MILLISECONDS
   const fresh = isUsed(agent) ? 0 : policy.affinity * entries
-  return fresh + run + far + remote + load + (agent.name === avoid ? avoidance : 0) + (agent.hasSuspect ? expected : 0)
+  const avoidance = isolation === Isolation.None ? expected : SUSPECT_LOAD_MILLISECONDS
+  return fresh + far + load + (agent.name === avoid ? avoidance : 0) + (agent.hasSuspect ? expected : 0)
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -3,13 +3,15 @@
 import type { AgentView } from './fleetview.ts'
 import type { Job, Step, Task } from './job.ts'
 import type { JobQueue } from './jobqueue.ts'
+import type { PlacementRequest } from './placement.ts'
 import type { Policy } from './policy.ts'
 import type { RoomRequest } from './roomrequest.ts'
 import type { Grant } from './roommessages.ts'
-import { JobState, TaskState } from './job.ts'
+import { endOfStep, JobState, TaskState } from './job.ts'
 import { Isolation } from './messages.ts'
 import { choose } from './placement.ts'
 import { RequestQueue } from './requestqueue.ts'
+import { chooseBySlack } from './slackplacement.ts'
 
 /** Where tasks may go now. */
 export interface Candidates {
@@ -45,6 +47,7 @@
 
   /** Places what fits; what is left goes back into its queue. */
   place (candidates: Candidates, jobs: JobQueue | undefined, requests: RequestQueue = NO_REQUESTS, now: number): void {
+    this.#parts.fleet.farCost.begin()
     const waiting: Job[] = []
     const asking: RoomRequest[] = []
     const { scanLimit } = this.#parts.policy
@@ -84,10 +87,11 @@
     const counts = new StepCounts(index => this.#parts.fleet.agentsOf(job, index))
     for (const task of job.queued()) {
       const step = job.request.steps[task.step] as Step
-      const agent = choose({
+      const agent = this.#choose({
         step,
         expected: job.expected[task.step] ?? 0,
         now,
+        left: this.#parts.policy.placesBySlack ? endOfStep(job, task.step) - now : Infinity,
         avoid: task.avoid,
         isolation: task.isolation,
         dataCentre: this.#parts.dataCentre,
@@ -96,7 +100,7 @@
         isUsed: agent => agent.placements.size > 0,
         entries: this.#parts.entries(),
         policy: this.#parts.policy
-      }, candidates)
+      }, candidates, job.request.queue.service)
       if (agent === undefined) continue
       counts.add(task.step, agent.name)
       const start = plan(job, task)
@@ -117,15 +121,23 @@
     this.#parts.note('tasks placed', { job: job.request.id, at, waited: Math.round(now - job.arrivedAt), left: job.queued().length })
   }
 
+  #choose (wanted: Omit<PlacementRequest, 'farPenalty' | 'farWay'>, candidates: readonly AgentView[], service: string): AgentView | undefined {
+    const { policy, fleet: { farCost, speeds } } = this.#parts
+    if (!policy.placesBySlack) return choose({ ...wanted, farPenalty: policy.farPenalty, farWay: 0 }, candidates)
+    const request = { ...wanted, farPenalty: farCost.of(wanted.dataCentre), farWay: farCost.way }
+    return chooseBySlack(request, candidates, speeds.fastest(service, request.step.label))
+  }
+
   #grant (request: RoomRequest, group: readonly AgentView[], now: number): void {
     const candidates = group.filter(({ name }) => request.allows(name))
     const grants: Grant[] = []
     const counts = new StepCounts(index => request.placed(index))
     for (const { step, task } of request.tasks()) {
-      const agent = choose({
+      const agent = this.#choose({
         step,
         expected: step.expected,
         now,
+        left: request.arrivedAt + step.endBy - now,
         avoid: task.avoid,
         isolation: task.isolation ?? Isolation.None,
         dataCentre: this.#parts.dataCentreOf(request.peer),
@@ -134,7 +146,7 @@
         entries: this.#parts.entries(),
         placedAt: ({ name }) => counts.at(step.index, name),
         policy: this.#parts.policy
-      }, candidates)
+      }, candidates, request.service)
       if (agent === undefined) continue
       counts.add(step.index, agent.name)
       request.noteGranted(step, task, agent.name)
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -43,7 +43,7 @@
   readonly #held: HeldTasks
   #lease: TargetLease
   #notice: TargetNotice
-  #pace = new TargetPace()
+  #pace: TargetPace
   #answers = new AnswerTimes()
   #facts: TargetFacts | undefined
   /** Whether nothing of a predecessor runs there any more. */
@@ -67,6 +67,7 @@
   constructor (context: AgentContext, held: HeldTasks) {
     this.#context = context
     this.#held = held
+    this.#pace = new TargetPace(context.policy)
     this.#lease = new TargetLease(context.timings)
     this.#notice = new TargetNotice(context.drain)
     this.#token = Math.floor(context.wallClock())
@@ -188,7 +189,7 @@
     this.#inheritLease()
     this.#answeredSent = Number.NEGATIVE_INFINITY
     this.#polledAt = Number.NEGATIVE_INFINITY
-    this.#pace = new TargetPace()
+    this.#pace = new TargetPace(this.#context.policy)
     this.#answers = new AnswerTimes()
     if (clock !== undefined) this.#lease.noteClock(clock, now)
     this.#notice = new TargetNotice(this.#context.drain)
--- a/packages/dispatch/test/entrybench.ts
+++ b/packages/dispatch/test/entrybench.ts
@@ -42,6 +42,10 @@
     return this
   }
 
+  configure (): void {
+    this.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  }
+
   do (event: EntryEvent): void {
     this.#effects.push(...this.entry.handle(event, this.now))
   }
