Metrics of the parts: demand and shares, room, speeds, capacity ahead, suspects

Cause: the parts keep figures that no operator saw. Ruled out: all of it in the size gauge, which holds plain numbers. Change: Entry.scheduling gathers them, the daemon exposes them under the names that the tool's fleet command reads. Conclusion: explain and losses show the figures of a refusal from the log lines already.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -21,6 +21,7 @@
 import { Loop, runLoop } from './loop.ts'
 import { MetricsListener } from './metricslistener.ts'
 import { JobMetrics } from './jobmetrics.ts'
+import { exposeScheduling } from './schedulingmetrics.ts'
 import { Ticker } from './ticker.ts'
 
 export interface EntryServiceOptions {
@@ -197,11 +198,13 @@
 
   #exposed (): string {
     const exposition = new Exposition()
-    const status = this.#entry.status()
-    exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres', Object.entries(status).map(([kind, value]) => ({ labels: { kind }, value })))
+    const { suspects, convictions, crashes, ...sizes } = this.#entry.status()
+    exposition.gauge('amaranthmast_crashes', 'Tasks suspected of crashing targets, tasks given up for it, and targets that crashed lately', Object.entries({ suspects, convictions, crashes }).map(([figure, value]) => ({ labels: { figure }, value })))
+    exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposition.counter('amaranthmast_store_calls_total', 'Calls to the store', Object.entries(this.#options.store.calls()).map(([kind, value]) => ({ labels: { kind }, value })))
     exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
     this.#metrics.expose(exposition)
+    exposeScheduling(exposition, this.#options.settings.id, this.#entry.scheduling(this.#options.now()))
     return exposition.text()
   }
 }
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -328,6 +328,9 @@
 /** Weight of the newest absence of a target in the mean time that targets are away. */
 export const ABSENCE_RATE = 0.25
 
+/** Times ahead for which operators are shown the capacity, in milliseconds: the end of a notice, and the return of a target. */
+export const FORECAST_TIMES_MILLISECONDS: readonly number[] = [1000, 3000]
+
 /** Part of that mean after which a target that is away counts as gone for good. */
 export const OVERDUE_FACTOR = 2
 
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -7,10 +7,10 @@
  * the caller comes back.
  */
 import type { Answer, EntryEffect, EntryEvent, EntryOptions, EntryStatus } from './entrytypes.ts'
-import type { AdmissionStatus } from './fleetadmission.ts'
 import type { JobRequest } from './job.ts'
 import type { DispatchConfiguration } from './queues.ts'
 import type { Policy } from './policy.ts'
+import type { SchedulingStatus } from './schedulingstatus.ts'
 import { Admission } from './admission.ts'
 import { AnsweredJobs } from './answeredjobs.ts'
 import { refused, unknown } from './answers.ts'
@@ -173,12 +173,13 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, room: this.#sharing.status(), ...this.#suspects.status() }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, ...this.#suspects.status() }
   }
 
-  /** What becomes of each kind of job; empty unless admission goes by the whole fleet. */
-  admissionStatus (now: number): AdmissionStatus[] {
-    return this.#shares?.status(now) ?? []
+  /** How this entry takes part in sharing the capacity of the fleet. */
+  scheduling (now: number): SchedulingStatus {
+    const capacity = this.#fleet.services().map(service => ({ service, ...this.#fleet.capacityStatus(service, now), ahead: this.#fleet.capacityAhead(service, now) }))
+    return { room: this.#sharing.status(), admission: this.#shares?.status(now) ?? [], speeds: this.#fleet.speeds.status(), capacity }
   }
 
   /** Whether new callers may be sent here. */
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -2,7 +2,6 @@
 import type { CrashStatus } from './crashsuspects.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { FleetGuards } from './fleetguards.ts'
-import type { SharingStatus } from './sharingstatus.ts'
 import type { JobRequest } from './job.ts'
 import type { AgentMessage, EntryMessage } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
@@ -111,6 +110,4 @@
   queued: number
   /** Cancellations that are remembered. */
   cancelled: number
-  /** Who gives out the room of which targets. */
-  room: SharingStatus
 }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -9,7 +9,7 @@
 import type { PartitionTarget } from './partitions.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
-import { AGENT_MEMORY_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
+import { AGENT_MEMORY_MILLISECONDS, FORECAST_TIMES_MILLISECONDS, PARTITION_QUIET_FACTOR } from './defaults.ts'
 import { CapacityForecast } from './capacityforecast.ts'
 import { FarCost } from './farcost.ts'
 import { FleetSpeeds } from './fleetspeeds.ts'
@@ -154,6 +154,16 @@
     return this.#forecast.at(this.#agents.values(), service, ahead, now)
   }
 
+  /** Services of the targets that are known. */
+  services (): string[] {
+    return [...new Set([...this.#agents.values()].flatMap(({ service }) => service ?? []))]
+  }
+
+  /** Processors of a service at some times from now, in thousandths of a core, by milliseconds ahead. */
+  capacityAhead (service: string, now: number): Record<number, number> {
+    return Object.fromEntries(FORECAST_TIMES_MILLISECONDS.map(ahead => [ahead, this.capacityOf(service, ahead, now).total]))
+  }
+
   /** Figures on the capacity of a service, for status pages. */
   capacityStatus (service: string, now: number): ForecastStatus {
     return this.#forecast.status([...this.#agents.values()], service, now)
--- a/packages/dispatch/test/fleetadmission.test.ts
+++ b/packages/dispatch/test/fleetadmission.test.ts
@@ -170,7 +170,7 @@
   bench.hear('other', { type: 'demand', dataCentre: 'two', kinds: [demand('checks', 40, 4)] })
   bench.submit('job')
   bench.pass(50, ['a1', 'a2'])
-  const [row] = bench.entry.admissionStatus(bench.now)
+  const [row] = bench.entry.scheduling(bench.now).admission
   expect(row?.name).toEqual('checks')
   expect(row?.counts).toEqual({ offered: 1, admitted: 1, refused: {}, inTime: 0, late: 0 })
   expect(row?.dataCentres.two).toEqual({ offered: 40, running: 4, waiting: 0 })
--- a/packages/dispatch/test/partitionsharing.test.ts
+++ b/packages/dispatch/test/partitionsharing.test.ts
@@ -147,10 +147,10 @@
   made.now += 2 * TICK
   made.do({ type: 'tick' })
   expect(made.messages('other', 'member').map(({ able }) => able)).toEqual([false])
-  expect(made.entry.status().room.groups.map(({ entry }) => entry)).toEqual(['other'])
+  expect(made.entry.scheduling(made.now).room.groups.map(({ entry }) => entry)).toEqual(['other'])
   expect(made.notes('partition handed over')).toEqual(1)
   made.live(QUICK_FOR_MILLISECONDS + 400, ['other'])
-  expect(made.entry.status().room.groups.map(({ entry }) => entry).sort()).toEqual(['other', 'self'])
+  expect(made.entry.scheduling(made.now).room.groups.map(({ entry }) => entry).sort()).toEqual(['other', 'self'])
 })
 
 // An entry is rolled: what waits there must be asked for elsewhere, not when its process ends.
@@ -167,11 +167,11 @@
 
 test('a new entry takes its share within a second', () => {
   const made = bench()
-  expect(made.entry.status().room.groups.map(({ entry }) => entry)).toEqual(['self'])
+  expect(made.entry.scheduling(made.now).room.groups.map(({ entry }) => entry)).toEqual(['self'])
   made.peer('new')
   made.pass(1000, AGENTS)
   expect(heldBy('new', 'self', 'new').length > 0).toEqual(true)
-  expect(made.entry.status().room.groups.map(({ entry }) => entry).sort()).toEqual(['new', 'self'])
+  expect(made.entry.scheduling(made.now).room.groups.map(({ entry }) => entry).sort()).toEqual(['new', 'self'])
 })
 
 // A request waits at another holder when a place becomes free here: its grant is under way while the task starts.
