--- a/packages/daemon/test/schedulingmetrics.test.ts
+++ b/packages/daemon/test/schedulingmetrics.test.ts
@@ -7,7 +7,15 @@
 const STATUS: SchedulingStatus = {
   room: { groups: [{ group: 'one', entry: 'self', free: 4500 }, { group: 'two', entry: 'other', free: 9000 }], lag: 3, lagging: false, asked: 2, waiting: 1, answerMilliseconds: 4, requests: 0 },
   admission: [{
-    name: 'check', service: 'checks', priority: 0, offered: 40, running: 20, waiting: 3, share: 30, borrowed: 5, threshold: 0.75,
+    name: 'check',
+    service: 'checks',
+    priority: 0,
+    offered: 40,
+    running: 20,
+    waiting: 3,
+    share: 30,
+    borrowed: 5,
+    threshold: 0.75,
     counts: { offered: 12, admitted: 9, refused: { overload: 3 }, inTime: 8, late: 1 },
     dataCentres: { north: { offered: 40, running: 20, waiting: 3 } }
   }],
