--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -378,7 +378,7 @@
 export const NEAR_WEIGHT = 8
 
 /**
- * How much more seldom the longest quiet pings are, and how much longer silence is borne on their links: the holder of a target
+ * How much more seldom quiet links are pinged, and how much longer silence is borne on their links: the holder of a target
  * pings it often, and grants nothing there when it is silent.
  */
 export const PARTITION_QUIET_FACTOR = 2
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -204,8 +204,8 @@
     if (tasks > 0 || role === RoomRole.Allocates) return ping
     if (role !== RoomRole.Asks) return idlePing
     const { partitions, quietPing } = this.#context.policy
-    const longest = LONGEST_QUIET_PING_MILLISECONDS * (partitions ? PARTITION_QUIET_FACTOR : 1)
-    return Math.min(longest, Math.max(idlePing, quietPing * this.#sessions.size))
+    const factor = partitions ? PARTITION_QUIET_FACTOR : 1
+    return Math.min(LONGEST_QUIET_PING_MILLISECONDS * factor, Math.max(idlePing, quietPing * factor * this.#sessions.size))
   }
 
   announceToAll (now: number): void {
