--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -286,8 +286,8 @@
 /** Change of a figure, in parts of what was told, that is worth a message. */
 export const DEMAND_CHANGE_PART = 0.05
 
-/** Age from which the word of an entry counts no further: two repeats are missing. */
-export const DEMAND_MEMORY_MILLISECONDS = 2500
+/** Age from which the word of an entry counts no further: its repeat is overdue. */
+export const DEMAND_MEMORY_MILLISECONDS = 1200
 
 /** Kinds in one message, length of their names, and names that are measured. */
 export const DEMAND_KINDS_TOLD = 32
