Admission: a kind exceeds its share from 1.4 of it on beside another's burst; resubmitted jobs are not refused at the arrival

A job submitted again while tasks of its earlier submission stop might have been refused as not run.

--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -322,7 +322,7 @@
 export const WANTED_GAIN = 2
 
 /** Demand above the fair share, in parts of it, at which a kind is admitted whole all the same: measured demand swings as much. */
-export const EXCESS_TOLERATED = 0.25
+export const EXCESS_TOLERATED = 0.4
 
 /** Time in which the admitted work is trimmed to what keeps the cores busy, and the bounds of the trim, in parts of the capacity. */
 export const TRIM_MILLISECONDS = 1000
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -176,7 +176,7 @@
     if (answered !== undefined) return this.#answer(request, answered)
     const refusal = this.#intake.refusal(submitted, this.#endsAt, now)
     if (refusal !== undefined) return this.#refuse(request, submitted, refusal)
-    const exceeded = this.#shares?.refusal(submitted, now)
+    const exceeded = known === undefined ? this.#shares?.refusal(submitted, now) : undefined
     if (exceeded !== undefined) {
       return this.#refuse(request, submitted, refused(Reason.Overload, this.#retryAfter(submitted, now)), rounded(exceeded))
     }
--- a/packages/dispatch/test/fleetadmission.test.ts
+++ b/packages/dispatch/test/fleetadmission.test.ts
@@ -164,6 +164,21 @@
   expect(bench.answers()).toEqual([[3, 'refused overload']])
 })
 
+// Guards against a refusal that is not true: tasks of the job's earlier submission may still run.
+test('a job that is submitted again while its tasks are stopping is not refused at the arrival', () => {
+  const bench = entry()
+  const first = bench.submit('job', [step(2)])
+  bench.do({ type: 'requestGone', request: first })
+  bench.do({ type: 'peerLinked', peer: 'other' })
+  bench.hear('other', { type: 'demand', dataCentre: 'two', kinds: [demand('checks', 400, 16)] })
+  for (const agent of ['a1', 'a2']) bench.ping(agent, 8000)
+  bench.now += 30
+  for (let index = 0; index < 5; index += 1) bench.submit(`other${index}`)
+  bench.take()
+  bench.submit('job', [step(2)])
+  expect(bench.answers()).toEqual([])
+})
+
 test('what became of each kind is told by kind and data centre', () => {
   const bench = entry()
   bench.do({ type: 'peerLinked', peer: 'other' })
