--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -395,8 +395,8 @@
 /** Change of a figure, in parts of what was told, that is worth a message. */
 export const DEMAND_CHANGE_PART = 0.05
 
-/** Age from which the word of an entry counts no further: two repeats are missing. */
-export const DEMAND_MEMORY_MILLISECONDS = 2500
+/** Age from which the word of an entry counts no further: its repeat is overdue. */
+export const DEMAND_MEMORY_MILLISECONDS = 1200
 
 /** Kinds in one message, length of their names, and names that are measured. */
 export const DEMAND_KINDS_TOLD = 32
@@ -431,7 +431,7 @@
 export const WANTED_GAIN = 2
 
 /** Demand above the fair share, in parts of it, at which a kind is admitted whole all the same: measured demand swings as much. */
-export const EXCESS_TOLERATED = 0.25
+export const EXCESS_TOLERATED = 0.4
 
 /** Time in which the admitted work is trimmed to what keeps the cores busy, and the bounds of the trim, in parts of the capacity. */
 export const TRIM_MILLISECONDS = 1000
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -203,7 +203,7 @@
     if (this.#cancellations.has(submitted.id)) return this.#answer(request, CANCELLED)
     const refusal = this.#intake.refusal(submitted, this.#endsAt, now)
     if (refusal !== undefined) return this.#refuse(request, submitted, refusal)
-    const exceeded = this.#shares?.refusal(submitted, now)
+    const exceeded = known === undefined ? this.#shares?.refusal(submitted, now) : undefined
     if (exceeded !== undefined) {
       return this.#refuse(request, submitted, refused(Reason.Overload, this.#retryAfter(submitted, now)), rounded(exceeded))
     }
