--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -526,6 +526,9 @@
 export const KIND_NOTE_MILLISECONDS = 10_000
 export const KIND_SPEED_CHANGE = 0.1
 
+/** Least time between two lines that a target has become slow. */
+export const SLOW_NOTE_MILLISECONDS = 10_000
+
 /** Speeds of one class follow each other by less than this factor. */
 export const SPEED_CLASS_STEP = 1.1
 
--- a/packages/dispatch/src/fleetspeeds.ts
+++ b/packages/dispatch/src/fleetspeeds.ts
@@ -2,7 +2,7 @@
 import type { AgentView } from './fleetview.ts'
 import type { Policy } from './policy.ts'
 import type { PaceObserved, SpeedsLearned } from './targetspeeds.ts'
-import { CERTAIN_ERROR, FASTEST_PART, KIND_NOTE_MILLISECONDS, KIND_NOTES, KIND_SPEED_CHANGE, PROBED_SPEED, RECENT_PACE_ERROR, SPEED_CLASS_STEP, SPEEDS_REVIEW_MILLISECONDS } from './defaults.ts'
+import { CERTAIN_ERROR, FASTEST_PART, KIND_NOTE_MILLISECONDS, KIND_NOTES, KIND_SPEED_CHANGE, PROBED_SPEED, RECENT_PACE_ERROR, SLOW_NOTE_MILLISECONDS, SPEED_CLASS_STEP, SPEEDS_REVIEW_MILLISECONDS } from './defaults.ts'
 import { learnSpeeds } from './targetspeeds.ts'
 import { WorkUnit } from './workunit.ts'
 
@@ -62,7 +62,7 @@
     this.#learned = learnSpeeds(known.map(observedAt))
     const speeds = [...this.#learned.byTarget.values()].map(({ speed }) => speed)
     this.#mean = speeds.length === 0 ? 1 : this.#unit.value(Math.min(...speeds), Math.max(...speeds))
-    for (const agent of known) this.#apply(agent)
+    for (const agent of known) this.#apply(agent, now)
     this.#noteKinds(now)
   }
 
@@ -104,13 +104,16 @@
     for (const agent of agents) agent.noteSpeed(middle, this.#parts.policy)
   }
 
-  #apply (agent: AgentView): void {
+  #apply (agent: AgentView, now: number): void {
     const learned = this.#learned.byTarget.get(agent.name)
     if (learned === undefined) return
     const usual = this.#learned.byKind.get(learned.kind) ?? 1
     // One that is certainly slow is given what it can do; one that has become slow may recover at any time.
     const changed = agent.pace > 0 && agent.steady === undefined && learned.speed < PROBED_SPEED * usual
     agent.noteLearned(learned.speed * this.#mean, changed && this.#parts.policy.probesSlow)
+    if (!changed || now - agent.slowNotedAt < SLOW_NOTE_MILLISECONDS) return
+    agent.slowNotedAt = now
+    this.#parts.note('target has become slow', { agent: agent.name, speed: Math.round(agent.speed * 100) / 100 })
   }
 
   #noteKinds (now: number): void {
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -44,6 +44,8 @@
   pace = 0
   /** The same over the last seconds; undefined when it does not say. */
   steady: PaceTold | undefined
+  /** When it was last logged that it has become slow. */
+  slowNotedAt = Number.NEGATIVE_INFINITY
   others: Resources = { ...NO_RESOURCES }
   /** Room for further tasks, as far as known. */
   free: Resources = { ...NO_RESOURCES }
--- a/packages/dispatch/test/learnedspeeds.test.ts
+++ b/packages/dispatch/test/learnedspeeds.test.ts
@@ -1,5 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { FleetSpeeds } from '../src/fleetspeeds.ts'
+import { AgentView } from '../src/fleetview.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 
 const POLICY = { learnsKinds: true, placesBySlack: true }
@@ -71,6 +73,22 @@
   expect(place(bench, 'short', 50)).toEqual('new')
 })
 
+test('the status tells targets by class of speed, how many are certain, and the speeds of kinds', () => {
+  const speeds = new FleetSpeeds({ policy: { ...POLICY, learnsSpeed: true, probesSlow: true }, note: () => {} })
+  const agents = [...SLOW, ...FAST].map(name => {
+    const agent = new AgentView(name)
+    agent.linked = true
+    agent.noteTarget({ instance: name, service: 'checks', dataCentre: 'one', capacity: { cpu: 1000, memory: 0, accelerators: 0 }, labels: [name.slice(0, 4)], leaving: false })
+    const pace = name.startsWith('slow') ? 0.5 : 1
+    agent.noteLoad({ ...NO_LOAD, pace, steady: { pace, error: 0.05 } })
+    return agent
+  })
+  speeds.review(agents, 0)
+  const { classes, kinds } = speeds.status()
+  expect(classes.map(({ targets, certain }) => [targets, certain])).toEqual([[2, 2], [4, 4]])
+  expect(Math.abs((kinds['fast'] ?? 0) / (kinds['slow'] ?? 1) - 2) < 0.1).toEqual(true)
+})
+
 test('the speed of a kind is logged once', () => {
   const bench = started()
   const notes: unknown[] = []
--- a/packages/emulator/test/experiment.test.ts
+++ b/packages/emulator/test/experiment.test.ts
@@ -4,7 +4,7 @@
 import { experimentSchemaText, readExperiment } from '../src/experiment.ts'
 import { shortExperiment } from './experiments.ts'
 
-const EXAMPLES = ['overload', 'lostorders', 'mixed', 'waves', 'notices']
+const EXAMPLES = ['overload', 'lostorders', 'mixed', 'waves', 'notices', 'crashes', 'partitions', 'admission', 'placement', 'targetkinds', 'peaks']
 
 for (const name of EXAMPLES) {
   test(`the example ${name} is an experiment`, () => {
