--- a/packages/cli/src/fleet.ts
+++ b/packages/cli/src/fleet.ts
@@ -101,6 +101,6 @@
   summary: 'Show who is served and refused, who gives out room, and what is known of the targets of a fleet under leases',
   options: ['json', 'status'],
   positionals: {},
-  examples: [['$0 fleet --status http://10.1.0.13:9464 --status http://10.2.0.30:9464', 'tables over the entries with these metrics addresses']],
+  examples: [['$0 fleet --status http://10.1.0.13:9464', 'tables over the entries with these metrics addresses, one option for each']],
   run: (context, { status }) => ResultAsync.fromSafePromise(show(context, status))
 }
