Forecast: a target that leaves as announced counts as left also once it takes no more tasks

Cause: an agent states no remaining time any more as soon as nothing may start at its leaving target, and the forecast took that last announcement for the way in which the target went. So nearly every target that left after its drain time was counted with the lost ones, and expected back because crashed ones had come back.

Ruled out: going by `leaving` alone. An agent that is being stopped announces that as well, and its target does come back.

Change: a target whose notice was seen with a remaining time counts as leaving as announced until it takes work again.

Conclusion: only the figures ahead change; no placement goes by them. With `leavingTargets` off no remaining time is ever stated, and all targets that go still count as lost.

--- a/packages/dispatch/src/capacityforecast.ts
+++ b/packages/dispatch/src/capacityforecast.ts
@@ -6,6 +6,7 @@
  * that this lasts, and is counted as back by how long others were away.
  */
 import type { AgentView } from './fleetview.ts'
+import type { TargetFacts } from './messages.ts'
 import { ABSENCE_RATE, OVERDUE_FACTOR } from './defaults.ts'
 
 /** Thousandths of cores. */
@@ -58,8 +59,7 @@
       return
     }
     if (before?.awaySince !== undefined) this.#learn(before.departure, now - before.awaySince)
-    const departure = target.remaining === undefined ? Departure.Lost : Departure.Left
-    this.#seen.set(agent.name, { service: target.service, cpu: target.capacity.cpu, departure, awaySince: undefined })
+    this.#seen.set(agent.name, { service: target.service, cpu: target.capacity.cpu, departure: departureOf(target, before), awaySince: undefined })
   }
 
   forget (agent: AgentView): void {
@@ -112,6 +112,13 @@
   }
 }
 
+/** How the target will have gone if it goes now. One that leaves states no remaining time any more once nothing may start there. */
+function departureOf ({ leaving, remaining }: TargetFacts, before: Seen | undefined): Departure {
+  if (remaining !== undefined) return Departure.Left
+  const announced = before !== undefined && before.awaySince === undefined && before.departure === Departure.Left
+  return leaving && announced ? Departure.Left : Departure.Lost
+}
+
 /** Whether it takes work now and still does then: nobody knows when an evacuation ends. */
 function takesWork (agent: AgentView, ahead: number, now: number): boolean {
   return agent.reachable(now) && agent.takesWork(now + ahead)
--- a/packages/dispatch/test/capacityforecast.test.ts
+++ b/packages/dispatch/test/capacityforecast.test.ts
@@ -90,6 +90,28 @@
   expect(cores(forecast, [one, two], 5000)).toEqual([8, 8])
 })
 
+// An agent states no remaining time any more once nothing may start at its leaving target.
+test('a target that took no more tasks before it left as announced is not expected back because lost ones were', () => {
+  const forecast = new CapacityForecast()
+  const [one, two] = [agent('one'), agent('two', { leaving: true, remaining: 100 })]
+  away(forecast, one, 0, 600)
+  forecast.note(two, NOW - 50)
+  two.noteTarget({ ...TARGET, leaving: true })
+  forecast.note(two, NOW - 20)
+  away(forecast, two, NOW)
+  expect(cores(forecast, [one, two], 5000)).toEqual([8, 8])
+})
+
+test('a target that takes work again after its notice and is then lost is expected back as lost ones are', () => {
+  const forecast = new CapacityForecast()
+  const [one, two] = [agent('one'), agent('two', { leaving: true, remaining: 100 })]
+  away(forecast, one, 0, 600)
+  forecast.note(two, NOW - 50)
+  two.noteTarget(TARGET)
+  away(forecast, two, NOW)
+  expect(cores(forecast, [one, two], 600)).toEqual([16, 16])
+})
+
 test('a target of a machine that is forgotten is not expected back', () => {
   const forecast = new CapacityForecast()
   const [one, two] = [agent('one'), agent('two')]
