Agent: a task does not pass for lapsed while a stray run of the same task is listed behind it

Cause: what a poll lists as running was kept by task, with one run each. When a target listed two runs of one task, the one that the agent holds and one that nobody asked for, the later row hid the earlier: the own task was reported as lapsed while it ran, its entry began it elsewhere, and its run was stopped as a stray only with the next poll. The room at the target saw one of the two as well.

Ruled out: that a poll can be refused for it. Two rows of one task are two runs, and both have to be seen.

Change: listed runs are told apart by task and run, by the key that the room at the target uses already.

Before and after: the new test reported 'own gone lapsed' at the first poll that lists both; now no end, and the stray is ordered to stop. The other tests of cancellations, capacity changes and agents hold unchanged.

--- a/packages/dispatch/src/targetroom.ts
+++ b/packages/dispatch/src/targetroom.ts
@@ -76,7 +76,7 @@
 
   /** The target has listed the end of a run: its room is free, whatever an earlier poll says. */
   noteEnded (task: string, run: number): void {
-    this.#withheld.delete(keyOf(task, run))
+    this.#withheld.delete(runKey(task, run))
     const needs = this.#needsOf(task)
     if (needs !== undefined) this.#remember(task, { needs, ended: Math.max(run, this.#left.get(task)?.ended ?? 0) })
   }
@@ -84,27 +84,26 @@
   /** A poll lists a run that nobody here holds. */
   noteStray (task: string, run: number, now: number): void {
     if (run <= (this.#left.get(task)?.ended ?? 0)) return
-    const key = keyOf(task, run)
+    const key = runKey(task, run)
     const listedAt = this.#withheld.get(key)?.listedAt ?? now
     this.#withheld.set(key, { needs: this.#needsOf(task), listedAt, until: Infinity })
   }
 
   /** The stop of a run was confirmed whose end the target has not listed: it may have begun unheard, and be stopping. */
   noteStopped ({ order: { task, needs }, run, stopConfirmedAt = 0 }: HeldTask): void {
-    this.#withheld.set(keyOf(task, run), { needs, listedAt: 0, until: stopConfirmedAt + this.#parts.stop })
+    this.#withheld.set(runKey(task, run), { needs, listedAt: 0, until: stopConfirmedAt + this.#parts.stop })
   }
 
   /**
    * A poll was answered.
    *
-   * @param running runs that it lists, by task
+   * @param running keys of the runs that it lists
    * @param sent when it was sent
    */
-  settle (running: ReadonlyMap<string, number>, sent: number, now: number): void {
+  settle (running: ReadonlySet<string>, sent: number, now: number): void {
     for (const [key, stray] of this.#withheld) {
       if (stray.until !== Infinity || sent < stray.listedAt) continue
-      const listed = [...running].some(([task, run]) => keyOf(task, run) === key)
-      if (!listed) stray.until = now + this.#parts.stop
+      if (!running.has(key)) stray.until = now + this.#parts.stop
     }
   }
 
@@ -138,6 +137,7 @@
   }
 }
 
-function keyOf (task: string, run: number): string {
+/** Names one run of a task: a target may list several of one task. */
+export function runKey (task: string, run: number): string {
   return `${task}/${run}`
 }
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -11,6 +11,7 @@
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
+import { runKey } from './targetroom.ts'
 
 /** Run numbers skipped after a refusal as old, times the refusals so far. */
 const RUN_STEP = 8
@@ -196,18 +197,18 @@
 
   polled ({ sent, running, ended }: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     for (const end of ended) this.#runEnded(end, now)
-    const runs = new Map(running.map(({ task, run }) => [task, run]))
+    const runs = new Set(running.map(({ task, run }) => runKey(task, run)))
     const strays = new Map<string, number>()
     for (const { task, run, percent } of running) {
       const held = this.#held.get(task)
       if (held !== undefined && held.run === run) this.#runs(held, percent, now)
-      else strays.set(`${task}/${run}`, this.#stray(task, run, now))
+      else strays.set(runKey(task, run), this.#stray(task, run, now))
     }
     this.#strays = strays
     this.#held.strayStays = [...strays.values()].some(since => now - since >= STRAY_MILLISECONDS)
     this.#parts.room.settle(runs, sent, now)
     if (ended.length < ENDS_PER_POLL) {
-      for (const held of this.#held.all()) if (runs.get(held.order.task) !== held.run) this.#absent(held, sent, now)
+      for (const held of this.#held.all()) if (!runs.has(runKey(held.order.task, held.run))) this.#absent(held, sent, now)
     }
     this.#reportSlow(now)
   }
@@ -235,7 +236,7 @@
     this.#parts.room.noteStray(task, run, now)
     this.#context.note('stray run stopped', { task, run })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
-    return this.#strays.get(`${task}/${run}`) ?? now
+    return this.#strays.get(runKey(task, run)) ?? now
   }
 
   /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -131,3 +131,16 @@
   bench.startAnswered('next', StartAnswer.Started)
   expect([bench.of('start').length, bench.ends()]).toEqual([1, []])
 })
+
+// Guards against two listed runs of one task, of which only the last counted: the own one passed for lapsed while it ran.
+test('a task goes on beside a stray run of the same task', () => {
+  const bench = AgentBench.ready()
+  bench.run('own')
+  bench.now += 10
+  bench.polled([{ task: 'own', run: 1, percent: 5 }])
+  bench.now += 10
+  bench.take()
+  bench.polled([{ task: 'own', run: 1, percent: 10 }, { task: 'own', run: 3, percent: 0 }])
+  expect(bench.ends()).toEqual([])
+  expect(bench.of('stop').map(({ task, run }) => [task, run])).toEqual([['own', 3]])
+})
