Agent: refusals of a run number as old no longer count as lost stops

Cause: one counter held both how often the run number of a task was refused as old and how often it was ordered to stop. A task whose number had been raised three times had used up all its stops before the first was sent: until that one was confirmed, the lease of the whole target was not renewed and other starts there were refused as unreachable.

Ruled out: setting the counter back when the start is answered. A start that is refused, then unanswered and taken back is not answered, and would still begin with the refusals.

Change: the refusals have a counter of their own. How far the number is raised, and after how many refusals the start is given up, stays as it was.

Before and after: the new test got 'next notStarted unreachable'; now the start beside the first stop is sent. The other tests of agents, cancellations and capacity changes hold unchanged.

Conclusion: a short harm in a rare case, since a first stop is as a rule answered within milliseconds.

--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -31,7 +31,10 @@
   stopSentAt: number
   /** When the target confirmed that it stops; undefined before. */
   stopConfirmedAt: number | undefined
+  /** Orders to stop it so far. */
   stops: number
+  /** Refusals of its run number as old so far. */
+  oldRuns: number
   percent: number
   /** When the progress last changed. */
   advancedAt: number
@@ -93,6 +96,7 @@
       stopSentAt: 0,
       stopConfirmedAt: undefined,
       stops: 0,
+      oldRuns: 0,
       percent: 0,
       advancedAt: now,
       reportedSlowAt: Number.NEGATIVE_INFINITY,
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -135,12 +135,12 @@
    */
   #tryHigherRun (held: HeldTask, now: number): void {
     if (held.stage === Stage.Stopping) return this.finish(held, Outcome.Gone, Cause.Stopped, now)
-    held.stops += 1
-    if (held.stops > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
+    held.oldRuns += 1
+    if (held.oldRuns > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
     const obstacle = this.#parts.obstacle(held.order, now)
     if (obstacle !== Cause.None) return this.finish(held, Outcome.NotStarted, obstacle, now)
     if (!this.#parts.room.holds(now)) return this.finish(held, Outcome.NotStarted, Cause.Full, now)
-    held.run += RUN_STEP * held.stops
+    held.run += RUN_STEP * held.oldRuns
     this.#held.noteRun(held)
     this.#start(held, now)
   }
--- a/packages/dispatch/test/agent.test.ts
+++ b/packages/dispatch/test/agent.test.ts
@@ -272,6 +272,17 @@
   expect(bench.of('start').map(({ run }) => run)).toEqual([1, 9])
 })
 
+// Guards against refusals as old that counted as lost stops: the first stop held up the lease of all tasks.
+test('a task whose run number was raised often is stopped without harm to others', () => {
+  const bench = AgentBench.ready()
+  bench.start([order('job.0.0')])
+  for (const run of [1, 9, 25]) bench.startAnswered('job.0.0', StartAnswer.OldRun, run)
+  bench.startAnswered('job.0.0', StartAnswer.Started, 49)
+  bench.do({ type: 'entryMessage', entry: ENTRY, message: { type: 'stop', tasks: [{ task: 'job.0.0', attempt: 1 }] } })
+  bench.start([order('next')])
+  expect(bench.ends()).toEqual([])
+})
+
 // A caller went away between the order to start and its answer. The stop reached the target first,
 // which refuses the start as old; starting again under a higher number would run a task that
 // counts as stopped (seed 247 of the model checker).
