Partitions: an entry without a partition goes on asking the only holder

Cause: each tick looked again at what waits, and told of room, only where at least two partitions were known. An entry that holds none itself (its processor is far weaker, or it lags) beside one holder knows one partition. A job that came while that holder counted as not answering was dropped from what is to be asked for, and never asked for again, though the holder answered again a second later: it waited until it was refused. The only holder also told nobody of its room.

Ruled out: keeping such jobs among those to be asked for, which has every event walk through them.

Change: with partitions the look at what waits does not depend on the number of partitions.

Before and after: the new test saw no request for the second job before, and one after; the other tests of the file pass.

Conclusion: a job whose holder was away for a moment is asked for again with the next tick.

--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -195,7 +195,8 @@
     else if (this.#watch.suspectSilentAllocators(now)) this.#rolesChanged()
     this.#renew(now)
     this.#requests.tellWaiting()
-    if (this.#map.groups.length < 2) return
+    // Beside one group there is no other to look in; one partition may be another entry's.
+    if (this.#map.groups.length < 2 && !this.#partitions) return
     this.#news.tellRooms(now)
     if (this.#partitions) this.#client.lookAgain()
     else this.#client.lookFurther(!this.choosesItself)
--- a/packages/dispatch/test/partitionsharing.test.ts
+++ b/packages/dispatch/test/partitionsharing.test.ts
@@ -1,7 +1,7 @@
 import type { PeerMessage } from '../src/roommessages.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { HOLDER_SILENCE_MILLISECONDS, QUICK_FOR_MILLISECONDS, SETTLING_MILLISECONDS, UNANSWERED_MILLISECONDS } from '../src/defaults.ts'
+import { HOLDER_SILENCE_MILLISECONDS, QUICK_FOR_MILLISECONDS, SETTLING_MILLISECONDS, UNANSWERED_MILLISECONDS, UNANSWERING_MILLISECONDS } from '../src/defaults.ts'
 import { Entry } from '../src/entry.ts'
 import { partition } from '../src/partitions.ts'
 import { TIMINGS } from './agentbench.ts'
@@ -120,6 +120,25 @@
   expect(made.messages('other', 'ask')).toEqual([])
 })
 
+// The one holder does not answer for a moment, and this entry, whose processor is far weaker, holds nothing itself.
+test('a job that came while the only holder did not answer is asked for once it may answer again', () => {
+  const made = new EntryBench({ strength: -4, policy: { partitions: true } }).serving(...AGENTS)
+  const live = (milliseconds: number): void => {
+    for (let passed = 0; passed < milliseconds; passed += 200) {
+      made.hear('other', { type: 'member', dataCentre: 'one', able: true, strength: 0 })
+      made.pass(200, AGENTS)
+    }
+  }
+  made.peer('other')
+  live(SETTLING_MILLISECONDS + 300)
+  made.submit('first')
+  live(200)
+  made.take()
+  made.submit('second')
+  live(UNANSWERING_MILLISECONDS)
+  expect(made.told('other').filter(({ type }) => type === 'ask').map(message => message.type === 'ask' && message.job)).toEqual(['second'])
+})
+
 // A holder that is frozen keeps its links; its targets must not stand idle until it is back.
 test('the partition of a silent holder is taken, and given back when it is heard again', () => {
   const made = bench('other')
