Partitions: shares are worked out in one order of holders

Cause: the share of a holder is its part of the sum of all speeds, rounded up. Each entry adds the speeds in the order in which it knows the others, itself last, and a sum of fractions depends on its order by the last digit: where the share is a whole number, one entry rounded it up by a target more than another, and they held different maps of the same fleet.

Ruled out: rounding the share first, which only moves the point at which they differ.

Change: holders are sorted by name before their shares are worked out.

Conclusion: entries that know the same targets and holders have the same map.

--- a/packages/dispatch/src/partitions.ts
+++ b/packages/dispatch/src/partitions.ts
@@ -31,7 +31,8 @@
  */
 export function partition (targets: readonly PartitionTarget[], holders: readonly Holder[]): Map<string, string> {
   const held = new Map<string, string>()
-  const strong = strongEnough(holders)
+  // In one order for all: a sum of fractions depends on it.
+  const strong = strongEnough(holders).sort((one, other) => one.name < other.name ? -1 : 1)
   for (const service of new Set(targets.map(target => target.service))) {
     assign(targets.filter(target => target.service === service), strong, held)
   }
--- a/packages/dispatch/test/partitions.test.ts
+++ b/packages/dispatch/test/partitions.test.ts
@@ -28,6 +28,13 @@
   expect(new Map([...partition(targets(48).reverse(), holders(8).reverse())].sort())).toEqual(new Map([...held].sort()))
 })
 
+// Sums of fractions depend on their order by the last digit, which a share that is rounded up makes a whole target.
+test('the shares of holders with unequal processors are the same in whatever order they are known', () => {
+  const unequal = holders(4).map((holder, index) => ({ ...holder, strength: index < 2 ? 2.1 : 0.1 }))
+  const few = ['agent3.0', 'agent3.1', 'agent3.2', 'agent3.3'].map(name => ({ name, service: 'checks', dataCentre: 'five' }))
+  expect(partition(few, [...unequal].reverse())).toEqual(partition(few, unequal))
+})
+
 test('no entry holds much more than its share', () => {
   expect(Math.max(...sizesOf(partition(targets(48), holders(8)))) <= Math.ceil(6 * PARTITION_SLACK)).toEqual(true)
   expect(Math.max(...sizesOf(partition(targets(160), holders(70)))) <= Math.ceil(160 / 70 * PARTITION_SLACK)).toEqual(true)
