Returns: news that nobody takes are bounded

Cause: what refused callers were told is kept until the next message on demand takes it. With the switch of returns on and that of admission by the whole fleet off there is no such message, and each refusal added an item for as long as the process lived.

Ruled out: having no returns without that admission: bookings by one entry alone are of use.

Change: no more news are kept than one message carries, the newest; takeNews sent no others before either. The getter tells how many there are, not only whether there are any.

Conclusion: what an entry remembers of returns is bounded with either switch.

--- a/packages/dispatch/src/demandtelling.ts
+++ b/packages/dispatch/src/demandtelling.ts
@@ -31,9 +31,9 @@
   }
 
   /** Tells all, unless that was done a moment ago, or lately and nothing has changed. */
-  tick (kinds: readonly KindDemand[], returns: Pick<Returns, 'hasNews' | 'takeNews'> | undefined, now: number): void {
+  tick (kinds: readonly KindDemand[], returns: Pick<Returns, 'newsSize' | 'takeNews'> | undefined, now: number): void {
     const since = now - this.#toldAt
-    if (kinds.length === 0 || since < DEMAND_INTERVAL_MILLISECONDS || (since < DEMAND_REPEAT_MILLISECONDS && returns?.hasNews !== true && !this.#changed(kinds))) return
+    if (kinds.length === 0 || since < DEMAND_INTERVAL_MILLISECONDS || (since < DEMAND_REPEAT_MILLISECONDS && (returns?.newsSize ?? 0) === 0 && !this.#changed(kinds))) return
     this.#told = kinds
     this.#toldAt = now
     const told = [...kinds].sort((one, other) => other.offered - one.offered).slice(0, DEMAND_KINDS_TOLD).map(rounded)
--- a/packages/dispatch/src/returns.ts
+++ b/packages/dispatch/src/returns.ts
@@ -36,6 +36,7 @@
   readonly #told = new Map<string, Told>()
   /** Returns booked by kind and slot of time. */
   readonly #booked = new Map<string, Map<number, number>>()
+  /** Of one message at most. */
   #news: Array<{ id: string, told: Told }> = []
 
   arrival (id: string, now: number): Arrival {
@@ -62,6 +63,7 @@
     const told = { due: now + pause, refusals: Math.min(REFUSALS_BEFORE_PRECEDENCE, (before?.refusals ?? 0) + 1), booked }
     this.#remember(id, told)
     this.#news.push({ id, told })
+    if (this.#news.length > RETURNS_TOLD) this.#news.shift()
     return told.due - now
   }
 
@@ -71,13 +73,14 @@
     for (const notice of notices.slice(0, RETURNS_TOLD)) if (isNotice(notice)) this.#remember(notice.id, { due: now + notice.within, refusals: notice.refusals, booked: notice.booked })
   }
 
-  get hasNews (): boolean {
-    return this.#news.length > 0
+  /** Refused callers of which the other entries are still to hear. */
+  get newsSize (): number {
+    return this.#news.length
   }
 
   /** What was told to refused callers since the last call, for the other entries. */
   takeNews (now: number): ReturnNotice[] {
-    const news = this.#news.slice(-RETURNS_TOLD).map(({ id, told: { due, refusals, booked } }) => ({ id, within: Math.round(due - now), refusals, booked }))
+    const news = this.#news.map(({ id, told: { due, refusals, booked } }) => ({ id, within: Math.round(due - now), refusals, booked }))
     this.#news = []
     return news
   }
--- a/packages/dispatch/test/returns.test.ts
+++ b/packages/dispatch/test/returns.test.ts
@@ -1,6 +1,7 @@
 /** Refused callers that come back: when they are told to, and what they find. */
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { RETURNS_TOLD } from '../src/defaults.ts'
 import { Arrival, Returns } from '../src/returns.ts'
 import { EntryBench, step } from './entrybench.ts'
 
@@ -166,6 +167,14 @@
   expect([other.arrival('job', 5200), other.arrival('job', 6000)]).toEqual([Arrival.Early, Arrival.AsTold])
 })
 
+// Without admission by the whole fleet, or without demand to tell, nobody takes the news.
+test('news that nobody takes are dropped but for those of one message', () => {
+  const returns = new Returns()
+  for (let index = 0; index < 2 * RETURNS_TOLD; index += 1) returns.refused(`job${index}`, 'kind', 100, 1000)
+  expect(returns.newsSize).toEqual(RETURNS_TOLD)
+  expect(returns.takeNews(1000).at(-1)?.id).toEqual(`job${2 * RETURNS_TOLD - 1}`)
+})
+
 // Guards against a peer that lets callers in, or keeps them out, by a word that makes no sense.
 test('a notice of a return that makes no sense is left out', () => {
   const returns = new Returns()
