Placement: no task waits for fast targets that take no work

Cause: a task that would be late wherever there is room waits while the fastest targets would serve it in time. Among these counted targets of an evacuated data centre, whose agents stay linked, and targets that leave: they give no room any more, and the task waited until it was late everywhere.

Ruled out: leaving out targets that are ejected or paused as well: they may be back within the time for which a task waits. A leaving target that is used still takes tasks; it only is no reason to wait.

Change: the speed of the fastest targets is that of those which stay.

Conclusion: in an evacuation tasks go to the slower targets at once.

--- a/packages/dispatch/src/fleetspeeds.ts
+++ b/packages/dispatch/src/fleetspeeds.ts
@@ -66,12 +66,12 @@
     this.#noteKinds(now)
   }
 
-  /** Speed of the fastest targets of a service with the label, leaving out few that are faster still; 1 when none is known. */
+  /** Speed of the fastest targets that take work of a service, with the label, leaving out few that are faster still; 1 when none is known. */
   fastest (service: string, label: string): number {
     const key = `${service} ${label}`
     let speed = this.#fastest.get(key)
     if (speed === undefined) {
-      speed = fastestOf(this.#agents.filter(({ linked, target }) => linked && target?.service === service && (label === '' || target.labels.includes(label))))
+      speed = fastestOf(this.#agents.filter(agent => mayTake(agent, service, label)))
       this.#fastest.set(key, speed)
     }
     return speed
@@ -133,6 +133,12 @@
   return steady === undefined ? { name, labels, pace, error: RECENT_PACE_ERROR } : { name, labels, ...steady }
 }
 
+/** Whether the target will take tasks with the label when it has room: one that leaves hardly will. */
+function mayTake ({ linked, evacuated, target }: AgentView, service: string, label: string): boolean {
+  if (!linked || evacuated || target?.service !== service || target.leaving) return false
+  return label === '' || target.labels.includes(label)
+}
+
 /** Speed that the fastest targets reach that make a part of all processors worth waiting for. */
 function fastestOf (agents: readonly AgentView[]): number {
   const bySpeed = [...agents].sort((one, other) => other.speed - one.speed)
--- a/packages/dispatch/test/learnedspeeds.test.ts
+++ b/packages/dispatch/test/learnedspeeds.test.ts
@@ -89,6 +89,21 @@
   expect(Math.abs((kinds['fast'] ?? 0) / (kinds['slow'] ?? 1) - 2) < 0.1).toEqual(true)
 })
 
+// The fast targets leave, or their data centre is evacuated: they will have no room soon.
+test('targets that take no work are not waited for', () => {
+  const speeds = new FleetSpeeds({ policy: { ...POLICY, learnsSpeed: true, probesSlow: true }, note: () => {} })
+  const agents = ['slow', 'leaving', 'evacuated'].map(name => {
+    const agent = new AgentView(name)
+    agent.linked = true
+    agent.evacuated = name === 'evacuated'
+    agent.noteTarget({ instance: name, service: 'checks', dataCentre: 'one', capacity: { cpu: 1000, memory: 0, accelerators: 0 }, labels: [], leaving: name === 'leaving' })
+    return agent
+  })
+  speeds.review(agents, 0)
+  agents[0]?.noteLearned(0.5, false)
+  expect(speeds.fastest('checks', '')).toEqual(0.5)
+})
+
 test('the speed of a kind is logged once', () => {
   const bench = started()
   const notes: unknown[] = []
