--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -13,9 +13,9 @@
 const GRACE_RESERVE_MILLISECONDS = 1200
 
 /**
- * How much longer than estimated a job may take that is accepted while stopping: estimates are off by 40%. With twice the
- * estimate jobs of 1.3 s were refused from 2.1 s of the 6 s on, when the balancer still sends new callers here; one that is
- * cut all the same is answered as not finished, and its caller submits it to another entry.
+ * How much longer than estimated a job may take that is accepted while stopping: estimates are off by 40%. The balancer still
+ * sends new callers here for a while; a job that is cut all the same is answered as not finished, and its caller submits it
+ * to another entry.
  */
 const STOP_ESTIMATE_FACTOR = 1.4
 
