Partitions: the room that an entry told is forgotten with the entry

Cause: what each holder had told of its room stayed in two maps by its name when its link had ended. Names of entries change as they come and go, so the maps grew for as long as the process lived, and the status told the old room for an entry that was linked again.

Ruled out: forgetting by age, since room that is old counts as unknown already and only the end of the link says that it will not be renewed. Data centres, by which room is told without partitions, stay few.

Change: the end of a link forgets what was told over it.

Conclusion: what is known of others is bounded by the links that stand.

--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -243,6 +243,12 @@
     this.#roomsToldAt.set(group, now)
   }
 
+  /** The group is gone for good, as far as known. */
+  forgetRoom (group: string): void {
+    this.#rooms.delete(group)
+    this.#roomsToldAt.delete(group)
+  }
+
   noteWaiting (peer: string, job: Job, crowded: boolean, now: number): void {
     const asked = this.#asked.get(job)
     if (asked?.peer !== peer) return
--- a/packages/dispatch/src/roomsharing.ts
+++ b/packages/dispatch/src/roomsharing.ts
@@ -2,10 +2,10 @@
  * How the entries share the room at the targets: one of them gives out that of a group, or each that of its own partition, and
  * the others ask it.
  *
- * Entries that choose targets by themselves all see the same room, from load reports that are up to half a second old: a
- * third of their starts came back as full, each after a round trip, and the last tasks of wide jobs were late. The entry
- * that gives out the room knows of all that is under way. It keeps nothing that must survive it: agents still refuse what
- * does not fit, so two allocators at a time, or none for a moment, cost refused starts and nothing else.
+ * Entries that choose targets by themselves all see the same room, from load reports that are up to half a second old: many
+ * of their starts come back as full, each after a round trip, and the last tasks of wide jobs are late. The entry that
+ * gives out the room knows of all that is under way. It keeps nothing that must survive it: agents still refuse what does
+ * not fit, so two allocators at a time, or none for a moment, cost refused starts and nothing else.
  */
 import type { EntryEffect } from './entrytypes.ts'
 import type { Fleet } from './fleet.ts'
@@ -152,6 +152,7 @@
   peerUnlinked (peer: string, now: number): void {
     this.#peers.unlink(peer)
     this.#requests.removeAllOf(peer)
+    if (this.#partitions) this.#client.forgetRoom(peer)
     this.#renew(now)
   }
 
--- a/packages/dispatch/test/partitionsharing.test.ts
+++ b/packages/dispatch/test/partitionsharing.test.ts
@@ -184,6 +184,17 @@
   expect(made.messages('other', 'declined').map(({ job }) => job)).toEqual(['job'])
 })
 
+// Entries come and go for months: what each has told must not stay.
+test('the room of an entry that is gone is forgotten', () => {
+  const made = bench('other')
+  made.live(200, ['other'])
+  made.do({ type: 'peerUnlinked', peer: 'other' })
+  made.peer('other')
+  made.pass(TICK, AGENTS)
+  const { groups } = made.entry.scheduling(made.now).room
+  expect(groups.filter(({ entry }) => entry === 'other').map(({ free }) => free)).toEqual([0])
+})
+
 test('a new entry takes its share within a second', () => {
   const made = bench()
   expect(made.entry.scheduling(made.now).room.groups.map(({ entry }) => entry)).toEqual(['self'])
