Placement: entries of earlier builds get room from one that places by slack

Cause: an entry of an earlier build does not say by when its tasks must have ended. The time left was then not a number, every target counted as useless though not too late, and the task as one that waits for a faster target: each request was declined, or waited until it was refused, as long as both builds ran.

Ruled out: to take the time as unlimited within the choice by slack, which gives such tasks the slowest targets.

Change: a task of which the time left is not known goes where it is expected to end first, as without slack.

Conclusion: placement by slack can be switched on while builds are mixed.

--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -123,7 +123,8 @@
 
   #choose (wanted: Omit<PlacementRequest, 'farPenalty' | 'farWay'>, candidates: readonly AgentView[], service: string): AgentView | undefined {
     const { policy, fleet: { farCost, speeds } } = this.#parts
-    if (!policy.placesBySlack) return choose({ ...wanted, farPenalty: policy.farPenalty, farWay: 0 }, candidates)
+    // An entry of an earlier build does not say how much time is left.
+    if (!policy.placesBySlack || wanted.left === Infinity) return choose({ ...wanted, farPenalty: policy.farPenalty, farWay: 0 }, candidates)
     const request = { ...wanted, farPenalty: farCost.of(wanted.dataCentre), farWay: farCost.way }
     return chooseBySlack(request, candidates, speeds.fastest(service, request.step.label))
   }
@@ -137,7 +138,7 @@
         step,
         expected: step.expected,
         now,
-        left: request.arrivedAt + step.endBy - now,
+        left: request.arrivedAt + (step.endBy ?? Infinity) - now,
         avoid: task.avoid,
         isolation: task.isolation ?? Isolation.None,
         dataCentre: this.#parts.dataCentreOf(request.peer),
--- a/packages/dispatch/src/roommessages.ts
+++ b/packages/dispatch/src/roommessages.ts
@@ -18,8 +18,8 @@
   /** Expected run time at an average target, in milliseconds. */
   expected: number
   tasks: RoomTask[]
-  /** Milliseconds until the tasks must have ended for the job to be in time; negative when that has passed. */
-  endBy: number
+  /** Milliseconds until the tasks must have ended for the job to be in time; negative when that has passed. Builds before it leave it out. */
+  endBy?: number
   /** Agents where tasks of the step are placed already, each as often as it has one. */
   placed: string[]
 }
