Constants of each part in a file of their own

Ruled out: constants beside each class, where options would stand apart. Change: moved only; every value as it was.

--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -6,7 +6,7 @@
  * link. What they hear they tell only to entries that link later, so that nothing goes round.
  */
 import type { PeerMessage } from './roommessages.ts'
-import { CANCELLATION_MEMORY_MILLISECONDS, CANCELLATIONS_REMEMBERED } from './defaults.ts'
+import { CANCELLATION_MEMORY_MILLISECONDS, CANCELLATIONS_REMEMBERED } from './crashdefaults.ts'
 
 export interface CancellationsParts {
   /** Cancelled ids are remembered. */
--- a/packages/dispatch/src/capacityforecast.ts
+++ b/packages/dispatch/src/capacityforecast.ts
@@ -7,7 +7,7 @@
  */
 import type { AgentView } from './fleetview.ts'
 import type { TargetFacts } from './messages.ts'
-import { ABSENCE_RATE, OVERDUE_FACTOR } from './defaults.ts'
+import { ABSENCE_RATE, OVERDUE_FACTOR } from './capacitydefaults.ts'
 
 /** Thousandths of cores. */
 export interface CapacityFigures {
--- a/packages/dispatch/src/crashmemory.ts
+++ b/packages/dispatch/src/crashmemory.ts
@@ -1,6 +1,6 @@
 /** What an agent remembers of the tasks that were on its target when it went down or fell silent. */
 import type { CrashRecord } from './messages.ts'
-import { CRASH_MEMORY_MILLISECONDS, CRASHES_REMEMBERED } from './defaults.ts'
+import { CRASH_MEMORY_MILLISECONDS, CRASHES_REMEMBERED } from './crashdefaults.ts'
 import { CrashEvidence } from './messages.ts'
 
 interface Remembered {
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -9,7 +9,7 @@
 import {
   CRASH_COMPANIONS, CRASH_MEMORY_MILLISECONDS, CRASH_WAVE_LEAST, CRASH_WAVE_MILLISECONDS, CRASH_WAVE_PART,
   CRASHES_BEFORE_CONVICTION, CRASHES_BEFORE_GIVING_UP, SUSPECTS_REMEMBERED
-} from './defaults.ts'
+} from './crashdefaults.ts'
 import { CrashEvidence } from './messages.ts'
 
 /** How a task may be started. */
--- a/packages/dispatch/src/demandmeter.ts
+++ b/packages/dispatch/src/demandmeter.ts
@@ -1,5 +1,5 @@
 /** How much work arrives in each second, of each of several names. */
-import { DEMAND_NAMES_LIMIT, DEMAND_WINDOW_MILLISECONDS } from './defaults.ts'
+import { DEMAND_NAMES_LIMIT, DEMAND_WINDOW_MILLISECONDS } from './admissiondefaults.ts'
 
 interface Sum {
   /** Work that has arrived, the older the less. */
--- a/packages/dispatch/src/demandtelling.ts
+++ b/packages/dispatch/src/demandtelling.ts
@@ -2,7 +2,7 @@
 import type { EntryEffect } from './entrytypes.ts'
 import type { Returns } from './returns.ts'
 import type { KindDemand } from './roommessages.ts'
-import { DEMAND_CHANGE_PART, DEMAND_INTERVAL_MILLISECONDS, DEMAND_KINDS_TOLD, DEMAND_REPEAT_MILLISECONDS } from './defaults.ts'
+import { DEMAND_CHANGE_PART, DEMAND_INTERVAL_MILLISECONDS, DEMAND_KINDS_TOLD, DEMAND_REPEAT_MILLISECONDS } from './admissiondefaults.ts'
 
 const FIGURES = ['offered', 'running', 'waiting'] as const
 
--- a/packages/dispatch/src/demandview.ts
+++ b/packages/dispatch/src/demandview.ts
@@ -1,6 +1,6 @@
 /** What the other entries have told of the demand that they see. */
 import type { KindDemand, PeerMessage } from './roommessages.ts'
-import { DEMAND_KINDS_TOLD, DEMAND_LIMIT_CORES, DEMAND_MEMORY_MILLISECONDS, DEMAND_NAME_LIMIT } from './defaults.ts'
+import { DEMAND_KINDS_TOLD, DEMAND_LIMIT_CORES, DEMAND_MEMORY_MILLISECONDS, DEMAND_NAME_LIMIT } from './admissiondefaults.ts'
 
 type DemandMessage = Extract<PeerMessage, { type: 'demand' }>
 
--- a/packages/dispatch/src/farcost.ts
+++ b/packages/dispatch/src/farcost.ts
@@ -1,6 +1,6 @@
 /** What a target of another data centre costs: what was measured, and more while there is room nearby. */
 import type { AgentView } from './fleetview.ts'
-import { NEAR_ROOM_PART, WAY_RATE } from './defaults.ts'
+import { NEAR_ROOM_PART, WAY_RATE } from './speeddefaults.ts'
 
 export interface FarCostParts {
   /** What a far target is worth avoiding while there is room nearby, in milliseconds. */
--- a/packages/dispatch/src/fleetadmission.ts
+++ b/packages/dispatch/src/fleetadmission.ts
@@ -17,7 +17,10 @@
 import type { KindDemand, PeerMessage } from './roommessages.ts'
 import type { KindShare, ServiceRoom } from './shareplan.ts'
 import { AdmissionCounts } from './admissioncounts.ts'
-import { CAPACITY_LOSS_PART, DEMAND_NAMES_LIMIT, FORESEEN_WAIT_PART, MOST_OFFERED_PART, MOST_WAITING_PART, SHARE_NOTE_MILLISECONDS, SHARES_INTERVAL_MILLISECONDS, STALE_PART, TOLD_OVER_USED } from './defaults.ts'
+import {
+  CAPACITY_LOSS_PART, DEMAND_NAMES_LIMIT, FORESEEN_WAIT_PART, MOST_OFFERED_PART, MOST_WAITING_PART,
+  SHARE_NOTE_MILLISECONDS, SHARES_INTERVAL_MILLISECONDS, STALE_PART, TOLD_OVER_USED
+} from './admissiondefaults.ts'
 import { DemandMeter } from './demandmeter.ts'
 import { DemandTelling } from './demandtelling.ts'
 import { DemandView } from './demandview.ts'
--- a/packages/dispatch/src/fleetspeeds.ts
+++ b/packages/dispatch/src/fleetspeeds.ts
@@ -2,7 +2,11 @@
 import type { AgentView } from './fleetview.ts'
 import type { Policy } from './policy.ts'
 import type { PaceObserved, SpeedsLearned } from './targetspeeds.ts'
-import { CERTAIN_ERROR, FASTEST_PART, KIND_NOTE_MILLISECONDS, KIND_NOTES, KIND_SPEED_CHANGE, PROBED_SPEED, RECENT_PACE_ERROR, SLOW_NOTE_MILLISECONDS, SPEED_CLASS_STEP, SPEEDS_REVIEW_MILLISECONDS } from './defaults.ts'
+import { PROBED_SPEED } from './defaults.ts'
+import {
+  CERTAIN_ERROR, FASTEST_PART, KIND_NOTE_MILLISECONDS, KIND_NOTES, KIND_SPEED_CHANGE, RECENT_PACE_ERROR,
+  SLOW_NOTE_MILLISECONDS, SPEED_CLASS_STEP, SPEEDS_REVIEW_MILLISECONDS
+} from './speeddefaults.ts'
 import { learnSpeeds } from './targetspeeds.ts'
 import { WorkUnit } from './workunit.ts'
 
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -5,7 +5,11 @@
 import type { Resources } from './resources.ts'
 import type { PaceTold } from './steadypace.ts'
 import { TargetHealth, Trust } from '@amaranthmast/coordination/health'
-import { FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, LEAVING_ESTIMATE_FACTOR, LEAVING_RESERVE_MILLISECONDS, PROBED_SPEED, QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS } from './defaults.ts'
+import { LEAVING_ESTIMATE_FACTOR, LEAVING_RESERVE_MILLISECONDS } from './capacitydefaults.ts'
+import {
+  FASTEST_SPEED, GRANT_MILLISECONDS, IDLE_CONTACT_MILLISECONDS, IDLE_SUSPECT_MILLISECONDS, PROBED_SPEED,
+  QUIET_CONTACT_MILLISECONDS, QUIET_SUSPECT_MILLISECONDS, SLOWEST_SPEED, SUSPECT_MILLISECONDS
+} from './defaults.ts'
 import { Isolation, RoomRole } from './messages.ts'
 import { addTo, mostOf, NO_RESOURCES, takeFrom } from './resources.ts'
 
--- a/packages/dispatch/src/jobqueue.ts
+++ b/packages/dispatch/src/jobqueue.ts
@@ -2,7 +2,7 @@
 import type { Job } from './job.ts'
 import type { Policy } from './policy.ts'
 import { IndexedHeap } from '@amaranthmast/coordination/heap'
-import { LAST_TASKS_PART } from './defaults.ts'
+import { LAST_TASKS_PART } from './speeddefaults.ts'
 
 type OrderPolicy = Pick<Policy, 'priorityStep' | 'byKept' | 'shortestFirst' | 'placesBySlack'>
 
--- a/packages/dispatch/src/partitionchoice.ts
+++ b/packages/dispatch/src/partitionchoice.ts
@@ -1,6 +1,7 @@
 /** Which entry is asked for room in its partition. */
 import { hashString } from '@amaranthmast/coordination/rendezvous'
-import { FAR_ROOM_FACTOR, NEAR_WEIGHT } from './defaults.ts'
+import { FAR_ROOM_FACTOR } from './defaults.ts'
+import { NEAR_WEIGHT } from './partitiondefaults.ts'
 import { drawn } from './partitions.ts'
 
 /** Free processors of a partition of which nothing is known. */
--- a/packages/dispatch/src/partitions.ts
+++ b/packages/dispatch/src/partitions.ts
@@ -1,6 +1,6 @@
 /** Partition of targets among entries: weighted rendezvous hashing with a bound on the targets of each. */
 import { hashString, score } from '@amaranthmast/coordination/rendezvous'
-import { PARTITION_SLACK, WEAK_PROCESSOR_PART } from './defaults.ts'
+import { PARTITION_SLACK, WEAK_PROCESSOR_PART } from './partitiondefaults.ts'
 
 /** An entry that may hold targets. */
 export interface Holder {
--- a/packages/dispatch/src/peerwatch.ts
+++ b/packages/dispatch/src/peerwatch.ts
@@ -4,7 +4,8 @@
 import type { RoomClient } from './roomclient.ts'
 import type { RoomMap } from './roommap.ts'
 import type { RoomNews } from './roomnews.ts'
-import { ALLOCATOR_SILENCE_MILLISECONDS, HOLDER_SILENCE_MILLISECONDS, PEER_SILENCE_MILLISECONDS, UNANSWERING_MILLISECONDS } from './defaults.ts'
+import { ALLOCATOR_SILENCE_MILLISECONDS, PEER_SILENCE_MILLISECONDS } from './defaults.ts'
+import { HOLDER_SILENCE_MILLISECONDS, UNANSWERING_MILLISECONDS } from './partitiondefaults.ts'
 
 /** Member messages of a holder that may be missing before it counts as silent. */
 const MEMBERS_MISSED = 2.5
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -2,7 +2,8 @@
 import type { AgentView } from './fleetview.ts'
 import type { Step } from './job.ts'
 import type { Policy } from './policy.ts'
-import { COUNTED_FAILURE_RATE, SUSPECT_LOAD_MILLISECONDS } from './defaults.ts'
+import { SUSPECT_LOAD_MILLISECONDS } from './crashdefaults.ts'
+import { COUNTED_FAILURE_RATE } from './defaults.ts'
 import { Isolation } from './messages.ts'
 import { fits } from './resources.ts'
 
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -3,7 +3,8 @@
 import type { Policy } from './policy.ts'
 import type { PaceTold } from './steadypace.ts'
 import {
-  PACE_EVIDENCE_MILLISECONDS, PACE_HALF_LIFE_MILLISECONDS, PROGRESS_WINDOW_MILLISECONDS, SLOW_FACTOR, SLOW_PACE, STUCK_MILLISECONDS, STUCK_PART
+  PACE_EVIDENCE_MILLISECONDS, PACE_HALF_LIFE_MILLISECONDS, PROGRESS_WINDOW_MILLISECONDS, SLOW_FACTOR, SLOW_PACE,
+  STUCK_MILLISECONDS, STUCK_PART
 } from './defaults.ts'
 import { SteadyPace } from './steadypace.ts'
 import { TypicalPace } from './typicalpace.ts'
--- a/packages/dispatch/src/roomclient.ts
+++ b/packages/dispatch/src/roomclient.ts
@@ -4,9 +4,10 @@
 import type { JobQueue } from './jobqueue.ts'
 import type { RoomMessage, RoomStep } from './roommessages.ts'
 import {
-  ALLOCATOR_SILENCE_MILLISECONDS, ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR, HOLDER_SILENCE_MILLISECONDS,
-  QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS, UNANSWERED_MILLISECONDS
+  ALLOCATOR_SILENCE_MILLISECONDS, ANSWER_PROBE_MILLISECONDS, ANSWER_TIME_RATE, FAR_ROOM_FACTOR,
+  QUICK_ANSWER_MILLISECONDS, SLOW_ANSWER_MILLISECONDS
 } from './defaults.ts'
+import { HOLDER_SILENCE_MILLISECONDS, UNANSWERED_MILLISECONDS } from './partitiondefaults.ts'
 import { endOfStep, JobState } from './job.ts'
 import { Isolation } from './messages.ts'
 import { choosePartition, UNKNOWN_ROOM } from './partitionchoice.ts'
--- a/packages/dispatch/src/roomnews.ts
+++ b/packages/dispatch/src/roomnews.ts
@@ -3,7 +3,8 @@
 import type { RoomMap } from './roommap.ts'
 import type { MemberFacts, RoomMessage } from './roommessages.ts'
 import { hashString } from '@amaranthmast/coordination/rendezvous'
-import { MEMBER_INTERVAL_MILLISECONDS, MEMBERS_EACH_SECOND, NEAR_WEIGHT, ROOM_BEAT_MILLISECONDS, ROOM_CHANGE_PART, ROOM_INTERVAL_MILLISECONDS, ROOM_NEIGHBOURS } from './defaults.ts'
+import { MEMBER_INTERVAL_MILLISECONDS, ROOM_CHANGE_PART, ROOM_INTERVAL_MILLISECONDS } from './defaults.ts'
+import { MEMBERS_EACH_SECOND, NEAR_WEIGHT, ROOM_BEAT_MILLISECONDS, ROOM_NEIGHBOURS } from './partitiondefaults.ts'
 import { drawOf } from './partitions.ts'
 
 export interface RoomNewsParts {
--- a/packages/dispatch/src/sharegate.ts
+++ b/packages/dispatch/src/sharegate.ts
@@ -1,5 +1,5 @@
 /** Lets a part of the jobs of one kind through, evenly, whatever their size. */
-import { RETURN_DEBT_LIMIT } from './defaults.ts'
+import { RETURN_DEBT_LIMIT } from './admissiondefaults.ts'
 
 /** Rounding of the sum of many parts. */
 const ROUNDING = 1e-9
--- a/packages/dispatch/src/shareplan.ts
+++ b/packages/dispatch/src/shareplan.ts
@@ -1,7 +1,7 @@
 /** Shares of the kinds of job in the capacity of one service, from what all entries see. */
 import type { KindDemand } from './roommessages.ts'
 import { maxMinShares } from './capacityshares.ts'
-import { CALM_PART, EXCESS_TOLERATED, LARGEST_TRIM, SMALLEST_TRIM, TRIM_MILLISECONDS, WANTED_GAIN, WANTED_PART } from './defaults.ts'
+import { CALM_PART, EXCESS_TOLERATED, LARGEST_TRIM, SMALLEST_TRIM, TRIM_MILLISECONDS, WANTED_GAIN, WANTED_PART } from './admissiondefaults.ts'
 
 /** In cores, except the threshold. */
 export interface KindShare extends KindDemand {
--- a/packages/dispatch/src/slackplacement.ts
+++ b/packages/dispatch/src/slackplacement.ts
@@ -1,7 +1,8 @@
 /** Which target a task goes to by what it can bear: fast targets are left to the tasks that are late elsewhere. */
 import type { AgentView } from './fleetview.ts'
 import type { PlacementRequest } from './placement.ts'
-import { FAST_PLACE_MILLISECONDS, LATE_FACTOR, SLACK_MARGIN_PART } from './defaults.ts'
+import { LATE_FACTOR } from './defaults.ts'
+import { FAST_PLACE_MILLISECONDS, SLACK_MARGIN_PART } from './speeddefaults.ts'
 import { allows, runOf, sideCostOf } from './placement.ts'
 
 /** How a target would serve the task. */
--- a/packages/dispatch/src/steadypace.ts
+++ b/packages/dispatch/src/steadypace.ts
@@ -1,5 +1,5 @@
 /** Pace of a target over its last seconds, and how far it can be relied on. */
-import { CHANGED_PACE, PACE_BATCH_MILLISECONDS, STEADY_HALF_LIFE_MILLISECONDS, TASK_LOG_DEVIATION, TASK_LOG_LIMIT, WHOLE_WEIGHT_MILLISECONDS } from './defaults.ts'
+import { CHANGED_PACE, PACE_BATCH_MILLISECONDS, STEADY_HALF_LIFE_MILLISECONDS, TASK_LOG_DEVIATION, TASK_LOG_LIMIT, WHOLE_WEIGHT_MILLISECONDS } from './speeddefaults.ts'
 
 /** As it is told to entries. */
 export interface PaceTold {
--- a/packages/dispatch/src/targetnotice.ts
+++ b/packages/dispatch/src/targetnotice.ts
@@ -1,5 +1,6 @@
 /** A target's notice that it leaves: since when it is known, when the target is gone, and what may still start there. */
-import { NOTICE_CHANGE_MILLISECONDS, START_TIMEOUT_MILLISECONDS } from './defaults.ts'
+import { NOTICE_CHANGE_MILLISECONDS } from './capacitydefaults.ts'
+import { START_TIMEOUT_MILLISECONDS } from './defaults.ts'
 
 /** What an announcement says of it. */
 export interface Notice {
--- a/packages/dispatch/src/targetroom.ts
+++ b/packages/dispatch/src/targetroom.ts
@@ -1,7 +1,7 @@
 /** The room at the target beside an agent: what fits beside all that may run there, whoever asked for it. */
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { Resources } from './resources.ts'
-import { RUNS_LEFT_REMEMBERED } from './defaults.ts'
+import { RUNS_LEFT_REMEMBERED } from './capacitydefaults.ts'
 import { addTo, fits, NO_RESOURCES } from './resources.ts'
 
 export interface TargetRoomParts {
--- a/packages/dispatch/src/targetspeeds.ts
+++ b/packages/dispatch/src/targetspeeds.ts
@@ -5,7 +5,7 @@
  * explains speed besides the target itself is found out: a label counts as a kind when its carriers differ from the others
  * far beyond their errors, and a target that nobody knows yet is taken for one of its kind.
  */
-import { CERTAIN_ERROR, KIND_DEVIATIONS, LEAST_KIND_TARGETS, OUTLIER_DEVIATIONS, PACE_FLOOR_ERROR, UNLIKELY_DEVIATIONS } from './defaults.ts'
+import { CERTAIN_ERROR, KIND_DEVIATIONS, LEAST_KIND_TARGETS, OUTLIER_DEVIATIONS, PACE_FLOOR_ERROR, UNLIKELY_DEVIATIONS } from './speeddefaults.ts'
 
 /** What is known about one target. */
 export interface PaceObserved {
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -4,7 +4,11 @@
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { TargetFacts } from './messages.ts'
 import { AnswerTimes } from './answertimes.ts'
-import { IDLE_POLL_MILLISECONDS, POLL_SLACK_MILLISECONDS, POLL_TIMER_MILLISECONDS, POLL_WAIT_MILLISECONDS, LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE } from './defaults.ts'
+import {
+  IDLE_POLL_MILLISECONDS, POLL_SLACK_MILLISECONDS, POLL_TIMER_MILLISECONDS, POLL_WAIT_MILLISECONDS,
+  LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS,
+  STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE
+} from './defaults.ts'
 import { Stage } from './heldtasks.ts'
 import { Cause } from './messages.ts'
 import { TargetPace } from './progress.ts'
--- a/packages/dispatch/src/workunit.ts
+++ b/packages/dispatch/src/workunit.ts
@@ -1,5 +1,5 @@
 /** What callers mean by a millisecond of work: the speed of target by which their estimates hold. */
-import { UNIT_CERTAIN_TASKS, UNIT_MEMORY_TASKS } from './defaults.ts'
+import { UNIT_CERTAIN_TASKS, UNIT_MEMORY_TASKS } from './speeddefaults.ts'
 
 /** An estimate counts as off by this much at most, in the logarithm. */
 const LIMIT = 1
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { StartAnswer } from '../src/agenttypes.ts'
-import { CANCELLATION_MEMORY_MILLISECONDS, CANCELLATIONS_REMEMBERED, STRAY_MILLISECONDS } from '../src/defaults.ts'
+import { CANCELLATION_MEMORY_MILLISECONDS, CANCELLATIONS_REMEMBERED, STRAY_MILLISECONDS } from '../src/crashdefaults.ts'
 import { AgentBench, BOUNDS, order } from './agentbench.ts'
 import { EntryBench } from './entrybench.ts'
 
--- a/packages/dispatch/test/fleetadmission.test.ts
+++ b/packages/dispatch/test/fleetadmission.test.ts
@@ -3,7 +3,7 @@
 import type { KindDemand } from '../src/roommessages.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { DEMAND_LIMIT_CORES } from '../src/defaults.ts'
+import { DEMAND_LIMIT_CORES } from '../src/admissiondefaults.ts'
 import { DemandView } from '../src/demandview.ts'
 import { EntryBench, QUEUE, step } from './entrybench.ts'
 
--- a/packages/dispatch/test/partitions.test.ts
+++ b/packages/dispatch/test/partitions.test.ts
@@ -1,7 +1,7 @@
 import type { Holder, PartitionTarget } from '../src/partitions.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { PARTITION_SLACK } from '../src/defaults.ts'
+import { PARTITION_SLACK } from '../src/partitiondefaults.ts'
 import { choosePartition, UNKNOWN_ROOM } from '../src/partitionchoice.ts'
 import { partition } from '../src/partitions.ts'
 import { ProcessorLag } from '../src/processorlag.ts'
--- a/packages/dispatch/test/returns.test.ts
+++ b/packages/dispatch/test/returns.test.ts
@@ -1,7 +1,7 @@
 /** Refused callers that come back: when they are told to, and what they find. */
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { RETURNS_TOLD } from '../src/defaults.ts'
+import { RETURNS_TOLD } from '../src/admissiondefaults.ts'
 import { Arrival, Returns } from '../src/returns.ts'
 import { EntryBench, step } from './entrybench.ts'
 
