A target whose lease has to end is offered to nobody

Cause: while a run resists its stops the agent turns every start down, but the target looked free: entries tried it again and again, each time at the cost of one of a job's tries. Ruled out: telling its room as taken, which hides the reason. Change: it is withdrawn like a silent one until the run has gone. Before and after: the new test fails without the change; agent tests pass.

--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -173,9 +173,9 @@
     return this.#successor !== undefined && this.#lease.silent && this.#held.size === 0
   }
 
-  /** Whether it takes no work for want of an answer, for longer than a few lost polls would explain. */
+  /** Whether it takes no work: it does not answer for longer than a few lost polls would explain, or its lease has to end. */
   isWithdrawn (now: number): boolean {
-    return this.#context.policy.withdrawsSilent && this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS
+    return this.#context.policy.withdrawsSilent && (this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || !this.#mayRenew())
   }
 
   /** Whether the task can only have begun in the present life: a start that was answered may have reached the next one. */
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -122,6 +122,17 @@
   expect([bench.of('start').length, bench.of('poll').some(({ deadline }) => deadline !== undefined)]).toEqual([0, false])
 })
 
+// Guards against a target that is offered while every start there is turned down: each try cost a job one of those that it has.
+test('a target whose lease has to end is offered to nobody until the run has gone', () => {
+  const bench = withStray(STRAY_MILLISECONDS)
+  const offered = (): unknown[] => bench.sent('announce').map(message => message.type === 'announce' && message.target?.leaving)
+  bench.polled([{ task: 'own', run: 1, percent: 9 }, { task: 'stray', run: 3, percent: 0 }])
+  expect(offered().at(-1)).toEqual(true)
+  bench.take()
+  bench.polled([{ task: 'own', run: 1, percent: 9 }])
+  expect(offered()).toEqual([false])
+})
+
 test('when the run has gone the lease is renewed again', () => {
   const bench = withStray(STRAY_MILLISECONDS)
   bench.polled([{ task: 'own', run: 1, percent: 9 }])
