Crash verdicts: evidence is gathered only where a line is written

Cause: the list of losses was built for every task at each placing, also without any crash. Found in review. Change: moved behind the verdict; lines as before. Before and after: tests of crashes and entries pass; time not measured.

--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -100,18 +100,24 @@
 
   #judge (task: Task, now: number): CrashVerdict {
     const verdict = this.#parts.suspects.verdict(task.name, now)
-    const fields = { job: task.job.request.id, task: task.name, verdict, losses: this.#parts.suspects.evidenceOf(task.name) }
-    if (verdict === CrashVerdict.GivenUp) {
-      this.#parts.suspects.noteConviction()
-      this.#parts.note('task given up', fields)
-    } else if (verdict !== CrashVerdict.Free && !(verdict === CrashVerdict.Withheld ? task.state === TaskState.Withheld : task.isolation === ISOLATION[verdict])) {
-      this.#parts.note('task suspected', fields)
-    }
+    if (verdict !== CrashVerdict.Free) this.#noteVerdict(task, verdict)
     task.isolation = ISOLATION[verdict]
     task.state = verdict === CrashVerdict.Withheld ? TaskState.Withheld : TaskState.Queued
     return verdict
   }
 
+  /** One line for each change of what is believed of a task. */
+  #noteVerdict (task: Task, verdict: CrashVerdict): void {
+    const { suspects, note } = this.#parts
+    const fields = (): Record<string, unknown> => ({ job: task.job.request.id, task: task.name, verdict, losses: suspects.evidenceOf(task.name) })
+    if (verdict === CrashVerdict.GivenUp) {
+      suspects.noteConviction()
+      return note('task given up', fields())
+    }
+    const known = verdict === CrashVerdict.Withheld ? task.state === TaskState.Withheld : task.isolation === ISOLATION[verdict]
+    if (!known) note('task suspected', fields())
+  }
+
   #done (agent: AgentView, { task }: Placement, end: TaskEnd, now: number): void {
     const { job } = task
     const { queue, steps } = job.request
