Placement: suspects at a target are counted, not looked for

Cause: each choice of a target looked through the placements at every candidate for suspects, also without any. Change: two sets kept with each placement.

--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -55,6 +55,9 @@
   free: Resources = { ...NO_RESOURCES }
   readonly used: Resources = { ...NO_RESOURCES }
   readonly placements = new Map<string, Placement>()
+  /** Those of suspects, and of tasks that nothing else may start beside. */
+  readonly #suspects = new Set<Placement>()
+  readonly #reserving = new Set<Placement>()
   /** Room given to tasks of other entries whose starts have not arrived there, by task. */
   readonly #granted = new Map<string, { needs: Resources, at: number }>()
   readonly #grantedSum: Resources = { ...NO_RESOURCES }
@@ -118,12 +121,16 @@
   add (placement: Placement): void {
     if (this.placements.size === 0) this.#busySince = placement.placedAt
     this.placements.set(placement.task.name, placement)
+    if (placement.task.isolation !== Isolation.None) this.#suspects.add(placement)
+    if (placement.task.isolation === Isolation.Alone) this.#reserving.add(placement)
     addTo(this.used, placement.needs)
     this.#measure()
   }
 
   remove (placement: Placement): void {
     if (!this.placements.delete(placement.task.name)) return
+    this.#suspects.delete(placement)
+    this.#reserving.delete(placement)
     takeFrom(this.used, placement.needs)
     this.#measure()
   }
@@ -226,21 +233,13 @@
 
   /** Whether a suspect is there, as far as known. */
   get hasSuspect (): boolean {
-    if (this.#suspectTold) return true
-    for (const { task } of this.placements.values()) if (task.isolation !== Isolation.None) return true
-    return false
-  }
-
-  /** A task is there that nothing else may start beside. */
-  #isReserved (): boolean {
-    for (const { task } of this.placements.values()) if (task.isolation === Isolation.Alone) return true
-    return false
+    return this.#suspectTold || this.#suspects.size > 0
   }
 
   #measure (): void {
     const { target, others, used } = this
     const granted = this.#grantedSum
-    if (target === undefined || this.#isReserved()) return this.noteFull()
+    if (target === undefined || this.#reserving.size > 0) return this.noteFull()
     this.free = {
       cpu: target.capacity.cpu - others.cpu - used.cpu - granted.cpu,
       memory: target.capacity.memory - others.memory - used.memory - granted.memory,
