--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -99,7 +99,9 @@
         hasPlace: agent => agent.hasPlace(),
         isUsed: agent => agent.placements.size > 0,
         entries: this.#parts.entries(),
-        policy: this.#parts.policy
+        policy: this.#parts.policy,
+        farPenalty: this.#parts.policy.farPenalty,
+        farWay: 0
       }, candidates, job.request.queue.service)
       if (agent === undefined) continue
       counts.add(task.step, agent.name)
@@ -121,11 +123,13 @@
     this.#parts.note('tasks placed', { job: job.request.id, at, waited: Math.round(now - job.arrivedAt), left: job.queued().length })
   }
 
-  #choose (wanted: Omit<PlacementRequest, 'farPenalty' | 'farWay'>, candidates: readonly AgentView[], service: string): AgentView | undefined {
+  /** Changes the request in place: a copy for each task takes longer than the choice itself. */
+  #choose (request: PlacementRequest, candidates: readonly AgentView[], service: string): AgentView | undefined {
     const { policy, fleet: { farCost, speeds } } = this.#parts
     // An entry of an earlier build does not say how much time is left.
-    if (!policy.placesBySlack || wanted.left === Infinity) return choose({ ...wanted, farPenalty: policy.farPenalty, farWay: 0 }, candidates)
-    const request = { ...wanted, farPenalty: farCost.of(wanted.dataCentre), farWay: farCost.way }
+    if (!policy.placesBySlack || request.left === Infinity) return choose(request, candidates)
+    request.farPenalty = farCost.of(request.dataCentre)
+    request.farWay = farCost.way
     return chooseBySlack(request, candidates, speeds.fastest(service, request.step.label))
   }
 
@@ -146,7 +150,9 @@
         isUsed: agent => agent.isUsedBy(request.peer, now),
         entries: this.#parts.entries(),
         placedAt: ({ name }) => counts.at(step.index, name),
-        policy: this.#parts.policy
+        policy: this.#parts.policy,
+        farPenalty: this.#parts.policy.farPenalty,
+        farWay: 0
       }, candidates, request.service)
       if (agent === undefined) continue
       counts.add(step.index, agent.name)
