Metrics and log lines of how current the configuration is, and what that costs

The shares of the store and of other entries in a full link had to be worked out from the machines' figures.

Change: versions in force and heard of, age of the last confirmed reading, documents and characters sent, received and received in vain, calls to the store by how they ended; one line when an entry hears of a newer version, one when a document from another entry is newer. No decision changes.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -11,6 +11,7 @@
 import { Dialer } from '@amaranthmast/links/dialer'
 import { PeerRole } from '@amaranthmast/links/greeting'
 import { Listener } from '@amaranthmast/links/listener'
+import { exposeStoreCalls } from './configurationmetrics.ts'
 import { Exposition } from './exposition.ts'
 import { Loop, runLoop } from './loop.ts'
 import { MetricsListener } from './metricslistener.ts'
@@ -153,7 +154,7 @@
     const { tasks, entries, cleared, silent } = this.#agent.status()
     const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
-    exposition.counter('amaranthmast_store_calls_total', 'Calls to the store', Object.entries(this.#options.store.calls()).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
     return exposition.text()
   }
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -16,6 +16,7 @@
 import { Dialer } from '@amaranthmast/links/dialer'
 import { PeerRole } from '@amaranthmast/links/greeting'
 import { Listener } from '@amaranthmast/links/listener'
+import { exposeConfiguration, exposeStoreCalls } from './configurationmetrics.ts'
 import { Exposition } from './exposition.ts'
 import { addressesOf, Gossip, isGossip } from './gossip.ts'
 import { Loop, runLoop } from './loop.ts'
@@ -102,6 +103,7 @@
       settings,
       configured: configuration => this.#configured(configuration),
       agentFound: address => this.#agents.add(address),
+      note: (what, fields) => decisions.decision(what, fields),
       sendAll: message => this.#peers.sendAll(message),
       peers: () => this.#peers.linked,
       send: (peer, message) => this.#peers.send(peer, message)
@@ -201,7 +203,9 @@
     const { suspects, convictions, crashes, ...sizes } = this.#entry.status()
     exposition.gauge('amaranthmast_crashes', 'Tasks suspected of crashing targets, tasks given up for it, and targets that crashed lately', Object.entries({ suspects, convictions, crashes }).map(([figure, value]) => ({ labels: { figure }, value })))
     exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
-    exposition.counter('amaranthmast_store_calls_total', 'Calls to the store', Object.entries(this.#options.store.calls()).map(([kind, value]) => ({ labels: { kind }, value })))
+    const confirmedAt = this.#options.store.confirmedAt()
+    exposeConfiguration(exposition, this.#gossip.status, confirmedAt === undefined ? undefined : this.#options.now() - confirmedAt)
+    exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
     this.#metrics.expose(exposition)
     exposeScheduling(exposition, this.#options.settings.id, this.#entry.scheduling(this.#options.now()))
--- a/packages/daemon/src/gossip.ts
+++ b/packages/daemon/src/gossip.ts
@@ -27,11 +27,25 @@
   return GOSSIP_TYPES.has((message as Partial<GossipMessage> | null | undefined)?.type)
 }
 
+/** What an entry knows of the configuration, and what it has exchanged with others. */
+export interface GossipStatus {
+  version: number
+  /** Newest version that another entry has told of. */
+  newest: number
+  documentsSent: number
+  documentsReceived: number
+  /** Received ones that were not newer than the own. */
+  documentsUseless: number
+  charactersSent: number
+  charactersReceived: number
+}
+
 export interface GossipOptions {
   store: Pick<StorePort, 'readConfiguration'>
   settings: ServiceSettings
   configured: (configuration: DispatchConfiguration) => void
   agentFound: (address: string) => void
+  note: (what: string, fields: Record<string, unknown>) => void
   sendAll: (message: GossipMessage) => void
   /** Names of the entries that can be told something. */
   peers: () => readonly string[]
@@ -41,6 +55,7 @@
 export class Gossip {
   readonly #options: GossipOptions
   readonly #agents = new Set<string>()
+  readonly #status: GossipStatus = { version: 0, newest: 0, documentsSent: 0, documentsReceived: 0, documentsUseless: 0, charactersSent: 0, charactersReceived: 0 }
   #version = 0
   #document = ''
   #timer: NodeJS.Timeout | undefined
@@ -54,6 +69,10 @@
     return this.#version
   }
 
+  get status (): Readonly<GossipStatus> {
+    return { ...this.#status, version: this.#version }
+  }
+
   start (): void {
     this.#timer = setInterval(() => this.#tellSome(), TELL_MILLISECONDS)
   }
@@ -92,16 +111,34 @@
     return [{ type: 'agents', addresses: [...this.#agents] }, { type: 'version', version: this.#version }]
   }
 
-  received (_peer: Greeting, message: GossipMessage, reply: (message: GossipMessage) => void): void {
+  received (peer: Greeting, message: GossipMessage, reply: (message: GossipMessage) => void): void {
     if (message.type === 'agents') {
       for (const address of message.addresses) this.#options.agentFound(address)
     } else if (message.type === 'configuration') {
-      const configuration = this.#options.store.readConfiguration(message.document)
-      if (configuration !== undefined) this.offer(configuration, message.document)
-    } else if (message.version < this.#version) {
+      this.#receivedDocument(peer, message.document)
+    } else {
+      this.#heard(peer, message.version)
+      if (message.version >= this.#version) return
+      this.#status.documentsSent += 1
+      this.#status.charactersSent += this.#document.length
       reply({ type: 'configuration', document: this.#document })
     }
   }
+
+  #receivedDocument (peer: Greeting, document: string): void {
+    this.#status.documentsReceived += 1
+    this.#status.charactersReceived += document.length
+    const configuration = this.#options.store.readConfiguration(document)
+    if (configuration === undefined || configuration.version <= this.#version) this.#status.documentsUseless += 1
+    else this.#options.note('configuration received', { version: configuration.version, peer: peer.name })
+    if (configuration !== undefined) this.offer(configuration, document)
+  }
+
+  #heard (peer: Greeting, version: number): void {
+    if (version <= Math.max(this.#version, this.#status.newest)) return
+    this.#status.newest = version
+    this.#options.note('newer configuration heard of', { version, own: this.#version, peer: peer.name })
+  }
 }
 
 /** Addresses of one role among records. */
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -37,6 +37,13 @@
   evacuated: (state: EvacuationState) => void
 }
 
+/** Calls to the store of one kind that ended in one way. */
+export interface CallCount {
+  kind: string
+  end: string
+  count: number
+}
+
 /** What is agreed or kept in the platform's store. */
 export interface StorePort {
   /** Publishes this process for as long as it runs. */
@@ -55,6 +62,10 @@
   recallTarget: (agent: string) => Promise<TargetFacts | undefined>
   /** Calls so far, by kind. */
   calls: () => Readonly<Record<string, number>>
+  /** Ended calls so far, by kind and how they ended. */
+  ends: () => readonly CallCount[]
+  /** When the last reading of what the operators wrote began that was answered; undefined before the first. In milliseconds of the process's clock. */
+  confirmedAt: () => number | undefined
   close: () => Promise<void>
 }
 
--- a/packages/daemon/test/gossip.test.ts
+++ b/packages/daemon/test/gossip.test.ts
@@ -13,6 +13,7 @@
     settings: {} as ServiceSettings,
     configured: () => {},
     agentFound: () => {},
+    note: () => {},
     sendAll: () => {},
     peers: () => peers,
     send: peer => told.push(peer)
