--- a/packages/standins/src/cutter.ts
+++ b/packages/standins/src/cutter.ts
@@ -21,6 +21,25 @@
   Silent = 'silent'
 }
 
+/** A link's rate, shared by all relays that stand for connections over that link. */
+export class LinkRate {
+  readonly #bytesPerSecond: number
+  #freeAt = 0
+
+  constructor (bytesPerSecond: number) {
+    this.#bytesPerSecond = bytesPerSecond
+  }
+
+  /** Milliseconds until these bytes have passed. */
+  delay (bytes: number): number {
+    const now = performance.now()
+    this.#freeAt = Math.max(now, this.#freeAt) + bytes / this.#bytesPerSecond * MILLISECONDS_PER_SECOND
+    return this.#freeAt - now
+  }
+}
+
+const MILLISECONDS_PER_SECOND = 1000
+
 /** One of the two directions of a relayed connection. */
 interface Pipe {
   from: Socket
@@ -29,6 +48,8 @@
   silentIn: ReadonlySet<LinkState>
   /** How `from` closed while the direction was silent; passed on when it is no more. */
   heldClosing?: () => void
+  /** Bytes are on their way over a link with a rate. */
+  busy?: boolean
 }
 
 const SILENT_TO_SERVER: ReadonlySet<LinkState> = new Set([LinkState.Silent, LinkState.SilentToServer])
@@ -41,9 +62,13 @@
   readonly #pipes = new Set<Pipe>()
   #state = LinkState.Open
   #accepted = 0
+  #relayed = 0
+  readonly #rate: LinkRate | undefined
 
-  constructor (upstreamPort: number) {
+  /** @param rate of the link on which the dialling side receives; any without it */
+  constructor (upstreamPort: number, rate?: LinkRate) {
     this.#upstreamPort = upstreamPort
+    this.#rate = rate
     this.#server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, client => this.#accept(client))
   }
 
@@ -60,6 +85,11 @@
     return this.#accepted
   }
 
+  /** Bytes passed on to the dialling side so far. */
+  get relayed (): number {
+    return this.#relayed
+  }
+
   /** Starts listening, again after {@link close}; port 0 lets the system pick one. Resolves to the port. */
   listen (port = 0): Promise<number> {
     this.#state = LinkState.Open
@@ -114,7 +144,7 @@
   #relay (pipe: Pipe): void {
     const { from, to } = pipe
     this.#pipes.add(pipe)
-    from.on('data', bytes => { if (!to.write(bytes)) from.pause() })
+    from.on('data', bytes => this.#carry(pipe, bytes))
     to.on('drain', () => this.#apply(pipe))
     from.on('end', () => this.#pass(pipe, () => to.end()))
     from.on('error', () => this.#pass(pipe, () => to.resetAndDestroy()))
@@ -122,6 +152,22 @@
     this.#apply(pipe)
   }
 
+  #carry (pipe: Pipe, bytes: Buffer): void {
+    const { from, to, silentIn } = pipe
+    const toClient = silentIn === SILENT_TO_CLIENT
+    if (toClient) this.#relayed += bytes.length
+    if (!toClient || this.#rate === undefined) {
+      if (!to.write(bytes)) from.pause()
+      return
+    }
+    pipe.busy = true
+    from.pause()
+    setTimeout(() => {
+      pipe.busy = false
+      if (to.write(bytes)) this.#apply(pipe)
+    }, this.#rate.delay(bytes.length))
+  }
+
   /** Carries a closing out, or holds it while the direction is silent. */
   #pass (pipe: Pipe, closing: () => void): void {
     if (!this.#isSilent(pipe)) return closing()
@@ -144,7 +190,7 @@
     }
     pipe.heldClosing?.()
     delete pipe.heldClosing
-    pipe.from.resume()
+    if (pipe.busy !== true) pipe.from.resume()
   }
 
   #isSilent (pipe: Pipe): boolean {
