Configuration: changes by watches, documents asked for one at a time, no queue denied without knowing

Cause: the state was moved whole, again and again, with no regard to what was under way. Each entry listed the operators' keys each second, although nothing had changed (0.8 MB at 2,800 queues more), and once more when its watch reported a change. An entry that was behind told four others its version each 400 ms, and each that was ahead sent the whole document each time. The small links (2.2 MB/s) were full; the read from the store exceeded its limit of 1 s and began anew, so that nothing ever arrived, while answers to callers waited behind.

Ruled out: the store (answered all), the processor (7 to 14% of a core of 32%), the wasted news (400 ms at most).

Change: packages/configuration decides the exchange between entries, without I/O: news are acted on, an entry that is behind asks one other entry at a time, part by part, for the compressed document. platform/ follows a prefix by one list and the changes that watches report, with a short watch each second as a check; limits of large answers count from the last byte; a dial is given up after 500 ms; what the operators write is read on connections of its own. An unknown queue is denied only when no newer version is known of and the last confirmation, of the store or by others, is within the bound that the settings state; else the caller is told when to come back. A queue is found in a time that does not grow with their number.

Elsewhere: records of instances were listed anew on each change by every entry; they are followed the same way.

--- a/packages/daemon/src/configurationmetrics.ts
+++ b/packages/daemon/src/configurationmetrics.ts
@@ -1,19 +1,19 @@
 /** Metrics of how current the configuration of an entry is, and of what keeping it current costs. */
+import type { ExchangeStatus } from '@amaranthmast/configuration/exchange'
 import type { Exposition } from './exposition.ts'
-import type { GossipStatus } from './gossip.ts'
 import type { CallCount } from './ports.ts'
 
 const MILLISECONDS_PER_SECOND = 1000
 
-/** @param age of the last confirmed reading, in milliseconds; undefined before the first */
-export function exposeConfiguration (exposition: Exposition, status: Readonly<GossipStatus>, age: number | undefined): void {
+/** @param age of the last confirmation, in milliseconds; undefined before the first */
+export function exposeConfiguration (exposition: Exposition, status: Readonly<ExchangeStatus>, age: number | undefined): void {
   const { version, newest, documentsSent, documentsReceived, documentsUseless, charactersSent, charactersReceived } = status
   exposition.gauge('amaranthmast_configuration_version', 'Version in force, and the newest that another entry has told of', [
     { labels: { figure: 'in_force' }, value: version },
     { labels: { figure: 'newest_heard' }, value: newest }
   ])
   const seconds = age === undefined ? [] : [{ labels: {}, value: age / MILLISECONDS_PER_SECOND }]
-  exposition.gauge('amaranthmast_configuration_age_seconds', 'Since the last reading that the store has confirmed began', seconds)
+  exposition.gauge('amaranthmast_configuration_age_seconds', 'Since the last confirmation that there is no newer configuration began', seconds)
   exposition.counter('amaranthmast_configuration_documents_total', 'Documents exchanged with other entries', [
     { labels: { direction: 'sent' }, value: documentsSent },
     { labels: { direction: 'received' }, value: documentsReceived },
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -1,7 +1,7 @@
 /** The process of an entry under leases: the edges around its decision logic. */
 import type { EntryEffect, EntryEvent } from '@amaranthmast/dispatch/entrytypes'
 import type { AgentMessage } from '@amaranthmast/dispatch/messages'
-import type { DispatchConfiguration } from '@amaranthmast/dispatch/queues'
+import type { DispatchConfiguration, Queue } from '@amaranthmast/dispatch/queues'
 import type { PeerMessage } from '@amaranthmast/dispatch/roommessages'
 import type { Greeting } from '@amaranthmast/links/greeting'
 import type { Link } from '@amaranthmast/links/link'
@@ -21,6 +21,7 @@
 import { addressesOf, Gossip, isGossip } from './gossip.ts'
 import { Loop, runLoop } from './loop.ts'
 import { MetricsListener } from './metricslistener.ts'
+import { QueueLookup } from './ports.ts'
 import { JobMetrics } from './jobmetrics.ts'
 import { exposeScheduling } from './schedulingmetrics.ts'
 import { Ticker } from './ticker.ts'
@@ -87,29 +88,31 @@
     }, now)
     this.#peers = new Dialer(own, {
       linked: peer => {
-        for (const message of this.#gossip.welcome()) this.#peers.send(peer.name, message)
+        this.#gossip.linked(peer.name)
         this.#loop.post({ type: 'peerLinked', peer: peer.name })
       },
-      received: (peer, message) => this.#told(peer, message, reply => this.#peers.send(peer.name, reply)),
-      unlinked: peer => this.#loop.post({ type: 'peerUnlinked', peer: peer.name })
+      received: (peer, message) => this.#told(peer, message),
+      unlinked: peer => {
+        this.#gossip.unlinked(peer.name)
+        this.#loop.post({ type: 'peerUnlinked', peer: peer.name })
+      }
     }, now)
     this.#listener = new Listener(own, {
       linked: (link, peer) => this.#visited(link, peer),
-      received: (peer, message) => this.#told(peer, message, reply => this.#listener.link(peer.name)?.send(reply)),
-      unlinked: () => {}
+      received: (peer, message) => this.#told(peer, message),
+      unlinked: peer => { if (peer.role === PeerRole.Entry) this.#gossip.unlinked(peer.name) }
     })
     this.#gossip = new Gossip({
       store,
-      settings,
+      bound: settings.bounds.configuration,
       configured: configuration => this.#configured(configuration),
       agentFound: address => this.#agents.add(address),
       note: (what, fields) => decisions.decision(what, fields),
-      sendAll: message => this.#peers.sendAll(message),
-      peers: () => this.#peers.linked,
-      send: (peer, message) => this.#peers.send(peer, message)
+      send: (peer, message) => this.#sendTo(peer, message),
+      now
     })
     this.#callers = options.callers({
-      find: (host, path) => this.#configuration === undefined ? 'unconfigured' : this.#queues.find(host, path),
+      find: (host, path) => this.#find(host, path),
       limits: () => this.#configuration?.limits,
       submitted: (request, job) => this.#loop.post({ type: 'submitted', request, job }),
       cancelAsked: (request, id) => this.#loop.post({ type: 'cancelAsked', request, id }),
@@ -129,6 +132,7 @@
     this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
     store.watchOperators({
       configured: (configuration, document) => this.#gossip.offer(configuration, document),
+      confirmed: at => this.#gossip.confirmed(at),
       evacuated: state => this.#loop.post({ type: 'evacuationsRead', state })
     })
     store.watchInstances(records => {
@@ -137,7 +141,6 @@
     })
     store.publish({ name: settings.id, role: PeerRole.Entry, address: settings.linkAddress })
     for (const seed of settings.seeds) this.#peers.add(`${seed}:${settings.linkPort}`)
-    this.#gossip.start()
     const ticker = new Ticker(() => this.#tick(), () => this.#entry.busy || this.#stopOrderedAt !== undefined)
     ticker.start()
     try {
@@ -154,7 +157,6 @@
   }
 
   async close (): Promise<void> {
-    this.#gossip.stop()
     this.#callers.close()
     this.#agents.close()
     this.#peers.close()
@@ -165,6 +167,7 @@
 
   #tick (): void {
     this.#loop.post({ type: 'tick' })
+    this.#gossip.tick()
     if (this.#stopOrderedAt === undefined) return
     const stopping = this.#options.now() - this.#stopOrderedAt
     if (stopping < BALANCER_MILLISECONDS) return
@@ -175,6 +178,16 @@
     if (idle || stopping >= grace - END_RESERVE_MILLISECONDS) this.#loop.end()
   }
 
+  #find (host: string, path: string): Queue | QueueLookup {
+    if (this.#configuration === undefined) return QueueLookup.Unconfigured
+    const queue = this.#queues.find(host, path)
+    if (queue !== undefined) return queue
+    if (this.#gossip.isCurrent) return QueueLookup.Missing
+    const { version, newest } = this.#gossip.status
+    this.#options.decisions.decision('queue not known, the configuration may be out of date', { host, path, version, newest, age: Math.round(this.#gossip.age ?? -1) })
+    return QueueLookup.Uncertain
+  }
+
   #configured (configuration: DispatchConfiguration): void {
     this.#configuration = configuration
     this.#queues = new QueueTable(configuration.queues)
@@ -189,12 +202,18 @@
       return
     }
     this.#peers.add(peer.address)
-    for (const message of this.#gossip.welcome()) link.send(message)
+    this.#gossip.linked(peer.name)
+  }
+
+  /** Over the link dialled here, or the one dialled there when it is the only one. */
+  #sendTo (peer: string, message: GossipMessage): void {
+    if (this.#peers.linked.includes(peer)) this.#peers.send(peer, message)
+    else this.#listener.link(peer)?.send(message)
   }
 
   /** A message of another entry: on what both know, or on room at the targets. */
-  #told (peer: Greeting, message: unknown, reply: (message: GossipMessage) => void): void {
-    if (isGossip(message)) this.#gossip.received(peer, message, reply)
+  #told (peer: Greeting, message: unknown): void {
+    if (isGossip(message)) this.#gossip.received(peer.name, message)
     else this.#loop.post({ type: 'peerMessage', peer: peer.name, message: message as PeerMessage })
   }
 
@@ -203,8 +222,7 @@
     const { suspects, convictions, crashes, ...sizes } = this.#entry.status()
     exposition.gauge('amaranthmast_crashes', 'Tasks suspected of crashing targets, tasks given up for it, and targets that crashed lately', Object.entries({ suspects, convictions, crashes }).map(([figure, value]) => ({ labels: { figure }, value })))
     exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
-    const confirmedAt = this.#options.store.confirmedAt()
-    exposeConfiguration(exposition, this.#gossip.status, confirmedAt === undefined ? undefined : this.#options.now() - confirmedAt)
+    exposeConfiguration(exposition, this.#gossip.status, this.#gossip.age)
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
     this.#metrics.expose(exposition)
--- a/packages/daemon/src/gossip.ts
+++ b/packages/daemon/src/gossip.ts
@@ -1,143 +1,123 @@
 /**
- * What entries tell each other: where processes are found, and a configuration that one of them
- * has and the other lacks. It carries the fleet while the store turns some machines away.
+ * What entries tell each other beside their jobs: where agents are found, and the configuration. It carries the fleet while the
+ * store turns some machines away.
  */
-import type { Greeting } from '@amaranthmast/links/greeting'
-import type { InstanceRecord, ServiceSettings, StorePort } from './ports.ts'
+import type { ExchangeEffect, ExchangeEvent, ExchangeStatus } from '@amaranthmast/configuration/exchange'
+import type { ConfigurationMessage } from '@amaranthmast/configuration/messages'
 import type { DispatchConfiguration } from '@amaranthmast/dispatch/queues'
-import { PeerRole } from '@amaranthmast/links/greeting'
-
-/**
- * How often an entry tells some of the others its version, in milliseconds, and how many, in turn. A new version goes to all
- * at once; this is for those that missed it, when the store turns them away as well. Told by four of 35 entries in each
- * interval, one learns of it within 1.2 s; telling all of them made 3,000 messages a second.
- */
-const TELL_MILLISECONDS = 400
-const TOLD_AT_ONCE = 4
-
-export type GossipMessage =
-  | { type: 'version', version: number }
-  | { type: 'configuration', document: string }
-  /** Addresses of agents that the sender has links to. */
-  | { type: 'agents', addresses: string[] }
+import type { PeerRole } from '@amaranthmast/links/greeting'
+import type { EffectHandlers } from './loop.ts'
+import type { InstanceRecord, StorePort } from './ports.ts'
+import { ConfigurationExchange } from '@amaranthmast/configuration/exchange'
+import { isConfigurationMessage } from '@amaranthmast/configuration/messages'
+
+/** Addresses of agents that the sender has links to. */
+interface AgentsMessage {
+  type: 'agents'
+  addresses: string[]
+}
 
-const GOSSIP_TYPES = new Set<unknown>(['version', 'configuration', 'agents'] satisfies Array<GossipMessage['type']>)
+export type GossipMessage = AgentsMessage | ConfigurationMessage
 
 export function isGossip (message: unknown): message is GossipMessage {
-  return GOSSIP_TYPES.has((message as Partial<GossipMessage> | null | undefined)?.type)
+  return isAgentsMessage(message) || isConfigurationMessage(message)
 }
 
-/** What an entry knows of the configuration, and what it has exchanged with others. */
-export interface GossipStatus {
-  version: number
-  /** Newest version that another entry has told of. */
-  newest: number
-  documentsSent: number
-  documentsReceived: number
-  /** Received ones that were not newer than the own. */
-  documentsUseless: number
-  charactersSent: number
-  charactersReceived: number
+function isAgentsMessage (message: unknown): message is AgentsMessage {
+  const { type, addresses } = (message ?? {}) as Partial<AgentsMessage>
+  return type === 'agents' && Array.isArray(addresses) && addresses.every(address => typeof address === 'string')
 }
 
 export interface GossipOptions {
   store: Pick<StorePort, 'readConfiguration'>
-  settings: ServiceSettings
+  /** A configuration is in force within this time after it was accepted, in milliseconds. */
+  bound: number
   configured: (configuration: DispatchConfiguration) => void
   agentFound: (address: string) => void
   note: (what: string, fields: Record<string, unknown>) => void
-  sendAll: (message: GossipMessage) => void
-  /** Names of the entries that can be told something. */
-  peers: () => readonly string[]
   send: (peer: string, message: GossipMessage) => void
+  now: () => number
 }
 
 export class Gossip {
   readonly #options: GossipOptions
   readonly #agents = new Set<string>()
-  readonly #status: GossipStatus = { version: 0, newest: 0, documentsSent: 0, documentsReceived: 0, documentsUseless: 0, charactersSent: 0, charactersReceived: 0 }
-  #version = 0
-  #document = ''
-  #timer: NodeJS.Timeout | undefined
-  #turn = 0
+  /** Links to each of the other entries, in either direction. */
+  readonly #links = new Map<string, number>()
+  readonly #exchange: ConfigurationExchange<DispatchConfiguration>
+
+  readonly #handlers: EffectHandlers<ExchangeEffect<DispatchConfiguration>> = {
+    tell: ({ peer, message }) => this.#options.send(peer, message),
+    adopt: ({ configuration }) => this.#options.configured(configuration),
+    note: ({ what, fields }) => this.#options.note(what, fields)
+  }
 
   constructor (options: GossipOptions) {
     this.#options = options
+    this.#exchange = new ConfigurationExchange({ read: document => options.store.readConfiguration(document) })
   }
 
-  get version (): number {
-    return this.#version
+  get status (): Readonly<ExchangeStatus> {
+    return this.#exchange.status
   }
 
-  get status (): Readonly<GossipStatus> {
-    return { ...this.#status, version: this.#version }
+  /** Milliseconds since the last confirmation that the configuration in force is the newest began; undefined before the first. */
+  get age (): number | undefined {
+    const { confirmedAt } = this.#exchange
+    return confirmedAt === undefined ? undefined : this.#options.now() - confirmedAt
   }
 
-  start (): void {
-    this.#timer = setInterval(() => this.#tellSome(), TELL_MILLISECONDS)
+  /** Whether a queue that the configuration lacks can be said not to exist. */
+  get isCurrent (): boolean {
+    return this.#exchange.isCurrent(this.#options.bound, this.#options.now())
   }
 
-  stop (): void {
-    clearInterval(this.#timer)
+  /** Takes in a configuration that the store has. */
+  offer (configuration: DispatchConfiguration, document: string): void {
+    this.#handle({ type: 'stored', configuration, document })
   }
 
-  /** Each of the others has its turn. */
-  #tellSome (): void {
-    const peers = this.#options.peers()
-    const count = Math.min(TOLD_AT_ONCE, peers.length)
-    for (let told = 0; told < count; told += 1) {
-      this.#turn = (this.#turn + 1) % peers.length
-      this.#options.send(peers[this.#turn] as string, { type: 'version', version: this.#version })
-    }
+  /** The store has confirmed that nothing newer was there at a time of this process's clock. */
+  confirmed (at: number): void {
+    this.#handle({ type: 'confirmed', at })
   }
 
-  /** Takes a configuration in, unless a newer one is known. */
-  offer (configuration: DispatchConfiguration, document: string): void {
-    if (configuration.version <= this.#version) return
-    this.#version = configuration.version
-    this.#document = document
-    this.#options.configured(configuration)
-    this.#options.sendAll({ type: 'version', version: this.#version })
+  tick (): void {
+    this.#handle({ type: 'tick' })
   }
 
-  agentLinked (address: string): void {
-    if (this.#agents.has(address)) return
-    this.#agents.add(address)
-    this.#options.sendAll({ type: 'agents', addresses: [address] })
+  /** A link to another entry is open, dialled here or there. */
+  linked (peer: string): void {
+    const links = this.#links.get(peer) ?? 0
+    this.#links.set(peer, links + 1)
+    if (this.#agents.size > 0) this.#options.send(peer, { type: 'agents', addresses: [...this.#agents] })
+    if (links === 0) this.#handle({ type: 'peerLinked', peer })
   }
 
-  /** What an entry that has just linked is told. */
-  welcome (): GossipMessage[] {
-    return [{ type: 'agents', addresses: [...this.#agents] }, { type: 'version', version: this.#version }]
+  unlinked (peer: string): void {
+    const links = this.#links.get(peer) ?? 0
+    if (links > 1) {
+      this.#links.set(peer, links - 1)
+      return
+    }
+    this.#links.delete(peer)
+    this.#handle({ type: 'peerUnlinked', peer })
   }
 
-  received (peer: Greeting, message: GossipMessage, reply: (message: GossipMessage) => void): void {
-    if (message.type === 'agents') {
-      for (const address of message.addresses) this.#options.agentFound(address)
-    } else if (message.type === 'configuration') {
-      this.#receivedDocument(peer, message.document)
-    } else {
-      this.#heard(peer, message.version)
-      if (message.version >= this.#version) return
-      this.#status.documentsSent += 1
-      this.#status.charactersSent += this.#document.length
-      reply({ type: 'configuration', document: this.#document })
-    }
+  agentLinked (address: string): void {
+    if (this.#agents.has(address)) return
+    this.#agents.add(address)
+    for (const peer of this.#links.keys()) this.#options.send(peer, { type: 'agents', addresses: [address] })
   }
 
-  #receivedDocument (peer: Greeting, document: string): void {
-    this.#status.documentsReceived += 1
-    this.#status.charactersReceived += document.length
-    const configuration = this.#options.store.readConfiguration(document)
-    if (configuration === undefined || configuration.version <= this.#version) this.#status.documentsUseless += 1
-    else this.#options.note('configuration received', { version: configuration.version, peer: peer.name })
-    if (configuration !== undefined) this.offer(configuration, document)
+  received (peer: string, message: GossipMessage): void {
+    if (message.type !== 'agents') return this.#handle({ type: 'received', peer, message })
+    for (const address of message.addresses) this.#options.agentFound(address)
   }
 
-  #heard (peer: Greeting, version: number): void {
-    if (version <= Math.max(this.#version, this.#status.newest)) return
-    this.#status.newest = version
-    this.#options.note('newer configuration heard of', { version, own: this.#version, peer: peer.name })
+  #handle (event: ExchangeEvent<DispatchConfiguration>): void {
+    const table = this.#handlers as unknown as Record<string, (effect: ExchangeEffect<DispatchConfiguration>) => void>
+    for (const effect of this.#exchange.handle(event, this.#options.now())) table[effect.type]?.(effect)
   }
 }
 
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -33,6 +33,8 @@
 export interface OperatorEvents {
   /** Each new configuration; `document` is what other entries are handed. */
   configured: (configuration: DispatchConfiguration, document: string) => void
+  /** What was handed over was all that there was at this time of the process's clock, in milliseconds. */
+  confirmed: (at: number) => void
   /** The evacuated data centres, with each read. */
   evacuated: (state: EvacuationState) => void
 }
@@ -64,15 +66,22 @@
   calls: () => Readonly<Record<string, number>>
   /** Ended calls so far, by kind and how they ended. */
   ends: () => readonly CallCount[]
-  /** When the last reading of what the operators wrote began that was answered; undefined before the first. In milliseconds of the process's clock. */
-  confirmedAt: () => number | undefined
   close: () => Promise<void>
 }
 
+/** Why a request has no queue. */
+export enum QueueLookup {
+  /** There is no configuration yet. */
+  Unconfigured = 'unconfigured',
+  /** The configuration has none, and it is the newest one. */
+  Missing = 'missing',
+  /** The configuration has none, and there may be a newer one. */
+  Uncertain = 'uncertain'
+}
+
 /** What callers' requests become. */
 export interface CallerEvents {
-  /** The queue of a request; undefined when the configuration has none. `'unconfigured'` before there is any. */
-  find: (host: string, path: string) => Queue | undefined | 'unconfigured'
+  find: (host: string, path: string) => Queue | QueueLookup
   limits: () => RequestLimits | undefined
   submitted: (request: number, job: JobRequest) => void
   cancelAsked: (request: number, id: string) => void
@@ -115,6 +124,8 @@
     drain: number
     longestLease: number
     resubmission: number
+    /** A configuration is in force everywhere within this time after it was accepted, in milliseconds. */
+    configuration: number
   }
   scheduling: SchedulingSettings
 }
--- a/packages/dispatch/src/queues.ts
+++ b/packages/dispatch/src/queues.ts
@@ -34,21 +34,47 @@
   limits: RequestLimits
 }
 
-/** Finds the queue of a request by host and longest prefix. */
+/** The queues of one host, by the length of their prefixes. */
+interface HostQueues {
+  /** Lengths that prefixes have, the longest first. */
+  lengths: number[]
+  byPrefix: Map<string, Queue>
+}
+
+/** Finds the queue of a request by host and longest prefix, in a time that does not grow with the number of queues. */
 export class QueueTable {
-  readonly #byHost = new Map<string, Queue[]>()
+  readonly #byHost = new Map<string, HostQueues>()
 
   constructor (queues: readonly Queue[]) {
     for (const queue of queues) {
-      const host = queue.host.toLowerCase()
-      const known = this.#byHost.get(host)
-      if (known === undefined) this.#byHost.set(host, [queue])
-      else known.push(queue)
+      const { byPrefix } = this.#host(queue.host.toLowerCase())
+      if (!byPrefix.has(queue.prefix)) byPrefix.set(queue.prefix, queue)
     }
-    for (const known of this.#byHost.values()) known.sort((one, other) => other.prefix.length - one.prefix.length)
+    for (const host of this.#byHost.values()) host.lengths = lengthsOf(host.byPrefix.keys())
   }
 
   find (host: string, path: string): Queue | undefined {
-    return this.#byHost.get(host.toLowerCase())?.find(queue => path.startsWith(queue.prefix))
+    const queues = this.#byHost.get(host.toLowerCase())
+    if (queues === undefined) return undefined
+    for (const length of queues.lengths) {
+      const queue = length > path.length ? undefined : queues.byPrefix.get(path.slice(0, length))
+      if (queue !== undefined) return queue
+    }
+    return undefined
+  }
+
+  #host (name: string): HostQueues {
+    let host = this.#byHost.get(name)
+    if (host === undefined) {
+      host = { lengths: [], byPrefix: new Map() }
+      this.#byHost.set(name, host)
+    }
+    return host
   }
 }
+
+function lengthsOf (prefixes: Iterable<string>): number[] {
+  const lengths = new Set<number>()
+  for (const prefix of prefixes) lengths.add(prefix.length)
+  return [...lengths].sort((one, other) => other - one)
+}
--- a/packages/standins/src/cutter.ts
+++ b/packages/standins/src/cutter.ts
@@ -50,6 +50,8 @@
   heldClosing?: () => void
   /** Bytes are on their way over a link with a rate. */
   busy?: boolean
+  /** It carries nothing any more, though newer connections do. */
+  stranded?: boolean
 }
 
 const SILENT_TO_SERVER: ReadonlySet<LinkState> = new Set([LinkState.Silent, LinkState.SilentToServer])
@@ -115,6 +117,14 @@
     for (const pipe of this.#pipes) this.#apply(pipe)
   }
 
+  /** Connections that are open now carry nothing any more, without any sign; new ones work. */
+  strand (): void {
+    for (const pipe of this.#pipes) {
+      pipe.stranded = true
+      this.#apply(pipe)
+    }
+  }
+
   /** Lets everything through again, what was held first. */
   restore (): void {
     this.#state = LinkState.Open
@@ -194,7 +204,7 @@
   }
 
   #isSilent (pipe: Pipe): boolean {
-    return pipe.silentIn.has(this.#state)
+    return pipe.stranded === true || pipe.silentIn.has(this.#state)
   }
 }
 
--- a/packages/standins/src/fleetstore.ts
+++ b/packages/standins/src/fleetstore.ts
@@ -41,6 +41,8 @@
   outage = Outage.None
   /** Writes are done and their answers lost. */
   loseAnswers = false
+  /** Watches hear nothing, though there are changes. */
+  deaf = false
   readonly #items = new Map<string, Item>()
   readonly #leases = new Map<number, number>()
   readonly #server: Server
@@ -49,6 +51,7 @@
   #dropped = 0
   #lastLease = 0
   #calls = 0
+  #lists = 0
 
   readonly #routes: ReadonlyArray<[method: string, path: string, handler: Handler]> = [
     ['GET', '/v1/kv-key', query => this.#key(query)],
@@ -68,6 +71,11 @@
     return this.#calls
   }
 
+  /** Lists among the calls. */
+  get lists (): number {
+    return this.#lists
+  }
+
   async listen (host: string, port = 0): Promise<string> {
     await new Promise<void>(resolve => this.#server.listen(port, host, resolve))
     return `${host}:${(this.#server.address() as AddressInfo).port}`
@@ -136,6 +144,7 @@
   }
 
   #range (query: URLSearchParams): Reply {
+    this.#lists += 1
     this.#expire()
     const prefix = query.get('prefix') ?? ''
     const after = query.get('after') ?? ''
@@ -150,7 +159,7 @@
     while (true) {
       this.#expire()
       if (after < this.#dropped) return [410, {}]
-      const events = this.#history.filter(({ key, rev }) => rev > after && key.startsWith(prefix))
+      const events = this.deaf ? [] : this.#history.filter(({ key, rev }) => rev > after && key.startsWith(prefix))
       if (events.length > 0 || performance.now() >= until || !this.#server.listening) return [200, { events, store_revision: this.#revision }]
       await new Promise(resolve => setTimeout(resolve, WATCH_INTERVAL))
     }
--- a/packages/store/src/exchange.ts
+++ b/packages/store/src/exchange.ts
@@ -28,20 +28,31 @@
   return code === undefined ? error.message : `${code} ${error.message}`.trim()
 }
 
+/** Time limits of an exchange, in milliseconds. */
+export interface ExchangeLimits {
+  /** Until the whole answer is there; with `pause`, until it begins. */
+  answer: number
+  /** Longest pause within an answer that has begun: a large one on a small link is whole when it is whole. */
+  pause?: number
+  /** Called when the answer begins. */
+  begun?: () => void
+}
+
 /** Collects one answer and settles once. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #settle: (exchange: Exchange) => void
-  readonly #timer: NodeJS.Timeout
+  readonly #limits: ExchangeLimits
+  #timer: NodeJS.Timeout
   readonly #chunks: Buffer[] = []
   #controller: Dispatcher.DispatchController | undefined
   #timeout: Error | undefined
   #settled = false
   #status = 0
 
-  constructor (timeoutMilliseconds: number, settle: (exchange: Exchange) => void) {
+  constructor (limits: ExchangeLimits, settle: (exchange: Exchange) => void) {
     this.#settle = settle
-    // A process that stood still finds the timer before the answer that came meanwhile: what has arrived is read first.
-    this.#timer = setTimeout(() => { setImmediate(() => { this.#expire(timeoutMilliseconds) }) }, timeoutMilliseconds)
+    this.#limits = limits
+    this.#timer = this.#limit(limits.answer)
   }
 
   /**
@@ -59,10 +70,16 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
     this.#status = statusCode
+    this.#limits.begun?.()
+    const { pause } = this.#limits
+    if (pause === undefined || this.#settled) return
+    clearTimeout(this.#timer)
+    this.#timer = this.#limit(pause)
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk)
+    if (this.#limits.pause !== undefined && !this.#settled) this.#timer.refresh()
   }
 
   onResponseEnd (): void {
@@ -74,6 +91,17 @@
     this.#fail(describeFailure(error), error)
   }
 
+  /** A process that stood still finds the timer before the answer that came meanwhile: what has arrived is read first. */
+  #limit (milliseconds: number): NodeJS.Timeout {
+    return setTimeout(() => {
+      const received = this.#chunks.length
+      setImmediate(() => {
+        const goesOn = this.#limits.pause !== undefined && this.#chunks.length > received
+        if (!goesOn) this.#expire(milliseconds)
+      })
+    }, milliseconds)
+  }
+
   #expire (timeoutMilliseconds: number): void {
     if (this.#settled) return
     this.#timeout = new Error(`no answer within ${timeoutMilliseconds} ms`)
@@ -109,10 +137,14 @@
   return exchangeRequest(dispatcher, { method: 'POST', path, body }, timeoutMilliseconds)
 }
 
-/** Sends a request to one endpoint; the promise is never rejected. */
-export function exchangeRequest (dispatcher: Dispatcher, request: ExchangeRequest, timeoutMilliseconds: number): Promise<Exchange> {
+/**
+ * Sends a request to one endpoint; the promise is never rejected.
+ *
+ * @param limits milliseconds until the whole answer is there, or more than one limit
+ */
+export function exchangeRequest (dispatcher: Dispatcher, request: ExchangeRequest, limits: number | ExchangeLimits): Promise<Exchange> {
   return new Promise((resolve) => {
-    const handler = new ExchangeHandler(timeoutMilliseconds, resolve)
+    const handler = new ExchangeHandler(typeof limits === 'number' ? { answer: limits } : limits, resolve)
     const { method, path, headers = REQUEST_HEADERS, body = null } = request
     dispatcher.dispatch({ method, path, headers, body }, handler)
   })
