--- a/packages/configuration/src/exchange.ts
+++ b/packages/configuration/src/exchange.ts
@@ -21,6 +21,8 @@
   | { type: 'stored', configuration: Configuration, document: string }
   /** The store has confirmed that nothing newer was there at a time. */
   | { type: 'confirmed', at: number }
+  /** The store may have changed unheard: earlier confirmations are void. */
+  | { type: 'doubted' }
   | { type: 'peerLinked', peer: string }
   | { type: 'peerUnlinked', peer: string }
   | { type: 'received', peer: string, message: ConfigurationMessage }
@@ -88,6 +90,7 @@
   readonly #handlers: Handlers<Configuration> = {
     stored: ({ configuration, document }) => this.#adopt(configuration, document, ConfigurationSource.Store),
     confirmed: ({ at }) => this.#confirmed(at),
+    doubted: () => { this.#confirmedAt = Number.NEGATIVE_INFINITY },
     peerLinked: ({ peer }, now) => this.#linked(peer, now),
     peerUnlinked: ({ peer }) => this.#unlinked(peer),
     received: ({ peer, message }, now) => this.#received(peer, message, now),
--- a/packages/configuration/test/exchange.test.ts
+++ b/packages/configuration/test/exchange.test.ts
@@ -193,6 +193,17 @@
   expect(entry.exchange.isCurrent(BOUND, BOUND + 1)).toEqual(false)
 })
 
+// The history of the store was dropped: what happened in it is not known before the next list.
+test('nothing is denied after changes may have been missed, until the next confirmation', () => {
+  const mesh = new Mesh()
+  const entry = mesh.add('entry')
+  mesh.store('entry', 1)
+  mesh.handle('entry', { type: 'doubted' })
+  expect(entry.exchange.isCurrent(BOUND, mesh.now)).toEqual(false)
+  mesh.handle('entry', { type: 'confirmed', at: mesh.now })
+  expect(entry.exchange.isCurrent(BOUND, mesh.now)).toEqual(true)
+})
+
 test('the others confirm a configuration to an entry without the store', () => {
   const mesh = newFleet(8)
   for (const name of mesh.entries.keys()) mesh.store(name, 1)
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -133,6 +133,7 @@
     store.watchOperators({
       configured: (configuration, document) => this.#gossip.offer(configuration, document),
       confirmed: at => this.#gossip.confirmed(at),
+      doubted: () => this.#gossip.doubted(),
       evacuated: state => this.#loop.post({ type: 'evacuationsRead', state })
     })
     store.watchInstances(records => {
--- a/packages/daemon/src/gossip.ts
+++ b/packages/daemon/src/gossip.ts
@@ -82,6 +82,11 @@
     this.#handle({ type: 'confirmed', at })
   }
 
+  /** The store may have changed unheard. */
+  doubted (): void {
+    this.#handle({ type: 'doubted' })
+  }
+
   tick (): void {
     this.#handle({ type: 'tick' })
   }
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -35,6 +35,8 @@
   configured: (configuration: DispatchConfiguration, document: string) => void
   /** What was handed over was all that there was at this time of the process's clock, in milliseconds. */
   confirmed: (at: number) => void
+  /** Changes may have been missed: until the next confirmation nothing is certain. */
+  doubted: () => void
   /** The evacuated data centres, with each read. */
   evacuated: (state: EvacuationState) => void
 }
--- a/packages/standins/src/fleetstore.ts
+++ b/packages/standins/src/fleetstore.ts
@@ -133,8 +133,9 @@
     const route = this.#routes.find(([method, path]) => method === request.method && (path.endsWith('/') ? url.pathname.startsWith(path) : url.pathname === path))
     const [status, answer] = this.outage === Outage.Busy ? [503, {}] as Reply : await route?.[2](url.searchParams, body, url.pathname.slice(route[1].length)) ?? NOT_FOUND
     if (this.loseAnswers && request.method !== 'GET') return
-    response.writeHead(status, { 'content-type': 'application/json' })
-    response.end(JSON.stringify(answer))
+    const text = JSON.stringify(answer)
+    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+    response.end(text)
   }
 
   #key (query: URLSearchParams): Reply {
--- a/packages/store/src/exchange.ts
+++ b/packages/store/src/exchange.ts
@@ -1,4 +1,5 @@
 /** One HTTP exchange with one endpoint, and what can be said for certain when it fails. */
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 
 /** How an exchange ended. */
@@ -8,13 +9,15 @@
   /** No byte of the request left this process. */
   NotSent = 'notSent',
   /** The request was sent, in part or whole, and no whole answer arrived. */
-  Unanswered = 'unanswered'
+  Unanswered = 'unanswered',
+  /** The answer is larger than was asked for, and was given up. */
+  TooLarge = 'tooLarge'
 }
 
 /** Result of one exchange. */
 export type Exchange =
   | { outcome: ExchangeOutcome.Answered, status: number, body: string }
-  | { outcome: ExchangeOutcome.NotSent | ExchangeOutcome.Unanswered, detail: string, cause: unknown }
+  | { outcome: Exclude<ExchangeOutcome, ExchangeOutcome.Answered>, detail: string, cause: unknown }
 
 /** Headers of every request. */
 export const REQUEST_HEADERS = { 'content-type': 'application/json' } as const
@@ -34,6 +37,8 @@
   answer: number
   /** Longest pause within an answer that has begun: a large one on a small link is whole when it is whole. */
   pause?: number
+  /** Largest body that is read, in bytes: a larger one is given up as soon as its size is known. */
+  size?: number
   /** Called when the answer begins. */
   begun?: () => void
 }
@@ -48,6 +53,7 @@
   #timeout: Error | undefined
   #settled = false
   #status = 0
+  #size = 0
 
   constructor (limits: ExchangeLimits, settle: (exchange: Exchange) => void) {
     this.#settle = settle
@@ -68,9 +74,10 @@
     this.#controller = controller
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
+  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number, headers: IncomingHttpHeaders): void {
     this.#status = statusCode
     this.#limits.begun?.()
+    this.#checkSize(Number(headers['content-length'] ?? 0))
     const { pause } = this.#limits
     if (pause === undefined || this.#settled) return
     clearTimeout(this.#timer)
@@ -79,6 +86,8 @@
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk)
+    this.#size += chunk.length
+    this.#checkSize(this.#size)
     if (this.#limits.pause !== undefined && !this.#settled) this.#timer.refresh()
   }
 
@@ -91,6 +100,13 @@
     this.#fail(describeFailure(error), error)
   }
 
+  #checkSize (size: number): void {
+    if (this.#settled || size <= (this.#limits.size ?? Infinity)) return
+    const error = new Error(`an answer of ${size} bytes or more`)
+    this.#finish({ outcome: ExchangeOutcome.TooLarge, detail: error.message, cause: error })
+    this.#controller?.abort(error)
+  }
+
   /** A process that stood still finds the timer before the answer that came meanwhile: what has arrived is read first. */
   #limit (milliseconds: number): NodeJS.Timeout {
     return setTimeout(() => {
--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -3,7 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { SeededRandom } from '@amaranthmast/standins/random'
 import { Fate, SoakCallers } from './soakcallers.ts'
-import { FAULTS, OPERATOR_FAULTS } from './soakfaults.ts'
+import { CONFIGURATION_FAULTS, FAULTS, OPERATOR_FAULTS } from './soakfaults.ts'
 import { SoakFleet } from './soakfleet.ts'
 
 export interface SoakOptions {
@@ -22,6 +22,8 @@
   long?: boolean
   /** Evacuations, and workers that start again under their id, among the faults. @default false */
   operators?: boolean
+  /** Large and frequent configurations, and stores that single entries don't hear, among the faults. @default false */
+  configurations?: boolean
 }
 
 export interface SoakResult {
@@ -63,6 +65,12 @@
 
 const LOOK_INTERVAL = 4
 
+/** How often an entry is asked for the newest queue, in milliseconds. */
+const ASK_INTERVAL = 50
+
+/** A configuration is in force within this time, as the settings of the fleet say, in milliseconds. */
+const CONFIGURATION_BOUND = 2000
+
 /** With half of the targets evacuated jobs come this much more seldom. */
 const EVACUATED_INTERVAL_FACTOR = 2.5
 const EVACUATED_AT_END = 'two'
@@ -71,24 +79,30 @@
 const SERVED_PART = 0.95
 
 export async function soak (options: SoakOptions): Promise<SoakResult> {
-  const { seed, program, entries = 3, agents = 4, long = false, operators = false } = options
+  const { seed, program, entries = 3, agents = 4, long = false, operators = false, configurations = false } = options
   const interval = long ? LONG_JOB_INTERVAL : JOB_INTERVAL
   const random = new SeededRandom(seed)
-  const fleet = new SoakFleet(program, operators)
+  const fleet = new SoakFleet(program, { operators: operators || configurations, relaysEntries: configurations })
   const findings: string[] = []
   const struck: string[] = []
   await fleet.start(entries, agents, task => durationOf(numberOf(task), long))
   await pause(START)
   const watch = setInterval(() => findings.push(...doubled(fleet)), LOOK_INTERVAL)
+  let asked = 0
+  const asking = setInterval(() => {
+    asked += 1
+    if (configurations) denied(fleet, asked).then(found => findings.push(...found))
+  }, ASK_INTERVAL)
   const callers = new SoakCallers(fleet, random, 0)
   const calling = callers.run(options.faults, interval)
   await strikeFor(options, fleet, random, struck)
   await calling
   await callers.settled()
-  fleet.evacuate(EVACUATED_AT_END, operators)
+  fleet.evacuate(EVACUATED_AT_END, operators || configurations)
   await pause(RECOVERY)
-  findings.push(...await (operators ? evacuated(fleet, random, interval) : afterwards(fleet, random, interval)))
+  findings.push(...await (operators || configurations ? evacuated(fleet, random, interval) : afterwards(fleet, random, interval)))
   clearInterval(watch)
+  clearInterval(asking)
   findings.push(...judge(fleet, callers.told), ...ended(fleet))
   const logs = Object.fromEntries([...fleet.entries, ...fleet.agents].map(({ name, process }) => [name, process?.log ?? []]))
   await fleet.close()
@@ -106,13 +120,30 @@
   return long && job % LONG_EVERY === 0 ? short + LONG_EXTRA : short
 }
 
-async function strikeFor ({ faults, operators = false, kinds = Object.keys(operators ? OPERATOR_FAULTS : FAULTS) }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
+function kindsOf ({ operators = false, configurations = false }: Pick<SoakOptions, 'operators' | 'configurations'>): string[] {
+  return Object.keys(configurations ? CONFIGURATION_FAULTS : operators ? OPERATOR_FAULTS : FAULTS)
+}
+
+/**
+ * Asks an entry for the queue of the newest configuration that has to be in force: whatever fails, it must not say that there is none.
+ *
+ * @param turn of the entries
+ */
+async function denied (fleet: SoakFleet, turn: number): Promise<string[]> {
+  const version = fleet.configuredAt.findLastIndex(at => performance.now() - at > CONFIGURATION_BOUND)
+  const entry = fleet.entries[turn % fleet.entries.length]
+  if (version < 1 || entry === undefined) return []
+  const status = await fetch(fleet.urlOf(entry, '', `/v${version}/`), { signal: AbortSignal.timeout(CONFIGURATION_BOUND) }).then(response => response.status, () => 0)
+  return status === 404 ? [`${entry.name} says that the queue of version ${version} does not exist`] : []
+}
+
+async function strikeFor ({ faults, kinds, ...options }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
   const began = performance.now()
   const running: Array<Promise<void>> = []
   while (performance.now() - began < faults) {
-    const kind = random.pick(kinds)
+    const kind = random.pick(kinds ?? kindsOf(options))
     struck.push(`${Math.round(performance.now() - began)} ${kind}`)
-    running.push(OPERATOR_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
+    running.push(CONFIGURATION_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
     await pause(random.next() * 2 * FAULT_INTERVAL)
   }
   await Promise.all(running)
--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -144,6 +144,41 @@
   }
 }
 
+/** Queues that a large configuration adds. */
+const MANY_QUEUES = 1500
+
+/** Longest time in which watches hear nothing before the history is dropped, in milliseconds. */
+const DEAF = 1000
+
+/** The same, and what makes configurations late: large ones, several in a row, and stores that an entry can't hear. */
+export const CONFIGURATION_FAULTS: Readonly<Record<string, Fault>> = {
+  ...OPERATOR_FAULTS,
+  configureLarge: async fleet => { fleet.configure(MANY_QUEUES) },
+  configureInARow: async (fleet, random) => {
+    for (let count = random.integer(2, 5); count > 0; count -= 1) {
+      fleet.configure()
+      await pause(random.next() * 300)
+    }
+  },
+  strandStore: async (fleet, random) => random.pick(fleet.storeCutters).strand(),
+  silenceStoreOfEntry: async (fleet, random) => {
+    const cutter = random.pick(fleet.storeCutters)
+    cutter.freeze()
+    await pause(length(random))
+    cutter.restore()
+  },
+  storeDeaf: async (fleet, random) => {
+    if (fleet.store.deaf) return
+    fleet.store.deaf = true
+    fleet.configure()
+    await pause(random.next() * DEAF / 2)
+    fleet.configure()
+    await pause(random.next() * DEAF / 2)
+    fleet.store.compact()
+    fleet.store.deaf = false
+  }
+}
+
 async function strikeOne (members: readonly Member[], random: SeededRandom, fault: (member: Member) => Promise<void>): Promise<void> {
   const member = random.pick(members)
   await strike(member, async () => await fault(member))
--- a/packages/trials/src/soakfleet.ts
+++ b/packages/trials/src/soakfleet.ts
@@ -3,7 +3,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { LinkCutter } from '@amaranthmast/standins/cutter'
+import { LinkCutter, LinkRate } from '@amaranthmast/standins/cutter'
 import { operatorConfiguration } from '@amaranthmast/standins/fleetdocuments'
 import { FleetStore } from '@amaranthmast/standins/fleetstore'
 import { FleetWorker } from '@amaranthmast/standins/fleetworker'
@@ -17,7 +17,21 @@
 export const DATA_CENTRES = ['one', 'two']
 
 /** The bounds of the users' sites. */
-const BOUNDS = { graceSeconds: 6, drainMilliseconds: 2000, stopMilliseconds: 50, longestLeaseMilliseconds: 1000, resubmissionMilliseconds: 1300 }
+const BOUNDS = { graceSeconds: 6, drainMilliseconds: 2000, stopMilliseconds: 50, longestLeaseMilliseconds: 1000, resubmissionMilliseconds: 1300, configurationMilliseconds: 2000 }
+
+/** Bytes a second that the link of an entry carries from the store, where the store is reached over relays. */
+const STORE_RATE = 2_000_000
+
+/** Queues with which a configuration is nearly as large as a value of the store may be. */
+const MOST_QUEUES = 4000
+
+/** What differs between themes of the soak. */
+export interface SoakFleetTraits {
+  /** Two data centres, and workers that state their start. */
+  operators: boolean
+  /** Entries reach the store and each other over relays. */
+  relaysEntries: boolean
+}
 
 /** One process of ours, started again when a fault ended it. */
 export interface Member {
@@ -36,21 +50,23 @@
   readonly agents: Member[] = []
   readonly workers: FleetWorker[] = []
   readonly cutters: LinkCutter[] = []
+  /** Relays between entries and the store. */
+  readonly storeCutters: LinkCutter[] = []
+  /** When each version of the configuration was accepted. */
+  readonly configuredAt: number[] = []
   readonly #processes = new ProcessGroup()
   readonly #ports = new PortPicker()
   readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'))
   readonly #program: string
-  readonly #operators: boolean
+  readonly #traits: SoakFleetTraits
   #storeAddress = ''
   #version = 0
+  #queues = 0
 
-  /**
-   * @param program path of the built program
-   * @param operators two data centres, and workers that state their start
-   */
-  constructor (program: string, operators = false) {
+  /** @param program path of the built program */
+  constructor (program: string, traits: SoakFleetTraits = { operators: false, relaysEntries: false }) {
     this.#program = program
-    this.#operators = operators
+    this.#traits = traits
   }
 
   async start (entries: number, agents: number, duration: (task: string) => number): Promise<void> {
@@ -60,10 +76,16 @@
     for (let index = 0; index < entries; index += 1) await this.#addEntry(index)
   }
 
-  /** Writes a new configuration; gives its version, which is also a queue that only it and later ones have. */
-  configure (): number {
+  /**
+   * Writes a new configuration; gives its version, which is also a queue that only it and later ones have.
+   *
+   * @param more queues that are added besides
+   */
+  configure (more = 0): number {
     this.#version += 1
-    const names = ['checks', ...Array.from({ length: this.#version }, (_none, index) => `v${index + 1}`)]
+    this.#queues = Math.min(MOST_QUEUES, this.#queues + more)
+    const names = ['checks', ...Array.from({ length: this.#version }, (_none, index) => `v${index + 1}`), ...Array.from({ length: this.#queues }, (_none, index) => `queue-${index}`)]
+    this.configuredAt[this.#version] = performance.now()
     this.store.put('op/config', operatorConfiguration(this.#version, names.map(name => ({ name, host: HOST, prefix: `/${name}/` }))))
     return this.#version
   }
@@ -92,7 +114,7 @@
     for (const launched of this.#processes.running()) await launched.kill()
     await this.#processes.stop()
     for (const worker of this.workers) worker.close()
-    await Promise.all(this.cutters.map(cutter => cutter.close()))
+    await Promise.all([...this.cutters, ...this.storeCutters].map(cutter => cutter.close()))
     this.store.close()
     rmSync(this.#folder, { recursive: true })
   }
@@ -101,33 +123,46 @@
     const callers = `${HOST}:${await this.#ports.pick()}`
     const linkPort = await this.#ports.pick()
     const listen = { callers, readiness: `${HOST}:${await this.#ports.pick()}`, announcements: '' }
-    const settings = this.#settings(`entry-${index}`, { linkPorts: [linkPort, linkPort], listen, target: { address: '', service: '' }, metricsPort: await this.#ports.pick() })
+    const linkAddress = `${HOST}:${this.#traits.relaysEntries ? await this.#relay(linkPort) : linkPort}`
+    const settings = this.#settings(`entry-${index}`, { linkPorts: [linkPort, linkPort], linkAddress, listen, target: { address: '', service: '' }, metricsPort: await this.#ports.pick() }, await this.#storeOfEntry())
     const member: Member = { name: `entry-${index}`, address: callers, settings, process: undefined, struck: false }
     this.entries.push(member)
     this.launch(member)
   }
 
+  async #storeOfEntry (): Promise<string> {
+    if (!this.#traits.relaysEntries) return this.#storeAddress
+    const cutter = new LinkCutter(Number(this.#storeAddress.split(':')[1]), new LinkRate(STORE_RATE))
+    this.storeCutters.push(cutter)
+    return `${HOST}:${await cutter.listen(await this.#ports.pick())}`
+  }
+
   async #addAgent (index: number, duration: (task: string) => number): Promise<void> {
     const announcements = `${HOST}:${await this.#ports.pick()}`
     const linkPort = await this.#ports.pick()
-    const dataCentre = this.#operators ? DATA_CENTRES[index % DATA_CENTRES.length] as string : 'one'
-    const worker = new FleetWorker({ service: 'checks', dataCentre, statesStart: this.#operators, cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
+    const dataCentre = this.#traits.operators ? DATA_CENTRES[index % DATA_CENTRES.length] as string : 'one'
+    const worker = new FleetWorker({ service: 'checks', dataCentre, statesStart: this.#traits.operators, cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
     const target = { address: await worker.listen(HOST), service: 'checks' }
-    const cutter = new LinkCutter(linkPort)
-    const relayed = await cutter.listen(await this.#ports.pick())
+    const relayed = await this.#relay(linkPort)
     const listen = { callers: '', readiness: '', announcements }
     const settings = this.#settings(`agent-${index}`, { linkPorts: [linkPort, linkPort], linkAddress: `${HOST}:${relayed}`, listen, target, metricsPort: await this.#ports.pick() })
     const member: Member = { name: `agent-${index}`, address: announcements, settings, process: undefined, struck: false }
     this.agents.push(member)
     this.workers.push(worker)
-    this.cutters.push(cutter)
     this.launch(member)
     worker.announce()
   }
 
-  #settings (id: string, own: object): string {
+  /** Puts a relay before a listener for links; gives its port. */
+  async #relay (port: number): Promise<number> {
+    const cutter = new LinkCutter(port)
+    this.cutters.push(cutter)
+    return await cutter.listen(await this.#ports.pick())
+  }
+
+  #settings (id: string, own: object, storeAddress = this.#storeAddress): string {
     const path = join(this.#folder, `${id}.json`)
-    const store = { address: this.#storeAddress, shortestLeaseMilliseconds: 1000, valueBytes: 1_048_576 }
+    const store = { address: storeAddress, shortestLeaseMilliseconds: 1000, valueBytes: 1_048_576 }
     writeFileSync(path, JSON.stringify({ id, role: id, ip: HOST, dataCentre: 'one', seeds: [], bounds: BOUNDS, store, ...own }))
     return path
   }
--- a/packages/trials/src/soakmain.ts
+++ b/packages/trials/src/soakmain.ts
@@ -3,6 +3,7 @@
  *
  *     npm run soak -- --seed 1 --minutes 2          fresh seeds from 1 on for two minutes
  *     npm run soak -- --seed 17 --seeds 1 --kinds killEntry,freezeAgent
+ *     npm run soak -- --seed 50 --minutes 2 --configurations   with large configurations and stores that single entries don't hear
  *     npm run soak -- --seed 30 --minutes 2 --long   with tasks that outlast the pause of their callers
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
@@ -20,6 +21,7 @@
   .option('kinds', { type: 'string', describe: 'kinds of faults, separated by commas' })
   .option('long', { type: 'boolean', default: false, describe: 'every eighth job has tasks that outlast the pause of its caller' })
   .option('operators', { type: 'boolean', default: true, describe: 'evacuations, and workers that start again under their id, among the faults' })
+  .option('configurations', { type: 'boolean', default: false, describe: 'large and frequent configurations, and stores that single entries do not hear, among the faults' })
   .option('program', { type: 'string', default: 'dist/amaranthmast-fleet.js', describe: 'the built program' })
   .strict()
   .parseSync()
@@ -29,7 +31,7 @@
 let failed = 0
 let played = 0
 for (let seed = settings.seed; settings.seeds === undefined ? performance.now() < end : played < settings.seeds; seed += 1) {
-  const result = await soak({ seed, program: settings.program, faults: settings.faults, long: settings.long, operators: settings.operators, ...(kinds === undefined ? {} : { kinds }) })
+  const result = await soak({ seed, program: settings.program, faults: settings.faults, long: settings.long, operators: settings.operators, configurations: settings.configurations, ...(kinds === undefined ? {} : { kinds }) })
   played += 1
   console.log(`seed ${seed}: ${JSON.stringify(result.jobs)}, ${result.struck.length} faults, ${result.findings.length} findings`)
   for (const finding of result.findings) console.log(`  ${finding}`)
