Agents log and count on which evidence a run counted as ended

Of a task that ran twice the logs told that its run had ended, not what that was known from: 'gone' might be a listed end, a lapsed lease, a refused connection or another life at the address. The line 'task ended' names the evidence, the life of the target and what is left of the lease (negative once it has lapsed); ends are counted by evidence, and polls that list a run of which nobody knows any more are counted (amaranthmast_run_ends_total, amaranthmast_stray_runs_total). Nothing is decided otherwise.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -151,9 +151,11 @@
 
   #exposed (): string {
     const exposition = new Exposition()
-    const { tasks, entries, cleared, silent } = this.#agent.status()
+    const { tasks, entries, cleared, silent, ends, strays } = this.#agent.status()
     const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_run_ends_total', 'Runs that counted as ended, by the evidence', [...ends].map(([evidence, value]) => ({ labels: { evidence }, value })))
+    exposition.counter('amaranthmast_stray_runs_total', 'Polls that list a run of which nobody here knows, each such run', [{ labels: {}, value: strays }])
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
     return exposition.text()
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -24,6 +24,7 @@
 import type { Announcement } from './targetwatch.ts'
 import { fits } from './resources.ts'
 import { TargetRoom } from './targetroom.ts'
+import { EndEvidence } from './runends.ts'
 import { Sighting, TargetWatch } from './targetwatch.ts'
 import { LifeEnd, TaskRuns } from './taskruns.ts'
 
@@ -60,6 +61,9 @@
   /** Runs at the target that take room though no task here holds it. */
   unheld: number
   entries: number
+  /** Ends of runs by what they were known from. */
+  ends: ReadonlyMap<EndEvidence, number>
+  strays: number
 }
 
 export class Agent {
@@ -183,7 +187,7 @@
 
   status (): AgentStatus {
     const { facts, cleared, lease } = this.#target
-    return { target: facts, cleared, silent: lease.silent, tasks: this.#held.size, unheld: this.#room.unheld, entries: this.#entries.linked }
+    return { target: facts, cleared, silent: lease.silent, tasks: this.#held.size, unheld: this.#room.unheld, entries: this.#entries.linked, ends: this.#runs.ends.counts, strays: this.#runs.ends.strays }
   }
 
   // The target
@@ -222,7 +226,7 @@
     if (this.#target.facts === undefined) return
     const cause = this.#noteCrash(ending, now)
     if (ending === LifeEnd.Replaced) this.#runs.endLife(cause, now)
-    else this.#runs.finishAll(cause, now)
+    else this.#runs.finishAll(cause, ending === LifeEnd.Left ? EndEvidence.Deregistered : EndEvidence.ConnectionRefused, now)
     this.#target.end(reason, ending !== LifeEnd.Unknown)
     this.#entries.announceToAll(now)
     const successor = this.#target.takeSuccessor()
@@ -344,7 +348,7 @@
     this.#entries.expire(now)
     if (now < this.#target.lease.lapsedAt) return
     this.#noteSilence(now)
-    this.#runs.finishAll(Cause.Lapsed, now)
+    this.#runs.finishAll(Cause.Lapsed, EndEvidence.Lapsed, now)
   }
 
   /** Silence proves no crash, but the tasks are started again as if it did until the target is heard of. */
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -4,6 +4,7 @@
 import type { EntrySession } from './entrysession.ts'
 import type { HeldTask, HeldTasks } from './heldtasks.ts'
 import type { SlowTask, TaskEnd, TaskOrder, TaskReference } from './messages.ts'
+import type { RunEnding } from './runends.ts'
 import type { TargetRoom } from './targetroom.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { RunEnd, StartAnswer } from './agenttypes.ts'
@@ -12,6 +13,7 @@
 import { Stage } from './heldtasks.ts'
 import { Cause, Outcome } from './messages.ts'
 import { noteProgress, slowRemaining } from './progress.ts'
+import { EndEvidence, RunEnds } from './runends.ts'
 import { runKey } from './targetroom.ts'
 
 /** Run numbers skipped after a refusal as old, times the refusals so far. */
@@ -57,6 +59,7 @@
   readonly #context: AgentContext
   readonly #held: HeldTasks
   readonly #target: TargetWatch
+  readonly ends = new RunEnds()
   /** Since when each run is listed that nobody here asked for. */
   #strays = new Map<string, number>()
 
@@ -64,10 +67,10 @@
     [StartAnswer.Started]: (held, now) => this.#confirmed(held, now),
     [StartAnswer.Fenced]: (held, now) => this.#fenced(held, now),
     [StartAnswer.OldRun]: (held, now) => this.#tryHigherRun(held, now),
-    [StartAnswer.Late]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Unreachable, now),
-    [StartAnswer.Full]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Full, now),
-    [StartAnswer.Unhealthy]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Unhealthy, now),
-    [StartAnswer.Rejected]: (held, now) => this.finish(held, Outcome.NotStarted, Cause.Rejected, now),
+    [StartAnswer.Late]: (held, now) => this.#notStarted(held, Cause.Unreachable, now),
+    [StartAnswer.Full]: (held, now) => this.#notStarted(held, Cause.Full, now),
+    [StartAnswer.Unhealthy]: (held, now) => this.#notStarted(held, Cause.Unhealthy, now),
+    [StartAnswer.Rejected]: (held, now) => this.#notStarted(held, Cause.Rejected, now),
     [StartAnswer.OtherInstance]: (_held, now) => this.#parts.targetLost('another instance answers', LifeEnd.Replaced, now),
     [StartAnswer.NoListener]: (_held, now) => this.#parts.targetLost('nothing listens', LifeEnd.Unknown, now),
     [StartAnswer.Silent]: (held, now) => this.#startUnanswered(held, now)
@@ -108,7 +111,7 @@
 
   #start (held: HeldTask, now: number): void {
     const deadline = this.#target.lease.renew(now)
-    if (deadline === undefined) return this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+    if (deadline === undefined) return this.#notStarted(held, Cause.Unreachable, now)
     held.startedAt = now
     held.advancedAt = now
     this.#context.emit({ type: 'start', ...this.#target.order(), task: held.order.task, run: held.run, payload: held.payload, deadline, timeout: this.#target.timeout })
@@ -127,7 +130,7 @@
   #startUnanswered (held: HeldTask, now: number): void {
     if (held.stage !== Stage.Starting) return
     if (this.#context.guards.takeBack) this.stop(held, now)
-    else this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+    else this.#notStarted(held, Cause.Unreachable, now)
   }
 
   /**
@@ -135,12 +138,12 @@
    * agent a moment ago, the refusal only says that the stop was faster than the start.
    */
   #tryHigherRun (held: HeldTask, now: number): void {
-    if (held.stage === Stage.Stopping) return this.finish(held, Outcome.Gone, Cause.Stopped, now)
+    if (held.stage === Stage.Stopping) return this.#finish(held, { outcome: Outcome.Gone, cause: Cause.Stopped, evidence: EndEvidence.StartRefused }, now)
     held.oldRuns += 1
-    if (held.oldRuns > OLD_RUNS_LIMIT) return this.finish(held, Outcome.NotStarted, Cause.Rejected, now)
+    if (held.oldRuns > OLD_RUNS_LIMIT) return this.#notStarted(held, Cause.Rejected, now)
     const obstacle = this.#parts.obstacle(held.order, now)
-    if (obstacle !== Cause.None) return this.finish(held, Outcome.NotStarted, obstacle, now)
-    if (!this.#parts.room.holds(now)) return this.finish(held, Outcome.NotStarted, Cause.Full, now)
+    if (obstacle !== Cause.None) return this.#notStarted(held, obstacle, now)
+    if (!this.#parts.room.holds(now)) return this.#notStarted(held, Cause.Full, now)
     held.run += RUN_STEP * held.oldRuns
     this.#held.noteRun(held)
     this.#start(held, now)
@@ -148,7 +151,7 @@
 
   #fenced (held: HeldTask, now: number): void {
     this.#target.raiseToken()
-    this.finish(held, Outcome.NotStarted, Cause.Unreachable, now)
+    this.#notStarted(held, Cause.Unreachable, now)
   }
 
   // Stopping
@@ -220,9 +223,9 @@
     const held = this.#held.get(task)
     if (held === undefined || held.run !== run) return
     if (end === RunEnd.Done) this.#target.pace.observe(held, WHOLE_PERCENT, now)
-    if (end === RunEnd.Done) return this.finish(held, Outcome.Done, Cause.None, now)
-    if (end === RunEnd.Failed) return this.finish(held, Outcome.Failed, Cause.None, now)
-    this.finish(held, Outcome.Gone, end === RunEnd.Lapsed ? Cause.Lapsed : Cause.Stopped, now)
+    if (end === RunEnd.Done) return this.#finish(held, { outcome: Outcome.Done, cause: Cause.None, evidence: EndEvidence.Listed }, now)
+    if (end === RunEnd.Failed) return this.#finish(held, { outcome: Outcome.Failed, cause: Cause.None, evidence: EndEvidence.Listed }, now)
+    this.#finish(held, { outcome: Outcome.Gone, cause: end === RunEnd.Lapsed ? Cause.Lapsed : Cause.Stopped, evidence: EndEvidence.Listed }, now)
   }
 
   #runs (held: HeldTask, percent: number, now: number): void {
@@ -235,7 +238,8 @@
   /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. Tells since when it is listed. */
   #stray (task: string, run: number, now: number): number {
     this.#parts.room.noteStray(task, run, now)
-    this.#context.note('stray run stopped', { task, run })
+    this.ends.noteStray()
+    this.#context.note('stray run stopped', { task, run, instance: this.#target.order().instance })
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
     return this.#strays.get(runKey(task, run)) ?? now
   }
@@ -243,15 +247,15 @@
   /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
   #absent (held: HeldTask, sent: number, now: number): void {
     if (held.stage === Stage.Running && held.confirmedAt !== undefined && held.confirmedAt < sent) {
-      return this.finish(held, Outcome.Gone, Cause.Lapsed, now)
+      return this.#finish(held, { outcome: Outcome.Gone, cause: Cause.Lapsed, evidence: EndEvidence.Missing }, now)
     }
     if (held.stage !== Stage.Stopping || held.stopConfirmedAt === undefined) return
     // One that was never seen running has not begun, and the stop forbids that it does.
     if (held.confirmedAt === undefined && sent >= held.stopConfirmedAt) {
       this.#parts.room.noteStopped(held)
-      return this.finish(held, Outcome.Gone, Cause.Unanswered, now)
+      return this.#finish(held, { outcome: Outcome.Gone, cause: Cause.Unanswered, evidence: EndEvidence.Missing }, now)
     }
-    if (sent > held.stopConfirmedAt + this.#context.stop) this.finish(held, Outcome.Gone, Cause.Stopped, now)
+    if (sent > held.stopConfirmedAt + this.#context.stop) this.#finish(held, { outcome: Outcome.Gone, cause: Cause.Stopped, evidence: EndEvidence.Missing }, now)
   }
 
   #reportSlow (now: number): void {
@@ -275,7 +279,7 @@
   endLife (cause: Cause, now: number): void {
     for (const held of this.#held.all()) {
       if (!this.#context.guards.nextLife || this.#target.isProven(held)) {
-        this.finish(held, Outcome.Gone, cause, now)
+        this.#finish(held, { outcome: Outcome.Gone, cause, evidence: EndEvidence.OtherLife }, now)
         continue
       }
       held.stage = Stage.Stopping
@@ -290,15 +294,20 @@
     for (const held of this.#held.all()) this.stop(held, now)
   }
 
-  finishAll (cause: Cause, now: number): void {
-    for (const held of this.#held.all()) this.finish(held, Outcome.Gone, cause, now)
+  finishAll (cause: Cause, evidence: EndEvidence, now: number): void {
+    for (const held of this.#held.all()) this.#finish(held, { outcome: Outcome.Gone, cause, evidence }, now)
   }
 
-  finish (held: HeldTask, outcome: Outcome, cause: Cause, now: number): void {
+  #notStarted (held: HeldTask, cause: Cause, now: number): void {
+    this.#finish(held, { outcome: Outcome.NotStarted, cause, evidence: EndEvidence.StartRefused }, now)
+  }
+
+  #finish (held: HeldTask, { outcome, cause, evidence }: RunEnding, now: number): void {
     this.#held.remove(held)
+    this.ends.note(evidence)
     this.#parts.room.noteLeft(held)
     const { task, attempt } = held.order
-    if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, entry: held.session.entry, age: Math.round(now - held.startedAt) })
+    if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, evidence, instance: this.#target.order().instance, entry: held.session.entry, age: Math.round(now - held.startedAt), leaseLeft: Math.round(this.#target.lease.lapsedAt - now) })
     this.#parts.tell(held.session, { task, attempt, outcome, cause, ran: Math.max(0, now - held.startedAt) }, now)
   }
 }
