--- a/packages/standins/src/cutter.ts
+++ b/packages/standins/src/cutter.ts
@@ -82,6 +82,11 @@
     return this.#server.listening
   }
 
+  /** Port on which it listens; 0 while it does not. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0
+  }
+
   /** Connections accepted so far, those that were reset at once included. */
   get accepted (): number {
     return this.#accepted
