--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -15,6 +15,7 @@
 import { Exposition } from './exposition.ts'
 import { Loop, runLoop } from './loop.ts'
 import { MetricsListener } from './metricslistener.ts'
+import { exposeDroppedLines } from './processmetrics.ts'
 import { SuspensionWatch } from './suspension.ts'
 import { Ticker } from './ticker.ts'
 
@@ -155,7 +156,7 @@
     const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
-    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    exposeDroppedLines(exposition, this.#options.decisions.dropped())
     return exposition.text()
   }
 }
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -23,6 +23,7 @@
 import { MetricsListener } from './metricslistener.ts'
 import { QueueLookup } from './ports.ts'
 import { JobMetrics } from './jobmetrics.ts'
+import { exposeDroppedLines } from './processmetrics.ts'
 import { exposeScheduling } from './schedulingmetrics.ts'
 import { Ticker } from './ticker.ts'
 
@@ -225,7 +226,7 @@
     exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposeConfiguration(exposition, this.#gossip.status, this.#gossip.age)
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
-    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    exposeDroppedLines(exposition, this.#options.decisions.dropped())
     this.#metrics.expose(exposition)
     exposeScheduling(exposition, this.#options.settings.id, this.#entry.scheduling(this.#options.now()))
     return exposition.text()
--- /dev/null
+++ b/packages/daemon/src/lineclass.ts
@@ -0,0 +1,26 @@
+/** Which lines of the log of decisions are routine, and which tell that something changed. */
+import { Cause } from '@amaranthmast/dispatch/messages'
+
+export enum LineClass {
+  /** There are as many as jobs, tasks, requests or messages: under load they are many. */
+  Routine = 'routine',
+  /** A change of what the process believes, or a run that did not end as it should. */
+  Change = 'change'
+}
+
+export const ROUTINE_MESSAGES: ReadonlySet<string> = new Set([
+  'job taken',
+  'tasks placed',
+  'job ended',
+  'job refused',
+  'job given up',
+  'queue not known, the configuration may be out of date',
+  'message of an unknown kind ignored'
+])
+
+/** Causes for which a task comes back to its entry, or ends unstarted, as often as many callers want the same room. */
+const ROUTINE_CAUSES: ReadonlySet<unknown> = new Set([Cause.Full])
+
+export function lineClassOf (what: string, fields: Readonly<Record<string, unknown>>): LineClass {
+  return ROUTINE_MESSAGES.has(what) || ROUTINE_CAUSES.has(fields['cause']) ? LineClass.Routine : LineClass.Change
+}
--- /dev/null
+++ b/packages/daemon/test/lineclass.test.ts
@@ -0,0 +1,37 @@
+/** Which lines are routine. */
+import { Cause } from '@amaranthmast/dispatch/messages'
+import { expect } from 'earl'
+import { readdirSync, readFileSync } from 'node:fs'
+import { test } from 'node:test'
+import { LineClass, lineClassOf, ROUTINE_MESSAGES } from '../src/lineclass.ts'
+
+const ROOT = new URL('../../../', import.meta.url)
+
+/** Where lines are written. */
+const SOURCES = ['packages/dispatch/src/', 'packages/configuration/src/', 'packages/daemon/src/', 'platform/src/']
+
+function sourcesBut (excepted: string): string {
+  const files = SOURCES.flatMap(directory => readdirSync(new URL(directory, ROOT)).map(file => `${directory}${file}`))
+  return files.filter(file => !file.endsWith(excepted)).map(file => readFileSync(new URL(file, ROOT), 'utf8')).join('\n')
+}
+
+// A message that is renamed at its place alone would join the lines that tell changes, and crowd them out under load.
+test('every routine message is written somewhere', () => {
+  const sources = sourcesBut('/lineclass.ts')
+  expect([...ROUTINE_MESSAGES].filter(message => !sources.includes(`'${message}'`))).toEqual([])
+})
+
+const CHANGES = [
+  'target lost', 'target silent', 'target found', 'target clear', 'task ended', 'stray run stopped', 'tasks of an entry stopped', 'start refused', 'start out of contact',
+  'task to be placed again', 'task moved', 'tasks of a silent agent ended', 'further submission cancelled', 'agent silent', 'entry linked', 'entry unlinked',
+  'woke from a suspension', 'fenced, token raised', 'another life of the target announced itself', 'evacuations in force'
+]
+
+test('what explains a second run of a task is not routine', () => {
+  expect(CHANGES.filter(message => lineClassOf(message, { cause: Cause.TargetLost }) !== LineClass.Change)).toEqual([])
+})
+
+test('a task that found no room is routine, one that came back for another cause is not', () => {
+  const classes = [Cause.Full, Cause.Unanswered, Cause.Stopped, Cause.None].map(cause => lineClassOf('task ended', { cause }))
+  expect(classes).toEqual([LineClass.Routine, LineClass.Change, LineClass.Change, LineClass.Change])
+})
--- a/packages/daemon/test/metrics.test.ts
+++ b/packages/daemon/test/metrics.test.ts
@@ -5,6 +5,7 @@
 import { EntryMetrics } from '../src/entrymetrics.ts'
 import { Exposition } from '../src/exposition.ts'
 import { ClassHistograms, Measure } from '../src/histograms.ts'
+import { exposeDroppedLines } from '../src/processmetrics.ts'
 
 const task = { type: 'taskFinished', tenant: 'magnolia', service: 'label-check', waitMilliseconds: 2, runMilliseconds: 100 } as const
 
@@ -14,6 +15,16 @@
   expect(exposition.text()).toEqual('# HELP size Size\n# TYPE size gauge\nsize{name="a\\"b\\\\c\\nd"} 1\n')
 })
 
+test('dropped lines are counted by class', () => {
+  const exposition = new Exposition()
+  exposeDroppedLines(exposition, { routine: 7, change: 2 })
+  expect(exposition.text()).toEqual(`# HELP amaranthmast_log_lines_dropped_total Log lines dropped: routine ones, and ones that tell changes
+# TYPE amaranthmast_log_lines_dropped_total counter
+amaranthmast_log_lines_dropped_total{class="routine"} 7
+amaranthmast_log_lines_dropped_total{class="change"} 2
+`)
+})
+
 test('a task is counted and its times are shown for its class in seconds', () => {
   const metrics = new EntryMetrics()
   metrics.taskFinished(task)
