Front: lines for each request are decisions, within the budget of routine lines

Cause: "job not taken" and "answer broken off" went to the log beside its budget. Callers of jobs that are not served could fill the buffer by them, and what came later was dropped. Ruled out: leaving them unbounded because they are rare: kept jobs are answered 503 and logged, and their callers come back. Change: the port of callers gets the function that writes decisions in place of the logger; both messages are routine. Conclusion: all lines whose number callers decide are bounded. The lines that are left beside the budget are those of start, stop, reload, a lost or regained store, a configuration that is not understood, and a metrics listener that fails.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -121,7 +121,7 @@
       waiting: () => 0,
       gone: request => this.#loop.post({ type: 'requestGone', request }),
       ready: () => this.#entry.ready
-    }, decisions.log)
+    }, decisions.decision)
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
   }
 
--- a/packages/daemon/src/lineclass.ts
+++ b/packages/daemon/src/lineclass.ts
@@ -14,6 +14,8 @@
   'job ended',
   'job refused',
   'job given up',
+  'job not taken',
+  'answer broken off',
   'queue not known, the configuration may be out of date',
   'message of an unknown kind ignored'
 ])
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -6,7 +6,6 @@
 import type { EvacuationState } from '@amaranthmast/dispatch/evacuations'
 import type { DispatchConfiguration, Queue, RequestLimits } from '@amaranthmast/dispatch/queues'
 import type { SchedulingSettings } from '@amaranthmast/dispatch/schedulingsettings'
-import type { Logger } from 'pino'
 
 type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
 
@@ -105,7 +104,10 @@
   close: () => void
 }
 
-export type CallerPortFactory = (events: CallerEvents, log: Logger) => CallerPort
+/** Writes a decision to the log, within the budget of its lines. */
+export type Note = (what: string, fields: Record<string, unknown>) => void
+
+export type CallerPortFactory = (events: CallerEvents, note: Note) => CallerPort
 
 /** Settings that both roles share. */
 export interface ServiceSettings {
