Both roles tell how late their event loop is

Cause: nothing told that a process was late. The limits that keep two runs of a task apart set 100 ms aside for a stop and for timers; an agent or entry that is later than that uses them up, and left no trace of it. Ruled out: a timer of its own, or Node's monitor of the loop's delay, which is one: wake-ups are charged. Change: looplag.ts takes the lateness of the ticks that there are (one reading of the clock each). Metrics of both roles amaranthmast_loop_late_seconds (quantiles, 1 is the latest) and amaranthmast_loop_late_turns_total; a line "event loop late" with how late, at most one a second, which tells the worst, when it was, and the number. A pause shows as its length less up to the interval of the ticks (50 ms at work, 100 ms idle). The histogram of one distribution moves to a module of its own, as agents use it too.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -14,6 +14,7 @@
 import { exposeStoreCalls } from './configurationmetrics.ts'
 import { Exposition } from './exposition.ts'
 import { Loop, runLoop } from './loop.ts'
+import { lateTurnThreshold, LoopLag } from './looplag.ts'
 import { MetricsListener } from './metricslistener.ts'
 import { exposeDroppedLines } from './processmetrics.ts'
 import { SuspensionWatch } from './suspension.ts'
@@ -45,6 +46,7 @@
   readonly #visits: Dialer
   readonly #suspension: SuspensionWatch
   readonly #metricsListener: MetricsListener
+  readonly #lag: LoopLag
   readonly #entryAddresses = new Set<string>()
   readonly #linked = new Set<string>()
   #visitedAt: number
@@ -84,6 +86,7 @@
       }
     })
     this.#visits = new Dialer(own, { linked: () => {}, received: () => {}, unlinked: () => {} }, now)
+    this.#lag = new LoopLag({ threshold: lateTurnThreshold(settings.bounds.stop), now, note: decisions.decision })
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
   }
 
@@ -94,7 +97,7 @@
     this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
     store.publish({ name: settings.id, role: PeerRole.Agent, address: settings.linkAddress })
     this.#recallTarget()
-    const ticker = new Ticker(() => this.#tick(), () => this.#agent.busy || this.#stopOrderedAt !== undefined)
+    const ticker = new Ticker(() => this.#tick(), () => this.#agent.busy || this.#stopOrderedAt !== undefined, this.#lag)
     ticker.start()
     try {
       await runLoop(this.#loop, this.#agent, this.#handlers, now)
@@ -157,6 +160,7 @@
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposeDroppedLines(exposition, this.#options.decisions.dropped())
+    this.#lag.expose(exposition)
     return exposition.text()
   }
 }
--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -20,6 +20,7 @@
 import { Exposition } from './exposition.ts'
 import { addressesOf, Gossip, isGossip } from './gossip.ts'
 import { Loop, runLoop } from './loop.ts'
+import { lateTurnThreshold, LoopLag } from './looplag.ts'
 import { MetricsListener } from './metricslistener.ts'
 import { QueueLookup } from './ports.ts'
 import { JobMetrics } from './jobmetrics.ts'
@@ -61,6 +62,7 @@
   readonly #gossip: Gossip
   readonly #metrics = new JobMetrics()
   readonly #metricsListener: MetricsListener
+  readonly #lag: LoopLag
   #configuration: DispatchConfiguration | undefined
   #queues = new QueueTable([])
   #stopOrderedAt: number | undefined
@@ -122,6 +124,7 @@
       gone: request => this.#loop.post({ type: 'requestGone', request }),
       ready: () => this.#entry.ready
     }, decisions.decision)
+    this.#lag = new LoopLag({ threshold: lateTurnThreshold(settings.bounds.stop), now, note: decisions.decision })
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
   }
 
@@ -143,7 +146,7 @@
     })
     store.publish({ name: settings.id, role: PeerRole.Entry, address: settings.linkAddress })
     for (const seed of settings.seeds) this.#peers.add(`${seed}:${settings.linkPort}`)
-    const ticker = new Ticker(() => this.#tick(), () => this.#entry.busy || this.#stopOrderedAt !== undefined)
+    const ticker = new Ticker(() => this.#tick(), () => this.#entry.busy || this.#stopOrderedAt !== undefined, this.#lag)
     ticker.start()
     try {
       await runLoop(this.#loop, this.#entry, this.#handlers, now)
@@ -227,6 +230,7 @@
     exposeConfiguration(exposition, this.#gossip.status, this.#gossip.age)
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposeDroppedLines(exposition, this.#options.decisions.dropped())
+    this.#lag.expose(exposition)
     this.#metrics.expose(exposition)
     exposeScheduling(exposition, this.#options.settings.id, this.#entry.scheduling(this.#options.now()))
     return exposition.text()
--- a/packages/daemon/src/histograms.ts
+++ b/packages/daemon/src/histograms.ts
@@ -1,8 +1,8 @@
 /** Distributions for each tenant and service. */
-import type { Histogram } from 'hdr-histogram-js'
-import Int32HistogramModule from 'hdr-histogram-js/dist/Int32Histogram.js'
-import { HISTOGRAM_CLASSES, HISTOGRAM_LIMIT } from './defaults.ts'
+import type { DistributionFigures } from './distribution.ts'
 import type { Summary } from './exposition.ts'
+import { HISTOGRAM_CLASSES } from './defaults.ts'
+import { Distribution } from './distribution.ts'
 
 /** What is measured of a class of work. */
 export enum Measure {
@@ -22,41 +22,12 @@
 /** Name of the class that takes what exceeds the bound on classes. */
 const OTHERS = 'others'
 
-/** The histograms hold whole numbers: hundredths keep short waits and small ratios apart. */
-const PARTS = 100
-
-const SIGNIFICANT_DIGITS = 2
-const LOWEST_VALUE = 1
-const FIRST_HIGHEST_VALUE = 2
-
-/**
- * The one class of the library that is used. Its main module also loads a compression library and
- * compiles a WebAssembly variant, which cost an idle entry megabytes. As the class comes from a
- * CommonJS module, it may stand one level deeper than its types say.
- */
-const Int32Histogram = (Int32HistogramModule as unknown as { default?: typeof Int32HistogramModule }).default ?? Int32HistogramModule
-
-interface Distribution {
-  histogram: Histogram
-  sum: number
-}
-
 interface WorkClass {
   tenant: string
   service: string
   distributions: Partial<Record<Measure, Distribution>>
 }
 
-/** One distribution for people and tools. */
-export interface DistributionFigures {
-  count: number
-  mean: number
-  p50: number
-  p90: number
-  p99: number
-  max: number
-}
-
 /** The figures of one class. */
 export interface ClassFigures {
   tenant: string
@@ -69,10 +40,8 @@
 
   record (tenant: string, service: string, measure: Measure, value: number): void {
     const distributions = this.#class(tenant, service).distributions
-    const distribution = distributions[measure] ??= { histogram: newHistogram(), sum: 0 }
-    const bounded = Math.min(Math.max(value, 0), HISTOGRAM_LIMIT)
-    distribution.histogram.recordValue(Math.round(bounded * PARTS))
-    distribution.sum += bounded
+    const distribution = distributions[measure] ??= new Distribution()
+    distribution.record(value)
   }
 
   /** Summaries of one measure, divided by `unit`. */
@@ -80,13 +49,7 @@
     const summaries: Summary[] = []
     for (const { tenant, service, distributions } of this.#classes.values()) {
       const distribution = distributions[measure]
-      if (distribution === undefined) continue
-      summaries.push({
-        labels: { tenant, service },
-        quantiles: new Map(QUANTILES.map(quantile => [quantile, valueAt(distribution, quantile) / unit])),
-        sum: distribution.sum / unit,
-        count: distribution.histogram.totalCount
-      })
+      if (distribution !== undefined) summaries.push(distribution.summary({ tenant, service }, QUANTILES, unit))
     }
     return summaries
   }
@@ -96,7 +59,7 @@
     return [...this.#classes.values()].map(({ tenant, service, distributions }) => ({
       tenant,
       service,
-      measures: Object.fromEntries(Object.entries(distributions).map(([measure, distribution]) => [measure, figuresOf(distribution)]))
+      measures: Object.fromEntries(Object.entries(distributions).map(([measure, distribution]) => [measure, distribution.figures()]))
     }))
   }
 
@@ -111,26 +74,3 @@
     return made
   }
 }
-
-/** A histogram starts small and grows with the values that it gets. */
-function newHistogram (): Histogram {
-  const histogram = new Int32Histogram(LOWEST_VALUE, FIRST_HIGHEST_VALUE, SIGNIFICANT_DIGITS)
-  histogram.autoResize = true
-  return histogram
-}
-
-function valueAt ({ histogram }: Distribution, quantile: number): number {
-  return histogram.getValueAtPercentile(quantile * 100) / PARTS
-}
-
-function figuresOf (distribution: Distribution): DistributionFigures {
-  const { histogram, sum } = distribution
-  return {
-    count: histogram.totalCount,
-    mean: sum / Math.max(histogram.totalCount, 1),
-    p50: valueAt(distribution, 0.5),
-    p90: valueAt(distribution, 0.9),
-    p99: valueAt(distribution, 0.99),
-    max: histogram.maxValue / PARTS
-  }
-}
