Decision log: lines on tasks that failed by themselves are routine

Cause: "task ended" and "task to be placed again" come once for each start of a queue whose tasks always fail, and would use up the budget of the lines that tell changes. Ruled out: taking the messages as routine as a whole: with outcome gone they are what explains a second run. Change: outcome `failed` makes a line routine, as the cause `full` does; the target has listed the end of such a run. Conclusion: what grows with the work stays within the budget of routine lines.

--- a/packages/daemon/src/lineclass.ts
+++ b/packages/daemon/src/lineclass.ts
@@ -1,5 +1,5 @@
 /** Which lines of the log of decisions are routine, and which tell that something changed. */
-import { Cause } from '@amaranthmast/dispatch/messages'
+import { Cause, Outcome } from '@amaranthmast/dispatch/messages'
 
 export enum LineClass {
   /** There are as many as jobs, tasks, requests or messages: under load they are many. */
@@ -20,9 +20,13 @@
   'message of an unknown kind ignored'
 ])
 
-/** Causes for which a task comes back to its entry, or ends unstarted, as often as many callers want the same room. */
+/** There are as many as there are callers who want the same room. */
 const ROUTINE_CAUSES: ReadonlySet<unknown> = new Set([Cause.Full])
 
+/** The target has listed the end of the run: there are as many as a queue has tasks that fail by themselves. */
+const ROUTINE_OUTCOMES: ReadonlySet<unknown> = new Set([Outcome.Failed])
+
 export function lineClassOf (what: string, fields: Readonly<Record<string, unknown>>): LineClass {
-  return ROUTINE_MESSAGES.has(what) || ROUTINE_CAUSES.has(fields['cause']) ? LineClass.Routine : LineClass.Change
+  const routine = ROUTINE_MESSAGES.has(what) || ROUTINE_CAUSES.has(fields['cause']) || ROUTINE_OUTCOMES.has(fields['outcome'])
+  return routine ? LineClass.Routine : LineClass.Change
 }
--- a/packages/daemon/test/lineclass.test.ts
+++ b/packages/daemon/test/lineclass.test.ts
@@ -1,5 +1,5 @@
 /** Which lines are routine. */
-import { Cause } from '@amaranthmast/dispatch/messages'
+import { Cause, Outcome } from '@amaranthmast/dispatch/messages'
 import { expect } from 'earl'
 import { readdirSync, readFileSync } from 'node:fs'
 import { test } from 'node:test'
@@ -35,3 +35,9 @@
   const classes = [Cause.Full, Cause.Unanswered, Cause.Stopped, Cause.None].map(cause => lineClassOf('task ended', { cause }))
   expect(classes).toEqual([LineClass.Routine, LineClass.Change, LineClass.Change, LineClass.Change])
 })
+
+// The tasks of a queue that always fail come back as often as they start.
+test('a task that failed by itself is routine, one that is gone or was not started is not', () => {
+  const classes = [Outcome.Failed, Outcome.Gone, Outcome.NotStarted].map(outcome => lineClassOf('task to be placed again', { outcome, cause: Cause.None }))
+  expect(classes).toEqual([LineClass.Routine, LineClass.Change, LineClass.Change])
+})
