--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -20,9 +20,11 @@
 import { Exposition } from './exposition.ts'
 import { addressesOf, Gossip, isGossip } from './gossip.ts'
 import { Loop, runLoop } from './loop.ts'
+import { lateTurnThreshold, LoopLag } from './looplag.ts'
 import { MetricsListener } from './metricslistener.ts'
 import { QueueLookup } from './ports.ts'
 import { JobMetrics } from './jobmetrics.ts'
+import { exposeDroppedLines } from './processmetrics.ts'
 import { exposeScheduling } from './schedulingmetrics.ts'
 import { Ticker } from './ticker.ts'
 
@@ -60,6 +62,7 @@
   readonly #gossip: Gossip
   readonly #metrics = new JobMetrics()
   readonly #metricsListener: MetricsListener
+  readonly #lag: LoopLag
   #configuration: DispatchConfiguration | undefined
   #queues = new QueueTable([])
   #stopOrderedAt: number | undefined
@@ -120,7 +123,8 @@
       waiting: () => 0,
       gone: request => this.#loop.post({ type: 'requestGone', request }),
       ready: () => this.#entry.ready
-    }, decisions.log)
+    }, decisions.decision)
+    this.#lag = new LoopLag({ threshold: lateTurnThreshold(settings.bounds.stop), now, note: decisions.decision })
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
   }
 
@@ -142,7 +146,7 @@
     })
     store.publish({ name: settings.id, role: PeerRole.Entry, address: settings.linkAddress })
     for (const seed of settings.seeds) this.#peers.add(`${seed}:${settings.linkPort}`)
-    const ticker = new Ticker(() => this.#tick(), () => this.#entry.busy || this.#stopOrderedAt !== undefined)
+    const ticker = new Ticker(() => this.#tick(), () => this.#entry.busy || this.#stopOrderedAt !== undefined, this.#lag)
     ticker.start()
     try {
       await runLoop(this.#loop, this.#entry, this.#handlers, now)
@@ -225,7 +229,8 @@
     exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposeConfiguration(exposition, this.#gossip.status, this.#gossip.age)
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
-    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    exposeDroppedLines(exposition, this.#options.decisions.dropped())
+    this.#lag.expose(exposition)
     this.#metrics.expose(exposition)
     exposeScheduling(exposition, this.#options.settings.id, this.#entry.scheduling(this.#options.now()))
     return exposition.text()
