The lease of a target is renewed only while every task there is awaited

Callers: a task ran at two targets when its caller came back 1.3 s after its entry was lost.

Cause: the sum behind that pause (600 ms of contact, 700 until the lease has lapsed) assumed that an agent is gone at the instant at which it ought to stop a task. One that lives renewed the lease with each poll, and with each start for other entries, until more than three stops had got no answer, each of which waits for its timeout or the next turn of the agent's loop. A task that its entry had ordered to stop was held for as long as that entry echoed.

Ruled out: shorter limits for stops (the agent may be late itself); a stop of all renewals at the first unanswered stop (says nothing of an agent that is late before it).

Change: the lease is renewed only while each task's entry is in contact, and for a task that was ordered to stop no longer than the contact stood at that order. Starts obey it too.

Whether this took part in the incident is not shown: the record does not tell how the second runs came about.

The targets that agents announce as taking no work are the same as before: a contact that has just ended is no reason to tell all entries.

--- a/packages/dispatch/src/agentcontext.ts
+++ b/packages/dispatch/src/agentcontext.ts
@@ -19,6 +19,8 @@
   nextLife: boolean
   /** A life of the target is followed by another only when it no longer answers. */
   lifeProof: boolean
+  /** The lease is renewed only while every task at the target is awaited. */
+  boundedLease: boolean
   /** Nothing is started in an evacuated data centre. */
   evacuation: boolean
   /** The store is read for evacuations when an entry has lost it. */
@@ -29,7 +31,7 @@
   drain: boolean
 }
 
-export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, boundedLease: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
 
 export interface AgentContext {
   readonly timings: Timings
--- a/packages/dispatch/src/entrysession.ts
+++ b/packages/dispatch/src/entrysession.ts
@@ -43,6 +43,11 @@
     return this.role === RoomRole.Allocates
   }
 
+  /** Until when the entry has proven that it lives and is heard. */
+  get contactUntil (): number {
+    return this.#contactUntil
+  }
+
   /** Whether the entry has proven lately that it lives and is heard. */
   inContact (now: number): boolean {
     return now < this.#contactUntil
--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -31,6 +31,8 @@
   stopSentAt: number
   /** When the target confirmed that it stops; undefined before. */
   stopConfirmedAt: number | undefined
+  /** Contact of its entry when that ordered it to stop; undefined before. */
+  contactAtStop: number | undefined
   /** Orders to stop it so far. */
   stops: number
   /** Refusals of its run number as old so far. */
@@ -74,6 +76,13 @@
     return this.#tasks.get(task)
   }
 
+  /** Until when somebody may wait for each of the tasks; infinite without any. */
+  get awaitedUntil (): number {
+    let until = Infinity
+    for (const { contactAtStop, session } of this.#tasks.values()) until = Math.min(until, contactAtStop ?? session.contactUntil)
+    return until
+  }
+
   all (): HeldTask[] {
     return [...this.#tasks.values()]
   }
@@ -95,6 +104,7 @@
       listed: false,
       stopSentAt: 0,
       stopConfirmedAt: undefined,
+      contactAtStop: undefined,
       stops: 0,
       oldRuns: 0,
       percent: 0,
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -130,7 +130,7 @@
   obstacle (expected: number, now: number): Cause {
     if (this.#facts?.leaving === true && !this.#lends(expected, now)) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
-    return this.#lease.silent || !this.#mayRenew() ? Cause.Unreachable : Cause.None
+    return this.#lease.silent || !this.#mayRenew(now) ? Cause.Unreachable : Cause.None
   }
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
@@ -175,7 +175,7 @@
 
   /** Whether it takes no work: it does not answer for longer than a few lost polls would explain, or its lease has to end. */
   isWithdrawn (now: number): boolean {
-    return this.#context.policy.withdrawsSilent && (this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || !this.#mayRenew())
+    return this.#context.policy.withdrawsSilent && (this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || this.#endsWithLease())
   }
 
   /** Whether the task can only have begun in the present life: a start that was answered may have reached the next one. */
@@ -264,7 +264,7 @@
     const busy = this.#held.size > 0
     const urgent = busy || !this.#cleared || this.#lease.silent
     if (!urgent && now - this.#polledAt < IDLE_POLL_MILLISECONDS) return
-    const deadline = busy && this.#mayRenew() ? this.#lease.renew(now) : undefined
+    const deadline = busy && this.#mayRenew(now) ? this.#lease.renew(now) : undefined
     const wait = busy && this.#cleared && !this.#lease.silent ? this.#pollWait(now) : 0
     this.#polls.add(now)
     this.#pollAnswered = false
@@ -323,9 +323,18 @@
     this.#lease.noteSilence(now)
   }
 
+  /**
+   * Whether the lease may be renewed: not beyond the time for which each task is awaited, so that the target holds none for
+   * longer however late this process is.
+   */
+  #mayRenew (now: number): boolean {
+    if (this.#context.guards.boundedLease && now >= this.#held.awaitedUntil) return false
+    return !this.#endsWithLease()
+  }
+
   /** A run that several orders did not stop ends with the lease, at the price of those beside it. */
-  #mayRenew (): boolean {
-    return !this.#held.strayStays && !this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
+  #endsWithLease (): boolean {
+    return this.#held.strayStays || this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
   }
 }
 
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -159,6 +159,7 @@
   stopAsked (session: EntrySession, { task, attempt }: TaskReference, now: number): void {
     const held = this.#held.get(task)
     if (held?.session === session && held.order.attempt === attempt && held.stage !== Stage.Stopping) this.stop(held, now)
+    if (held?.session === session && held.order.attempt === attempt) held.contactAtStop ??= session.contactUntil
   }
 
   stopTasksOf (session: EntrySession, reason: string, now: number): void {
