A refused connection or a deregistration ends no task that may be running

Cause: an agent whose target refused a connection took all that ran there for gone in the same instant, and the entry started it elsewhere. Nothing listens does not mean that nothing runs: a process whose listener is closed, or not open again yet, runs its tasks on until their lease lapses, they end, or the agent hears of it again and stops them as strays. A deregistration (which says that the target will end) was taken in the same way.

Change: after a refused connection nothing is renewed, the target is offered to nobody at once, and its tasks end when the lease has lapsed; it is asked again meanwhile, each 20 to 100 ms, and keeps its tasks when it answers. A target that has deregistered is gone once it refuses connections as well. A start for which the connection was refused has not begun, and says nothing of the tasks beside it. Entries hear of a crash when another life follows one that was lost like that.

--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -159,7 +159,7 @@
     const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposition.counter('amaranthmast_run_ends_total', 'Runs that counted as ended, by the evidence', [...ends].map(([evidence, value]) => ({ labels: { evidence }, value })))
-    exposition.counter('amaranthmast_stray_runs_total', 'Polls that list a run of which nobody here knows, each such run', [{ labels: {}, value: strays }])
+    exposition.counter('amaranthmast_stray_runs_total', 'Runs listed by the target of which nobody here knows', [{ labels: {}, value: strays }])
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposeDroppedLines(exposition, this.#options.decisions.dropped())
     this.#lag.expose(exposition)
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -9,13 +9,12 @@
 import type { AgentContext, AgentGuards } from './agentcontext.ts'
 import type { AgentEffect, AgentEvent } from './agenttypes.ts'
 import type { EntrySession } from './entrysession.ts'
-import type { CrashRecord, EntryMessage, TargetFacts } from './messages.ts'
+import type { EntryMessage, TargetFacts } from './messages.ts'
 import type { Policy } from './policy.ts'
 import type { Timings } from './timings.ts'
 import { ALL_AGENT_GUARDS } from './agentcontext.ts'
 import { PollFailure } from './agenttypes.ts'
-import { CrashMemory } from './crashmemory.ts'
-import { CRASHES_BEFORE_CONVICTION } from './crashdefaults.ts'
+import { CrashReports } from './crashreports.ts'
 import { EntrySessions } from './entrysessions.ts'
 import { EvacuationGuard } from './evacuationguard.ts'
 import { HeldTasks } from './heldtasks.ts'
@@ -74,7 +73,7 @@
   readonly #runs: TaskRuns
   readonly #entries: EntrySessions
   readonly #evacuations: EvacuationGuard
-  readonly #crashes = new CrashMemory()
+  readonly #crashes: CrashReports
   #stopping = false
   /** The entries were told that the target takes no work while it is silent. */
   #withdrawn = false
@@ -88,7 +87,7 @@
     targetSeen: (event, now) => this.#targetSeen(event, now),
     targetRemembered: ({ facts }, now) => this.#targetRemembered(facts, now),
     targetLeft: ({ instance }, now) => {
-      if (this.#target.is(instance)) this.#targetLost('deregistered', LifeEnd.Left, now)
+      if (this.#target.is(instance)) this.#deregistered(now)
       else this.#target.noteEnded(instance)
     },
     startAnswered: (event, now) => this.#runs.startAnswered(event, now),
@@ -127,7 +126,7 @@
 
   readonly #pollFailures: PollFailureHandlers = {
     [PollFailure.OtherInstance]: (_sent, now) => this.#targetLost('another instance answers', LifeEnd.Replaced, now),
-    [PollFailure.NoListener]: (_sent, now) => this.#targetLost('nothing listens', LifeEnd.Unknown, now),
+    [PollFailure.NoListener]: (_sent, now) => this.#connectionRefused(now),
     [PollFailure.Fenced]: () => this.#target.raiseToken(),
     [PollFailure.Silent]: (sent, now) => this.#target.noteSilence(sent, now)
   }
@@ -139,6 +138,7 @@
     const target = new TargetWatch(context, held)
     this.#context = context
     this.#target = target
+    this.#crashes = new CrashReports({ context, held, target, tellAll: message => this.#entries.tellAll(message) })
     this.#room = new TargetRoom({ held, capacity: () => target.facts?.capacity, stop })
     this.#runs = new TaskRuns({
       context,
@@ -148,8 +148,9 @@
       obstacle: ({ expected }, now) => this.#obstacle(expected, now),
       tell: (session, end, now) => this.#entries.tell(session, end, now),
       tellSlow: (session, slow) => this.#entries.tellSlow(session, slow),
-      isBarred: (task, now) => this.#crashes.crashesOf(task, now) >= CRASHES_BEFORE_CONVICTION,
-      targetLost: (reason, ending, now) => this.#targetLost(reason, ending, now)
+      isBarred: (task, now) => this.#crashes.bars(task, now),
+      targetLost: (reason, ending, now) => this.#targetLost(reason, ending, now),
+      connectionRefused: now => this.#connectionRefused(now)
     })
     this.#entries = new EntrySessions({
       context,
@@ -216,15 +217,32 @@
   }
 
   #begin (announcement: Announcement, now: number): void {
+    this.#crashes.begun(announcement.facts.instance, now)
     this.#room.clear()
     this.#target.begin(announcement, now)
     this.#runs.stopInherited(now)
   }
 
+  /** A target that has said that it ends has ended; of any other it is not known, while its lease runs. */
+  #connectionRefused (now: number): void {
+    this.#target.noteRefusal(now)
+    if (this.#target.deregistered) this.#targetLost('deregistered', LifeEnd.Left, now)
+    else if (this.#held.size === 0 || !this.#context.guards.refusals) this.#targetLost('nothing listens', LifeEnd.Unknown, now)
+    else this.#withdrawIfSilent(now)
+  }
+
+  #deregistered (now: number): void {
+    this.#target.noteDeregistered()
+    if (this.#held.size === 0 || !this.#context.guards.refusals) return this.#targetLost('deregistered', LifeEnd.Left, now)
+    this.#context.note('target deregistered', { instance: this.#target.facts?.instance, tasks: this.#held.size })
+    this.#withdrawIfSilent(now)
+    this.#target.poll(undefined, 0, now)
+  }
+
   /** The life is over or does not answer, and what ran there is gone. */
   #targetLost (reason: string, ending: LifeEnd, now: number): void {
     if (this.#target.facts === undefined) return
-    const cause = this.#noteCrash(ending, now)
+    const cause = this.#crashes.lost(ending, now)
     if (ending === LifeEnd.Replaced) this.#runs.endLife(cause, now)
     else this.#runs.finishAll(cause, ending === LifeEnd.Left ? EndEvidence.Deregistered : EndEvidence.ConnectionRefused, now)
     this.#target.end(reason, ending !== LifeEnd.Unknown)
@@ -233,24 +251,6 @@
     if (successor !== undefined) this.#begin(successor, now)
   }
 
-  /** Entries hear of the crash before the ends of their tasks; gives the cause of these. */
-  #noteCrash (ending: LifeEnd, now: number): Cause {
-    const { facts } = this.#target
-    if (!this.#context.policy.isolatesSuspects || facts === undefined || facts.leaving || ending === LifeEnd.Left) return Cause.TargetLost
-    this.#tellCrashes('target crashed under tasks', this.#crashes.crashed(facts.instance, this.#heldNames(), now))
-    return Cause.Crashed
-  }
-
-  #tellCrashes (what: string, records: readonly CrashRecord[]): void {
-    if (records.length === 0) return
-    this.#context.note(what, { instance: this.#target.facts?.instance, tasks: records.map(({ task }) => task) })
-    this.#entries.tellAll({ type: 'crashes', records: [...records] })
-  }
-
-  #heldNames (): string[] {
-    return this.#held.all().map(({ order }) => order.task)
-  }
-
   #obstacle (expected: number, now: number): Cause {
     if (this.#stopping) return Cause.Leaving
     return this.#evacuations.forbids(this.#target.facts?.dataCentre) ? Cause.Evacuated : this.#target.obstacle(expected, now)
@@ -280,7 +280,7 @@
   #polled (event: Extract<AgentEvent, { type: 'polled' }>, now: number): void {
     if (!this.#target.is(event.instance)) return
     this.#target.answered(event, now)
-    this.#tellCrashes('target had not crashed', this.#crashes.answered(event.instance, now))
+    this.#crashes.answered(event.instance, now)
     this.#runs.polled(event, now)
     this.#withdrawIfSilent(now)
     if (!this.#target.settle(event.running.length)) return
@@ -347,15 +347,11 @@
     if (this.#held.size === 0) return
     this.#entries.expire(now)
     if (now < this.#target.lease.lapsedAt) return
-    this.#noteSilence(now)
+    this.#crashes.lapsed(now)
     this.#runs.finishAll(Cause.Lapsed, EndEvidence.Lapsed, now)
-  }
-
-  /** Silence proves no crash, but the tasks are started again as if it did until the target is heard of. */
-  #noteSilence (now: number): void {
-    const { facts, lease } = this.#target
-    if (!this.#context.policy.isolatesSuspects || facts === undefined || facts.leaving || !lease.silent) return
-    this.#tellCrashes('target silent until its tasks lapsed', this.#crashes.silent(facts.instance, this.#heldNames(), now))
+    if (!this.#target.departing) return
+    if (this.#target.deregistered) this.#targetLost('deregistered', LifeEnd.Left, now)
+    else this.#targetLost('nothing listens', LifeEnd.Unknown, now)
   }
 
   #tick (now: number): void {
--- a/packages/dispatch/src/agentcontext.ts
+++ b/packages/dispatch/src/agentcontext.ts
@@ -19,6 +19,8 @@
   nextLife: boolean
   /** A life of the target is followed by another only when it no longer answers. */
   lifeProof: boolean
+  /** A refused connection, or a deregistration alone, ends no task before its lease has lapsed. */
+  refusals: boolean
   /** The lease is renewed only while every task at the target is awaited. */
   boundedLease: boolean
   /** Nothing is started in an evacuated data centre. */
@@ -31,7 +33,7 @@
   drain: boolean
 }
 
-export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, boundedLease: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, refusals: true, boundedLease: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
 
 export interface AgentContext {
   readonly timings: Timings
--- a/packages/dispatch/src/runends.ts
+++ b/packages/dispatch/src/runends.ts
@@ -34,7 +34,7 @@
     this.#counts.set(evidence, (this.#counts.get(evidence) ?? 0) + 1)
   }
 
-  /** A poll lists a run that counted as ended, or that nobody here asked for. */
+  /** Polls begin to list a run that counted as ended, or that nobody here asked for. */
   noteStray (): void {
     this.#strays += 1
   }
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -19,6 +19,9 @@
 /** Shortest time between two polls while the first was not answered or the target is not clear, in milliseconds. */
 const POLL_RETRY_MILLISECONDS = 20
 
+/** Longest time between two polls while the target refuses connections, in milliseconds: two in a row fit well into a lease. */
+const REFUSED_POLL_RETRY_MILLISECONDS = 100
+
 /** How much a token is raised that the target refused, at least. */
 const TOKEN_STEP = 1000
 
@@ -65,6 +68,9 @@
   /** Of the last announcement. */
   #sequence = 0
   readonly #ended = new Set<string>()
+  /** Connections that the target has refused in a row. */
+  #refusals = 0
+  #deregistered = false
   /** Another life that has announced itself, and when the present one was asked whether it is still there. */
   #successor: { announcement: Announcement, askedAt: number } | undefined
 
@@ -128,7 +134,7 @@
 
   /** Why a task that runs for so long may not start there now; `Cause.None` when it may. */
   obstacle (expected: number, now: number): Cause {
-    if (this.#facts?.leaving === true && !this.#lends(expected, now)) return Cause.Leaving
+    if (this.#deregistered || (this.#facts?.leaving === true && !this.#lends(expected, now))) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
     return this.#lease.silent || !this.#mayRenew(now) ? Cause.Unreachable : Cause.None
   }
@@ -173,9 +179,31 @@
     return this.#successor !== undefined && this.#lease.silent && this.#held.size === 0
   }
 
-  /** Whether it takes no work: it does not answer for longer than a few lost polls would explain, or its lease has to end. */
+  /** Whether it takes no work: it refuses connections, does not answer for longer than a few lost polls would explain, or its lease has to end. */
   isWithdrawn (now: number): boolean {
-    return this.#context.policy.withdrawsSilent && (this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || this.#endsWithLease())
+    if (!this.#context.policy.withdrawsSilent) return false
+    return this.departing || this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || this.#endsWithLease()
+  }
+
+  /** Whether the target refuses connections or has deregistered: when its tasks have lapsed, it is gone. */
+  get departing (): boolean {
+    return this.#refusals > 0 || this.#deregistered
+  }
+
+  get deregistered (): boolean {
+    return this.#deregistered
+  }
+
+  /** The target says that it ends. */
+  noteDeregistered (): void {
+    this.#deregistered = true
+  }
+
+  /** A connection was refused: nothing listens, which does not say that nothing runs. */
+  noteRefusal (now: number): void {
+    if (this.#refusals === 0) this.#context.note('target refuses connections', { instance: this.#facts?.instance, tasks: this.#held.size })
+    this.#refusals += 1
+    this.#lease.noteSilence(now)
   }
 
   /** Whether the task can only have begun in the present life: a start that was answered may have reached the next one. */
@@ -200,6 +228,8 @@
     if (clock !== undefined) this.#noteNotice(announcement, now)
     this.#cleared = !this.#context.guards.clearing
     this.#acknowledged = 0
+    this.#refusals = 0
+    this.#deregistered = false
     this.#polls.clear()
     this.#context.note('target found', { instance: facts.instance, service: facts.service, capacity: facts.capacity, token: this.#token })
   }
@@ -260,7 +290,7 @@
 
   pollIfDue (now: number): void {
     if (this.#facts === undefined || this.#pollsInFlight(now)) return
-    if (!this.#pollAnswered && this.#polls.size === 0 && now - this.#polledAt < POLL_RETRY_MILLISECONDS) return
+    if (!this.#pollAnswered && this.#polls.size === 0 && now - this.#polledAt < this.#pollRetry) return
     const busy = this.#held.size > 0
     const urgent = busy || !this.#cleared || this.#lease.silent
     if (!urgent && now - this.#polledAt < IDLE_POLL_MILLISECONDS) return
@@ -272,6 +302,10 @@
     this.poll(deadline, wait, now)
   }
 
+  get #pollRetry (): number {
+    return this.#refusals === 0 ? POLL_RETRY_MILLISECONDS : Math.min(REFUSED_POLL_RETRY_MILLISECONDS, POLL_RETRY_MILLISECONDS * this.#refusals)
+  }
+
   poll (deadline: number | undefined, wait: number, now: number): void {
     const timeout = wait + Math.min(POLL_SLACK_MILLISECONDS, this.timeout + POLL_TIMER_MILLISECONDS)
     this.#context.emit({ type: 'poll', ...this.order(), sent: now, deadline, acknowledged: this.#acknowledged, wait, timeout })
@@ -283,6 +317,7 @@
     this.#answeredSent = Math.max(this.#answeredSent, sent)
     if (this.#successor !== undefined && sent >= this.#successor.askedAt) this.#successor = undefined
     if (this.#lease.silent) this.#context.note('target answers again', { instance })
+    this.#refusals = 0
     this.#lease.noteAnswer(clock, now)
   }
 
@@ -329,7 +364,7 @@
    */
   #mayRenew (now: number): boolean {
     if (this.#context.guards.boundedLease && now >= this.#held.awaitedUntil) return false
-    return !this.#endsWithLease()
+    return !this.#deregistered && !this.#endsWithLease()
   }
 
   /** A run that several orders did not stop ends with the lease, at the price of those beside it. */
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -50,6 +50,8 @@
   isBarred: (task: string, now: number) => boolean
   /** The target is gone for certain. */
   targetLost: (reason: string, ending: LifeEnd, now: number) => void
+  /** The target refused a connection. */
+  connectionRefused: (now: number) => void
 }
 
 type StartHandlers = Record<StartAnswer, (held: HeldTask, now: number) => void>
@@ -72,7 +74,10 @@
     [StartAnswer.Unhealthy]: (held, now) => this.#notStarted(held, Cause.Unhealthy, now),
     [StartAnswer.Rejected]: (held, now) => this.#notStarted(held, Cause.Rejected, now),
     [StartAnswer.OtherInstance]: (_held, now) => this.#parts.targetLost('another instance answers', LifeEnd.Replaced, now),
-    [StartAnswer.NoListener]: (_held, now) => this.#parts.targetLost('nothing listens', LifeEnd.Unknown, now),
+    [StartAnswer.NoListener]: (held, now) => {
+      this.#notStarted(held, Cause.Unreachable, now)
+      this.#parts.connectionRefused(now)
+    },
     [StartAnswer.Silent]: (held, now) => this.#startUnanswered(held, now)
   }
 
@@ -239,10 +244,13 @@
   /** A run that nobody here asked for: a predecessor's, or one whose end was reported as certain. Tells since when it is listed. */
   #stray (task: string, run: number, now: number): number {
     this.#parts.room.noteStray(task, run, now)
-    this.ends.noteStray()
-    this.#context.note('stray run stopped', { task, run, instance: this.#target.order().instance })
+    const since = this.#strays.get(runKey(task, run))
+    if (since === undefined) {
+      this.ends.noteStray()
+      this.#context.note('stray run stopped', { task, run, instance: this.#target.order().instance })
+    }
     this.#context.emit({ type: 'stop', ...this.#target.order(), task, run, timeout: this.#target.stopTimeout })
-    return this.#strays.get(runKey(task, run)) ?? now
+    return since ?? now
   }
 
   /** A task that the target neither runs nor lists as ended, though it had answered the order before the poll. */
--- a/packages/dispatch/test/runends.test.ts
+++ b/packages/dispatch/test/runends.test.ts
@@ -1,6 +1,7 @@
 /** When runs at a target count as ended though it has not listed their ends, and how long the lease is renewed for them. */
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { PollFailure, RunEnd, StartAnswer } from '../src/agenttypes.ts'
 import { AgentBench, BOUNDS, ENTRY, order, TARGET, TIMINGS } from './agentbench.ts'
 import { CLOCK_RATE_MARGIN } from '../src/defaults.ts'
 
@@ -39,6 +40,70 @@
   return held
 }
 
+test('tasks at a target that refuses connections count as running until their lease has lapsed', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.pollFailed(PollFailure.NoListener)
+  bench.take()
+  bench.pass(TIMINGS.lapse - 50)
+  expect(bench.ends()).toEqual([])
+  expect(bench.of('poll').every(({ deadline }) => deadline === undefined)).toEqual(true)
+  bench.pass(100)
+  expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
+})
+
+test('a target that refuses connections is offered to nobody at once', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.take()
+  bench.pollFailed(PollFailure.NoListener)
+  bench.pass(50)
+  const [announcement] = bench.sent('announce').slice(-1)
+  expect(announcement?.type === 'announce' && announcement.target?.leaving).toEqual(true)
+})
+
+test('a target that accepts connections again before the lease has lapsed keeps its tasks', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.pollFailed(PollFailure.NoListener)
+  bench.pass(200)
+  bench.echo()
+  bench.take()
+  bench.polled([{ task: 'job.0.0', run: 1, percent: 40 }])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  expect(bench.ends()).toEqual(['job.0.0 done'])
+})
+
+test('a start for which the connection is refused has not begun, and says nothing of the tasks beside it', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.start([order('job.0.1')])
+  bench.startAnswered('job.0.1', StartAnswer.NoListener)
+  expect(bench.ends()).toEqual(['job.0.1 notStarted unreachable'])
+})
+
+test('tasks at a target that has deregistered run until it refuses connections', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.take()
+  bench.do({ type: 'targetLeft', instance: TARGET.instance })
+  expect(bench.ends()).toEqual([])
+  bench.pollFailed(PollFailure.NoListener)
+  expect(bench.ends()).toEqual(['job.0.0 gone targetLost'])
+})
+
+test('tasks at a target that has deregistered and falls silent run until their lease has lapsed', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.take()
+  bench.do({ type: 'targetLeft', instance: TARGET.instance })
+  bench.pollFailed(PollFailure.Silent)
+  bench.pass(TIMINGS.lapse - 50)
+  expect(bench.ends()).toEqual([])
+  bench.pass(100)
+  expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
+})
+
 test('an agent that is late holds no task of a lost entry until its caller is back, though stops are not answered', () => {
   for (const interval of INTERVALS) {
     const bench = AgentBench.ready()
