--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -1,7 +1,7 @@
 import type { CrashRecord } from '../src/messages.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { PollFailure } from '../src/agenttypes.ts'
+import { PollFailure, StartAnswer } from '../src/agenttypes.ts'
 import { CrashEvidence, Isolation } from '../src/messages.ts'
 import { AgentBench, ENTRY, order, TARGET, TIMINGS } from './agentbench.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
@@ -212,6 +212,15 @@
   }
 })
 
+// Guards against a job that is given up for crashes of targets at which its task never began.
+test('a start for which the connection is refused is no crash under its task', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES })
+  bench.start([order('one')])
+  bench.startAnswered('one', StartAnswer.NoListener)
+  bench.seen({ instance: 'target-2' })
+  expect(told(bench)).toEqual(['one ended unreachable'])
+})
+
 test('a target that refused connections until its tasks lapsed and answers again had not crashed', () => {
   const bench = AgentBench.ready({ policy: ISOLATES })
   bench.run('one')
