Entry: ends of callers are handled before everything else of a turn

Cause: all events of one turn of the event loop were handled in the order in which their connections were read. An agent's connection that became readable before the caller's ended is read first, with all pings that have arrived by then, also those that were sent after the caller had gone. Their echoes left before the stop.

Change: the loop hands out ends of callers before the other events of their turn (postFirst). A submission that was read in the same turn as its caller's end is taken back and logged (withdraw): handled after the end it would have run for nobody.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -118,7 +118,7 @@
       cancelAsked: (request, id) => this.#loop.post({ type: 'cancelAsked', request, id }),
       stateAsked: (request, id) => this.#loop.post({ type: 'stateAsked', request, id }),
       waiting: () => 0,
-      gone: request => this.#loop.post({ type: 'requestGone', request }),
+      gone: request => this.#callerGone(request),
       ready: () => this.#entry.ready
     }, decisions.log)
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
@@ -179,6 +179,13 @@
     if (idle || stopping >= grace - END_RESERVE_MILLISECONDS) this.#loop.end()
   }
 
+  /** Stops for its tasks leave before any echo that keeps tasks alive; a submission that is not handled yet never is. */
+  #callerGone (request: number): void {
+    const [dropped] = this.#loop.withdraw(event => event.type === 'submitted' && event.request === request)
+    if (dropped?.type === 'submitted') this.#options.decisions.decision('submission dropped, its caller has gone', { job: dropped.job.id })
+    else this.#loop.postFirst({ type: 'requestGone', request })
+  }
+
   #find (host: string, path: string): Queue | QueueLookup {
     if (this.#configuration === undefined) return QueueLookup.Unconfigured
     const queue = this.#queues.find(host, path)
--- a/packages/daemon/src/loop.ts
+++ b/packages/daemon/src/loop.ts
@@ -5,8 +5,10 @@
 import type { Disposable, Scheduler, Sink } from 'most'
 import { Stream } from 'most'
 
-/** Gathers events and hands them out in order, all of one turn together. */
+/** Gathers events and hands them out all of one turn together, in order but for those that go first. */
 export class Loop<Event> {
+  /** Events that go before the others of their turn. */
+  #first: Event[] = []
   #waiting: Event[] = []
   #scheduled = false
   #sink: Sink<Event[]> | undefined
@@ -18,6 +20,19 @@
     this.#schedule()
   }
 
+  /** Adds an event that is handled before all others of its turn, whichever was read first. */
+  postFirst (event: Event): void {
+    this.#first.push(event)
+    this.#schedule()
+  }
+
+  /** Takes events back that are not handled yet; gives them. */
+  withdraw (matches: (event: Event) => boolean): Event[] {
+    const withdrawn = this.#waiting.filter(matches)
+    if (withdrawn.length > 0) this.#waiting = this.#waiting.filter(event => !withdrawn.includes(event))
+    return withdrawn
+  }
+
   /** The stream of turns. One observer at a time; it starts with what was posted before. */
   turns (): Stream<Event[]> {
     return new Stream({ run: (sink, scheduler) => this.#observe(sink, scheduler) })
@@ -27,6 +42,7 @@
   end (): void {
     const sink = this.#sink
     this.#sink = undefined
+    this.#first = []
     this.#waiting = []
     sink?.end(this.#time())
   }
@@ -34,7 +50,7 @@
   #observe (sink: Sink<Event[]>, scheduler: Scheduler): Disposable<Event[]> {
     this.#sink = sink
     this.#scheduler = scheduler
-    if (this.#waiting.length > 0) this.#schedule()
+    if (this.#first.length + this.#waiting.length > 0) this.#schedule()
     return { dispose: () => { this.#sink = undefined } }
   }
 
@@ -48,7 +64,8 @@
     this.#scheduled = false
     const sink = this.#sink
     if (sink === undefined) return
-    const events = this.#waiting
+    const events = this.#first.length === 0 ? this.#waiting : [...this.#first, ...this.#waiting]
+    this.#first = []
     this.#waiting = []
     try {
       sink.event(this.#time(), events)
--- a/packages/daemon/test/loop.test.ts
+++ b/packages/daemon/test/loop.test.ts
@@ -13,6 +13,26 @@
   expect(said).toEqual(['a', 'b'])
 })
 
+// A caller's end may be read after messages that must not be answered before it.
+test('events that go first are handled before the others of their turn, in order', async () => {
+  const { loop, run, said } = start()
+  loop.post('a')
+  loop.postFirst('b')
+  loop.postFirst('c')
+  loop.post('end')
+  await run()
+  expect(said).toEqual(['b', 'c', 'a'])
+})
+
+test('an event that is taken back is not handled', async () => {
+  const { loop, run, said } = start()
+  for (const event of ['a', 'b', 'c']) loop.post(event)
+  expect(loop.withdraw(event => event === 'b')).toEqual(['b'])
+  loop.post('end')
+  await run()
+  expect(said).toEqual(['a', 'c'])
+})
+
 test('nothing is handled after the end', async () => {
   const { loop, run, said } = start()
   loop.post('end')
