Entry: a request is handled one turn after it was read, and not when its caller has gone

Cause: a request that lay in the socket's buffer while the entry stood still may have been given up, and submitted elsewhere, before it is read. Node reads the end of a connection one iteration after the bytes before it, so the job was begun for nobody, beside the caller's next submission.

Change: requests go into the turn after the one in which they were read (postLater). By then whatever had arrived when they were read has been read as well; the end of the caller takes its submission back. Requests for the state and cancellations wait too, so that a caller's requests keep their order.

Always, not only when the loop was late: a process that stands still between the system call that tells it of connections and the reading of them cannot see it.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -114,9 +114,10 @@
     this.#callers = options.callers({
       find: (host, path) => this.#find(host, path),
       limits: () => this.#configuration?.limits,
-      submitted: (request, job) => this.#loop.post({ type: 'submitted', request, job }),
-      cancelAsked: (request, id) => this.#loop.post({ type: 'cancelAsked', request, id }),
-      stateAsked: (request, id) => this.#loop.post({ type: 'stateAsked', request, id }),
+      // A caller that has given up before its request is read has ended its connection behind it.
+      submitted: (request, job) => this.#loop.postLater({ type: 'submitted', request, job }),
+      cancelAsked: (request, id) => this.#loop.postLater({ type: 'cancelAsked', request, id }),
+      stateAsked: (request, id) => this.#loop.postLater({ type: 'stateAsked', request, id }),
       waiting: () => 0,
       gone: request => this.#callerGone(request),
       ready: () => this.#entry.ready
--- a/packages/daemon/src/loop.ts
+++ b/packages/daemon/src/loop.ts
@@ -10,6 +10,8 @@
   /** Events that go before the others of their turn. */
   #first: Event[] = []
   #waiting: Event[] = []
+  /** Events that wait for one more turn. */
+  #later: Event[] = []
   #scheduled = false
   #sink: Sink<Event[]> | undefined
   #scheduler: Scheduler | undefined
@@ -26,10 +28,21 @@
     this.#schedule()
   }
 
+  /**
+   * Adds an event that is handled once everything has been read that had arrived by now: in the turn after the present one.
+   * Node reads each connection at most once in a turn, and reads one's end only after what came before it.
+   */
+  postLater (event: Event): void {
+    this.#later.push(event)
+    this.#schedule()
+  }
+
   /** Takes events back that are not handled yet; gives them. */
   withdraw (matches: (event: Event) => boolean): Event[] {
-    const withdrawn = this.#waiting.filter(matches)
-    if (withdrawn.length > 0) this.#waiting = this.#waiting.filter(event => !withdrawn.includes(event))
+    const withdrawn = [...this.#waiting, ...this.#later].filter(matches)
+    if (withdrawn.length === 0) return withdrawn
+    this.#waiting = this.#waiting.filter(event => !withdrawn.includes(event))
+    this.#later = this.#later.filter(event => !withdrawn.includes(event))
     return withdrawn
   }
 
@@ -44,13 +57,14 @@
     this.#sink = undefined
     this.#first = []
     this.#waiting = []
+    this.#later = []
     sink?.end(this.#time())
   }
 
   #observe (sink: Sink<Event[]>, scheduler: Scheduler): Disposable<Event[]> {
     this.#sink = sink
     this.#scheduler = scheduler
-    if (this.#first.length + this.#waiting.length > 0) this.#schedule()
+    if (this.#first.length + this.#waiting.length + this.#later.length > 0) this.#schedule()
     return { dispose: () => { this.#sink = undefined } }
   }
 
@@ -66,7 +80,13 @@
     if (sink === undefined) return
     const events = this.#first.length === 0 ? this.#waiting : [...this.#first, ...this.#waiting]
     this.#first = []
-    this.#waiting = []
+    this.#waiting = this.#later
+    this.#later = []
+    if (events.length > 0) this.#handOut(sink, events)
+    if (this.#waiting.length > 0) this.#schedule()
+  }
+
+  #handOut (sink: Sink<Event[]>, events: Event[]): void {
     try {
       sink.event(this.#time(), events)
     } catch (error) {
--- a/packages/daemon/test/loop.test.ts
+++ b/packages/daemon/test/loop.test.ts
@@ -24,6 +24,23 @@
   expect(said).toEqual(['b', 'c', 'a'])
 })
 
+// The end of a caller's connection is read one turn after what stands before it there.
+test('an event posted for later is handled after everything of the present turn, and after what goes first in the next', async () => {
+  const { loop, run, said } = start()
+  loop.postLater('late')
+  loop.post('first')
+  await run()
+  expect(said).toEqual(['first', 'ended', 'late'])
+})
+
+test('an event posted for later may be taken back until it is handled', async () => {
+  const { loop, run, said } = start()
+  loop.postLater('late')
+  loop.post('withdraw')
+  await run()
+  expect(said).toEqual(['withdraw'])
+})
+
 test('an event that is taken back is not handled', async () => {
   const { loop, run, said } = start()
   for (const event of ['a', 'b', 'c']) loop.post(event)
@@ -78,7 +95,9 @@
     say: ({ text }) => {
       said.push(text)
       if (text === 'again') loop.post('posted')
-      if (text === 'posted') loop.post('end')
+      if (text === 'posted' || text === 'late') loop.post('end')
+      if (text === 'first') loop.postFirst('ended')
+      if (text === 'withdraw' && loop.withdraw(event => event === 'late').length > 0) loop.post('end')
     },
     end: () => loop.end()
   }, () => 0)
