Entry: messages of agents are handled one turn after they were read

Cause: between the system call that tells which connections can be read and the reading of an agent's connection the entry may stand still. By then the caller has gone, and the agent has pinged again: the ping is read in this turn, the caller's end in the next one, and the echo left before the stop.

Change: events of the agents' links go into the turn after the one in which they were read, as requests do, all of them, so that they keep their order. The ends of all callers that had gone when a message was sent are read by then, and go first. A redial takes 50 ms and three turns at least, so a message of an old link is still handled before a new link can carry what it leads to.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -78,13 +78,14 @@
     this.#options = options
     this.#entry = new Entry({ name: settings.id, strength: options.strength, dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace, policy: policyOf(settings.scheduling), weights: settings.scheduling.weights })
     const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: settings.linkAddress }
+    // A ping is echoed only after the ends of all callers that had gone when it was sent: they are read by the next turn.
     this.#agents = new Dialer(own, {
       linked: (peer, address) => {
         this.#gossip.agentLinked(address)
-        this.#loop.post({ type: 'agentLinked', agent: peer.name, incarnation: peer.incarnation })
+        this.#loop.postLater({ type: 'agentLinked', agent: peer.name, incarnation: peer.incarnation })
       },
-      received: (peer, message) => this.#loop.post({ type: 'agentMessage', agent: peer.name, message: message as AgentMessage }),
-      unlinked: peer => this.#loop.post({ type: 'agentUnlinked', agent: peer.name })
+      received: (peer, message) => this.#loop.postLater({ type: 'agentMessage', agent: peer.name, message: message as AgentMessage }),
+      unlinked: peer => this.#loop.postLater({ type: 'agentUnlinked', agent: peer.name })
     }, now)
     this.#peers = new Dialer(own, {
       linked: peer => {
