Entry: nothing is echoed on a new link before the agent has announced itself

Cause: a new link begins with the agent's ping, and its echo left at once. The stops that the link before may have lost are sent again when the announcement is handled, which the network or a late process may bring later. The echo of a ping that was sent after the caller had gone then kept its tasks alive without the stop.

Change: no echo on a link before its announcement is handled and the stops are sent again (guard `announcedEcho`), then at once. No dead end: an agent announces itself on every link, also without a target; nothing is placed before, so the echo still goes before the first start.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -299,7 +299,7 @@
     this.#note('agent forgotten', { agent: agent.name, instance: agent.target?.instance })
   }
 
-  /** Answers what the agent sent last, unless that is answered already. */
+  /** Answers what the agent sent last, unless that is answered already, or the agent has yet to get stops again. */
   #echo (agent: AgentView, now: number): void {
     const echo = this.#takeEcho(agent, now)
     if (echo !== undefined) this.#options.emit({ type: 'send', agent: agent.name, message: { type: 'echo', ...echo } })
@@ -307,7 +307,7 @@
 
   #takeEcho (agent: AgentView, now: number): Echo | undefined {
     const { toEcho, received } = agent
-    if (toEcho === undefined) return undefined
+    if (toEcho === undefined || (this.#options.guards.announcedEcho && !agent.announced)) return undefined
     agent.toEcho = undefined
     agent.echoedAt = now
     return { sent: toEcho, received, waiting: this.#options.waiting() }
@@ -325,6 +325,7 @@
     this.#tellRole(agent)
     this.#note('target announced', { agent: agent.name, instance: target?.instance, leaving: target?.leaving, held: held.length })
     if (opening && this.#options.guards.stopAgain) this.#stopAgain(agent)
+    if (opening) this.#echo(agent, now)
     const names = new Set(held.map(({ task, attempt }) => `${task}/${attempt}`))
     for (const placement of [...agent.placements.values()]) {
       // A new run of the agent announces a target once its predecessor's tasks have ended there.
--- a/packages/dispatch/src/fleetguards.ts
+++ b/packages/dispatch/src/fleetguards.ts
@@ -6,6 +6,8 @@
   cleared: boolean
   /** Stops are sent again on a new link, since the link before may have lost them. */
   stopAgain: boolean
+  /** Nothing is echoed on a new link before those stops. */
+  announcedEcho: boolean
   /** A job that was cancelled is not begun when it is submitted again. */
   cancelMemory: boolean
   /** The other entries are told of cancellations. */
@@ -14,4 +16,4 @@
   grantedOnce: boolean
 }
 
-export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, cancelMemory: true, cancelNews: true, grantedOnce: true }
+export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, announcedEcho: true, cancelMemory: true, cancelNews: true, grantedOnce: true }
--- a/packages/dispatch/test/echoes.test.ts
+++ b/packages/dispatch/test/echoes.test.ts
@@ -1,6 +1,8 @@
+import type { EntryOptions } from '../src/entrytypes.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { RunEnd } from '../src/agenttypes.ts'
+import { ALL_FLEET_GUARDS } from '../src/fleetguards.ts'
 import { AgentBench, ENTRY, order, TIMINGS } from './agentbench.ts'
 import { EntryBench, QUEUE, step } from './entrybench.ts'
 
@@ -43,6 +45,77 @@
   expect(echoes(bench)).toEqual([`alone ${bench.now}`])
 })
 
+/** Stops and echoes to an agent, in order. */
+function stopsAndEchoes (bench: EntryBench): string[] {
+  return bench.take().flatMap(effect => {
+    if (effect.type !== 'send') return []
+    const { message } = effect
+    if (message.type === 'stop') return message.tasks.map(({ task }) => `stop ${task}`)
+    return message.type === 'echo' ? [`echo ${message.sent}`] : []
+  })
+}
+
+/** A caller goes; the link to the agent is lost, perhaps with the stop on it, and a new one opens with a ping. */
+function relinkedAfterStop (options: Partial<EntryOptions> = {}): EntryBench {
+  const bench = new EntryBench(options).serving('one')
+  const request = bench.submit('job')
+  bench.now += 10
+  bench.do({ type: 'requestGone', request })
+  bench.do({ type: 'agentUnlinked', agent: 'one' })
+  bench.now += 10
+  bench.take()
+  bench.do({ type: 'agentLinked', agent: 'one', incarnation: 'a' })
+  bench.ping('one')
+  return bench
+}
+
+const HELD = [{ task: 'job.0.0', attempt: 1 }]
+
+// The echo would keep the tasks of a caller that has gone alive; the announcement, and with it the stop, may be as late as the network.
+test('on a new link nothing is echoed before the stops that the link before may have lost are sent again', () => {
+  const bench = relinkedAfterStop()
+  const pinged = bench.now
+  bench.pass(TIMINGS.ping * 2)
+  expect(stopsAndEchoes(bench)).toEqual([])
+  bench.announce('one', { held: HELD })
+  expect(stopsAndEchoes(bench)).toEqual(['stop job.0.0', `echo ${pinged}`])
+})
+
+test('without the guard "announcedEcho" the echo leaves before the stop', () => {
+  const bench = relinkedAfterStop({ guards: { ...ALL_FLEET_GUARDS, announcedEcho: false } })
+  bench.announce('one', { held: HELD })
+  expect(stopsAndEchoes(bench)).toEqual([`echo ${bench.now}`, 'stop job.0.0'])
+})
+
+test('an agent that pings again before it announces itself is echoed the last ping alone', () => {
+  const bench = relinkedAfterStop()
+  bench.now += TIMINGS.ping
+  bench.ping('one')
+  bench.announce('one', { held: HELD })
+  expect(stopsAndEchoes(bench)).toEqual(['stop job.0.0', `echo ${bench.now}`])
+})
+
+test('an agent without a target is echoed once it has announced itself', () => {
+  const bench = new EntryBench()
+  bench.do({ type: 'agentLinked', agent: 'one', incarnation: 'a' })
+  bench.ping('one')
+  bench.announce('one', { target: false })
+  expect(stopsAndEchoes(bench)).toEqual([`echo ${bench.now}`])
+})
+
+// An entry that placed tasks before its echo had left would see them refused as out of contact.
+test('the first start on a link follows the echo of the first ping', () => {
+  const bench = new EntryBench()
+  bench.configure()
+  bench.submit('job')
+  bench.do({ type: 'agentLinked', agent: 'one', incarnation: 'a' })
+  bench.ping('one')
+  bench.announce('one')
+  const sent = bench.take().flatMap(effect => effect.type === 'send' ? [effect.message.type] : [])
+  expect(sent.indexOf('echo')).toBeGreaterThanOrEqual(0)
+  expect(sent.indexOf('start')).toBeGreaterThan(sent.indexOf('echo'))
+})
+
 test('an end counts as a ping', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
--- a/packages/dispatch/test/entrybench.ts
+++ b/packages/dispatch/test/entrybench.ts
@@ -16,6 +16,15 @@
   return { count, needs: { cpu: 2000, memory: 10, accelerators: 0 }, estimated: 300, after: [], label: '', rack: '', perTarget: 0, ...extra }
 }
 
+/** What an agent says of itself on a new link. */
+interface Announcement {
+  cpu?: number
+  held?: TaskReference[]
+  labels?: string[]
+  dataCentre?: string
+  target?: boolean
+}
+
 export class EntryBench {
   now = 1000
   readonly entry: Entry
@@ -59,10 +68,14 @@
     }
   }
 
-  link (agent: string, options: { incarnation?: string, cpu?: number, held?: TaskReference[], labels?: string[], dataCentre?: string, target?: boolean } = {}): void {
-    const { incarnation = 'a', cpu = 8000, held = [], labels = [], dataCentre = 'one', target = true } = options
-    this.do({ type: 'agentLinked', agent, incarnation })
+  link (agent: string, options: Announcement & { incarnation?: string } = {}): void {
+    this.do({ type: 'agentLinked', agent, incarnation: options.incarnation ?? 'a' })
     this.ping(agent)
+    this.announce(agent, options)
+  }
+
+  announce (agent: string, options: Announcement = {}): void {
+    const { cpu = 8000, held = [], labels = [], dataCentre = 'one', target = true } = options
     const facts = { instance: `${agent}-target`, service: 'checks', dataCentre, capacity: { cpu, memory: 1000, accelerators: 0 }, labels, leaving: false }
     this.do({ type: 'agentMessage', agent, message: { type: 'announce', target: target ? facts : undefined, held, load: NO_LOAD } })
   }
