Entry: one that is late at its end answers its callers and stops their tasks before it ends

Cause: the last answers are due 600 ms before the end of the grace, the loop ends 300 ms before it. When one tick was later than both, it posted the last answers and ended the loop, which drops what is posted: callers saw their connections break, and no stop left for their tasks, which ran on until the contact ended.

Change: the loop ends in a later tick than the one that had the last answers given.

Before: not ok 15 - an entry that is late at its end answers and stops before it ends error: 'The value "" is not equal to "HTTP/1.1 504 Gateway Timeout", but it was expected to be equal.' After: lateentries.test.ts 15 of 15, three times.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -63,6 +63,7 @@
   #configuration: DispatchConfiguration | undefined
   #queues = new QueueTable([])
   #stopOrderedAt: number | undefined
+  #endingTold = false
 
   readonly #handlers: EffectHandlers<EntryEffect> = {
     answer: ({ request, answer }) => this.#callers.answer(request, answer),
@@ -176,9 +177,10 @@
     if (stopping < BALANCER_MILLISECONDS) return
     this.#callers.drain()
     const { grace } = this.#options.settings.bounds
-    if (stopping >= grace - ANSWER_RESERVE_MILLISECONDS) this.#loop.post({ type: 'ending' })
+    const answered = this.#endingTold
+    if (stopping >= grace - ANSWER_RESERVE_MILLISECONDS) this.#answerAll()
     const idle = this.#callers.open() === 0 && stopping >= BALANCER_MILLISECONDS + IDLE_MILLISECONDS
-    if (idle || stopping >= grace - END_RESERVE_MILLISECONDS) this.#loop.end()
+    if (idle || (answered && stopping >= grace - END_RESERVE_MILLISECONDS)) this.#loop.end()
   }
 
   /** Stops for its tasks leave before any echo that keeps tasks alive; a submission that is not handled yet never is. */
@@ -188,6 +190,12 @@
     else this.#loop.postFirst({ type: 'requestGone', request })
   }
 
+  /** The answers and the stops leave before the next tick, at which the process may end. */
+  #answerAll (): void {
+    this.#endingTold = true
+    this.#loop.post({ type: 'ending' })
+  }
+
   #find (host: string, path: string): Queue | QueueLookup {
     if (this.#configuration === undefined) return QueueLookup.Unconfigured
     const queue = this.#queues.find(host, path)
