Entry: the stops for a job leave before the answer after which its caller submits it again

Cause: a job that was not finished in time (504) was answered first; its stops came after the answer in the effects, and leave only with the next iteration of the event loop, since a link sends all messages of a turn together. An entry that stood still in between left the tasks running while their caller was already coming back.

Change: the stops go before the answers of a job, and before a 504 leaves what waits on the links to agents is sent at once (flush). Other answers need no such order: after them nobody submits the job again.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -9,6 +9,7 @@
 import type { GossipMessage } from './gossip.ts'
 import type { DecisionLog } from './decisionlog.ts'
 import type { EffectHandlers } from './loop.ts'
+import { AnswerKind } from '@amaranthmast/dispatch/entrytypes'
 import { Entry } from '@amaranthmast/dispatch/entry'
 import { QueueTable } from '@amaranthmast/dispatch/queues'
 import { policyOf } from '@amaranthmast/dispatch/schedulingsettings'
@@ -66,7 +67,11 @@
   #endingTold = false
 
   readonly #handlers: EffectHandlers<EntryEffect> = {
-    answer: ({ request, answer }) => this.#callers.answer(request, answer),
+    answer: ({ request, answer }) => {
+      // The caller submits the job again after this answer: the stops leave before it.
+      if (answer.kind === AnswerKind.TimedOut) this.#agents.flush()
+      this.#callers.answer(request, answer)
+    },
     send: ({ agent, message }) => this.#agents.send(agent, message),
     tell: ({ peer, message }) => this.#peers.send(peer, message),
     unlink: ({ agent }) => this.#agents.renew(agent),
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -279,11 +279,13 @@
     this.#effects.push({ type: 'answer', request, answer })
   }
 
-  /** Ends a job: answers everyone who waits, and stops what still runs. */
+  /** Ends a job: stops what still runs, and answers everyone who waits. */
   #close (job: Job, answer: Answer, now: number): void {
     job.state = JobState.Closed
     this.#queueOf(job).remove(job)
     this.#sharing.forget(job)
+    // Whoever is answered may submit the job again.
+    this.#fleet.stopJob(job)
     for (const request of job.waiting) this.#answer(request, answer)
     job.waiting.clear()
     const { id, queue } = job.request
@@ -294,7 +296,6 @@
     this.#effects.push({ type: 'jobEnded', queue: queue.name, kind: answer.kind, reason: answer.reason, milliseconds, waited })
     this.#note('job ended', { job: id, queue: queue.name, kind: answer.kind, reason: answer.reason, age: Math.round(milliseconds), waited: Math.round(waited), tasks: job.tasks.length, placed: job.placed, chain: Math.round(job.chain), objective: Math.round(job.objectiveAt - job.arrivedAt) })
     if (answer.kind === AnswerKind.Completed || answer.kind === AnswerKind.Failed) this.#answers.remember(id, answer)
-    this.#fleet.stopJob(job)
     this.#forgetIfGone(job, now)
   }
 
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -308,6 +308,16 @@
   expect(bench.stops()).toEqual(['one job.0.0'])
 })
 
+// After this answer its caller submits the job again.
+test('the tasks of a job that is not finished in time are stopped before it is answered', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.submit('job', [step(2)], { remaining: 500 })
+  bench.take()
+  bench.pass(500, ['one'])
+  const order = bench.take().flatMap(effect => effect.type === 'answer' || (effect.type === 'send' && effect.message.type === 'stop') ? [effect.type] : [])
+  expect(order).toEqual(['send', 'answer'])
+})
+
 test('a job of which nothing was placed by its deadline is refused, not timed out', () => {
   const bench = EntryBench.withAgents('one')
   bench.submit('long', [step(4)])
--- a/packages/links/src/dialer.ts
+++ b/packages/links/src/dialer.ts
@@ -67,6 +67,11 @@
     for (const destination of this.#linked.values()) destination.link?.send(message)
   }
 
+  /** Sends at once what waits for the end of the turn. */
+  flush (): void {
+    for (const destination of this.#linked.values()) destination.link?.flush()
+  }
+
   /** Breaks a link off and dials again at once. */
   renew (name: string): void {
     this.#linked.get(name)?.link?.close('renewed')
--- a/packages/links/src/link.ts
+++ b/packages/links/src/link.ts
@@ -34,6 +34,11 @@
     this.#socket.send(message)
   }
 
+  /** Sends at once what waits for the end of the turn. */
+  flush (): void {
+    this.#socket.flush()
+  }
+
   close (reason: string): void {
     this.#socket.destroy(reason)
   }
--- a/packages/links/src/messagesocket.ts
+++ b/packages/links/src/messagesocket.ts
@@ -35,7 +35,7 @@
   /** Sends a message with the others of this turn; it is dropped when the connection has ended. */
   send (message: unknown): void {
     if (this.#closed) return
-    if (this.#lines.length === 0) setImmediate(() => this.#flush())
+    if (this.#lines.length === 0) setImmediate(() => this.flush())
     this.#lines.push(JSON.stringify(message))
   }
 
@@ -44,8 +44,9 @@
     this.#close(reason)
   }
 
-  #flush (): void {
-    if (this.#closed) return
+  /** Sends at once what waits for the end of the turn. */
+  flush (): void {
+    if (this.#closed || this.#lines.length === 0) return
     const text = `${this.#lines.join('\n')}\n`
     this.#lines = []
     this.#socket.write(text)
