Links: what was sent before a dialer closes still leaves

Cause: messages leave at the end of a turn of the event loop; a dialer that closed in the same turn dropped them. An entry that ends as soon as nobody waits any more may have ordered stops in that turn: the tasks then ran on until the contact ended.

Change: a dialer flushes its links before it closes them.

Before: not ok 2 - what was sent before a dialer closes still arrives error: 'The value [2 entries] is not equal to [3 entries], but it was expected to be equal.' After: links.test.ts 9 of 9, three times.

--- a/packages/links/src/dialer.ts
+++ b/packages/links/src/dialer.ts
@@ -77,8 +77,10 @@
     this.#linked.get(name)?.link?.close('renewed')
   }
 
+  /** Closes all links; what was sent on them still leaves. */
   close (): void {
     this.#stopped = true
+    this.flush()
     for (const { link, timer } of this.#destinations.values()) {
       clearTimeout(timer)
       link?.close('this process stops')
--- a/packages/links/test/links.test.ts
+++ b/packages/links/test/links.test.ts
@@ -60,6 +60,18 @@
   expect(entry.heard).toEqual(['linked agent', '{"reply":1}'])
 })
 
+// The last order of a process that stops is one to stop tasks: nothing else would stop them as soon.
+test('what was sent before a dialer closes still arrives', async () => {
+  const port = await ports.pick()
+  const agent = await agentOn(port)
+  const entry = entryDialling(`${HOST}:${port}`)
+  await until(() => entry.heard.length === 1)
+  entry.dialer.send('agent', { last: true })
+  entry.dialer.close()
+  await until(() => agent.heard.includes('unlinked entry'))
+  expect(agent.heard).toEqual(['linked entry#1', 'entry: {"last":true}', 'unlinked entry'])
+})
+
 test('a destination that is not there yet is dialled again', async () => {
   const port = await ports.pick()
   const entry = entryDialling(`${HOST}:${port}`)
