--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -9,6 +9,7 @@
 import type { GossipMessage } from './gossip.ts'
 import type { DecisionLog } from './decisionlog.ts'
 import type { EffectHandlers } from './loop.ts'
+import { AnswerKind } from '@amaranthmast/dispatch/entrytypes'
 import { Entry } from '@amaranthmast/dispatch/entry'
 import { QueueTable } from '@amaranthmast/dispatch/queues'
 import { policyOf } from '@amaranthmast/dispatch/schedulingsettings'
@@ -66,9 +67,14 @@
   #configuration: DispatchConfiguration | undefined
   #queues = new QueueTable([])
   #stopOrderedAt: number | undefined
+  #endingTold = false
 
   readonly #handlers: EffectHandlers<EntryEffect> = {
-    answer: ({ request, answer }) => this.#callers.answer(request, answer),
+    answer: ({ request, answer }) => {
+      // The caller submits the job again after this answer: the stops leave before it.
+      if (answer.kind === AnswerKind.TimedOut) this.#agents.flush()
+      this.#callers.answer(request, answer)
+    },
     send: ({ agent, message }) => this.#agents.send(agent, message),
     tell: ({ peer, message }) => this.#peers.send(peer, message),
     unlink: ({ agent }) => this.#agents.renew(agent),
@@ -81,13 +87,14 @@
     this.#options = options
     this.#entry = new Entry({ name: settings.id, strength: options.strength, dataCentre: settings.dataCentre, timings: timingsFor(settings.bounds), grace: settings.bounds.grace, policy: policyOf(settings.scheduling), weights: settings.scheduling.weights })
     const own: Greeting = { role: PeerRole.Entry, name: settings.id, incarnation, address: settings.linkAddress }
+    // A ping is echoed only after the ends of all callers that had gone when it was sent: they are read by the next turn.
     this.#agents = new Dialer(own, {
       linked: (peer, address) => {
         this.#gossip.agentLinked(address)
-        this.#loop.post({ type: 'agentLinked', agent: peer.name, incarnation: peer.incarnation })
+        this.#loop.postLater({ type: 'agentLinked', agent: peer.name, incarnation: peer.incarnation })
       },
-      received: (peer, message) => this.#loop.post({ type: 'agentMessage', agent: peer.name, message: message as AgentMessage }),
-      unlinked: peer => this.#loop.post({ type: 'agentUnlinked', agent: peer.name })
+      received: (peer, message) => this.#loop.postLater({ type: 'agentMessage', agent: peer.name, message: message as AgentMessage }),
+      unlinked: peer => this.#loop.postLater({ type: 'agentUnlinked', agent: peer.name })
     }, now)
     this.#peers = new Dialer(own, {
       linked: peer => {
@@ -117,11 +124,12 @@
     this.#callers = options.callers({
       find: (host, path) => this.#find(host, path),
       limits: () => this.#configuration?.limits,
-      submitted: (request, job) => this.#loop.post({ type: 'submitted', request, job }),
-      cancelAsked: (request, id) => this.#loop.post({ type: 'cancelAsked', request, id }),
-      stateAsked: (request, id) => this.#loop.post({ type: 'stateAsked', request, id }),
+      // A caller that has given up before its request is read has ended its connection behind it.
+      submitted: (request, job) => this.#loop.postLater({ type: 'submitted', request, job }),
+      cancelAsked: (request, id) => this.#loop.postLater({ type: 'cancelAsked', request, id }),
+      stateAsked: (request, id) => this.#loop.postLater({ type: 'stateAsked', request, id }),
       waiting: () => 0,
-      gone: request => this.#loop.post({ type: 'requestGone', request }),
+      gone: request => this.#callerGone(request),
       ready: () => this.#entry.ready
     }, decisions.decision)
     this.#lag = new LoopLag({ threshold: lateTurnThreshold(settings.bounds.stop), now, note: decisions.decision })
@@ -178,9 +186,23 @@
     if (stopping < BALANCER_MILLISECONDS) return
     this.#callers.drain()
     const { grace } = this.#options.settings.bounds
-    if (stopping >= grace - ANSWER_RESERVE_MILLISECONDS) this.#loop.post({ type: 'ending' })
+    const answered = this.#endingTold
+    if (stopping >= grace - ANSWER_RESERVE_MILLISECONDS) this.#answerAll()
     const idle = this.#callers.open() === 0 && stopping >= BALANCER_MILLISECONDS + IDLE_MILLISECONDS
-    if (idle || stopping >= grace - END_RESERVE_MILLISECONDS) this.#loop.end()
+    if (idle || (answered && stopping >= grace - END_RESERVE_MILLISECONDS)) this.#loop.end()
+  }
+
+  /** Stops for its tasks leave before any echo that keeps tasks alive; a submission that is not handled yet never is. */
+  #callerGone (request: number): void {
+    const [dropped] = this.#loop.withdraw(event => event.type === 'submitted' && event.request === request)
+    if (dropped?.type === 'submitted') this.#options.decisions.decision('submission dropped, its caller has gone', { job: dropped.job.id })
+    else this.#loop.postFirst({ type: 'requestGone', request })
+  }
+
+  /** The answers and the stops leave before the next tick, at which the process may end. */
+  #answerAll (): void {
+    this.#endingTold = true
+    this.#loop.post({ type: 'ending' })
   }
 
   #find (host: string, path: string): Queue | QueueLookup {
--- a/packages/daemon/src/loop.ts
+++ b/packages/daemon/src/loop.ts
@@ -5,9 +5,13 @@
 import type { Disposable, Scheduler, Sink } from 'most'
 import { Stream } from 'most'
 
-/** Gathers events and hands them out in order, all of one turn together. */
+/** Gathers events and hands them out all of one turn together, in order but for those that go first. */
 export class Loop<Event> {
+  /** Events that go before the others of their turn. */
+  #first: Event[] = []
   #waiting: Event[] = []
+  /** Events that wait for one more turn. */
+  #later: Event[] = []
   #scheduled = false
   #sink: Sink<Event[]> | undefined
   #scheduler: Scheduler | undefined
@@ -18,6 +22,30 @@
     this.#schedule()
   }
 
+  /** Adds an event that is handled before all others of its turn, whichever was read first. */
+  postFirst (event: Event): void {
+    this.#first.push(event)
+    this.#schedule()
+  }
+
+  /**
+   * Adds an event that is handled once everything has been read that had arrived by now: in the turn after the present one.
+   * Node reads each connection at most once in a turn, and reads one's end only after what came before it.
+   */
+  postLater (event: Event): void {
+    this.#later.push(event)
+    this.#schedule()
+  }
+
+  /** Takes events back that are not handled yet; gives them. */
+  withdraw (matches: (event: Event) => boolean): Event[] {
+    const withdrawn = [...this.#waiting, ...this.#later].filter(matches)
+    if (withdrawn.length === 0) return withdrawn
+    this.#waiting = this.#waiting.filter(event => !withdrawn.includes(event))
+    this.#later = this.#later.filter(event => !withdrawn.includes(event))
+    return withdrawn
+  }
+
   /** The stream of turns. One observer at a time; it starts with what was posted before. */
   turns (): Stream<Event[]> {
     return new Stream({ run: (sink, scheduler) => this.#observe(sink, scheduler) })
@@ -27,14 +55,16 @@
   end (): void {
     const sink = this.#sink
     this.#sink = undefined
+    this.#first = []
     this.#waiting = []
+    this.#later = []
     sink?.end(this.#time())
   }
 
   #observe (sink: Sink<Event[]>, scheduler: Scheduler): Disposable<Event[]> {
     this.#sink = sink
     this.#scheduler = scheduler
-    if (this.#waiting.length > 0) this.#schedule()
+    if (this.#first.length + this.#waiting.length + this.#later.length > 0) this.#schedule()
     return { dispose: () => { this.#sink = undefined } }
   }
 
@@ -48,8 +78,15 @@
     this.#scheduled = false
     const sink = this.#sink
     if (sink === undefined) return
-    const events = this.#waiting
-    this.#waiting = []
+    const events = this.#first.length === 0 ? this.#waiting : [...this.#first, ...this.#waiting]
+    this.#first = []
+    this.#waiting = this.#later
+    this.#later = []
+    if (events.length > 0) this.#handOut(sink, events)
+    if (this.#waiting.length > 0) this.#schedule()
+  }
+
+  #handOut (sink: Sink<Event[]>, events: Event[]): void {
     try {
       sink.event(this.#time(), events)
     } catch (error) {
--- a/packages/links/src/dialer.ts
+++ b/packages/links/src/dialer.ts
@@ -67,13 +67,20 @@
     for (const destination of this.#linked.values()) destination.link?.send(message)
   }
 
+  /** Sends at once what waits for the end of the turn. */
+  flush (): void {
+    for (const destination of this.#linked.values()) destination.link?.flush()
+  }
+
   /** Breaks a link off and dials again at once. */
   renew (name: string): void {
     this.#linked.get(name)?.link?.close('renewed')
   }
 
+  /** Closes all links; what was sent on them still leaves. */
   close (): void {
     this.#stopped = true
+    this.flush()
     for (const { link, timer } of this.#destinations.values()) {
       clearTimeout(timer)
       link?.close('this process stops')
