Entry: starts of a further submission count on from those of the one before

Callers: a third run of a task beside the second, after their job was submitted again.

An agent that is late may announce itself on a new link before it tells again the ends that the link before had lost; the entry, whose job had been submitted again meanwhile, took the end of attempt 1 of the earlier submission for that of the new one, and started the task once more beside it.

Change: an entry remembers the highest attempt of the jobs that it began lately, and a further submission counts on from it. Weighed: binding an agent's messages to the link that they were decided for, which leaves the same numbers for two runs.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -13,6 +13,7 @@
 import type { SchedulingStatus } from './schedulingstatus.ts'
 import { Admission } from './admission.ts'
 import { AnsweredJobs } from './answeredjobs.ts'
+import { Attempts } from './attempts.ts'
 import { refused, unknown } from './answers.ts'
 import { Cancellations } from './cancellations.ts'
 import { CrashSuspects } from './crashsuspects.ts'
@@ -55,6 +56,7 @@
   readonly #byRequest = new Map<number, Job>()
   readonly #queues = new Map<string, JobQueue>()
   readonly #answers = new AnsweredJobs()
+  readonly #attempts = new Attempts()
   #configuration: DispatchConfiguration | undefined
   /** By when everything must be answered; undefined while no stop is ordered. */
   #endsAt: number | undefined
@@ -207,7 +209,7 @@
     if (exceeded !== undefined) {
       return this.#refuse(request, submitted, refused(Reason.Overload, this.#retryAfter(submitted, now)), rounded(exceeded))
     }
-    const job = new Job(submitted, now)
+    const job = new Job(submitted, now, this.#attempts.of(submitted.id))
     this.#attach(request, job)
     if (known === undefined) this.#open(job, now)
     else this.#supersede(known, job)
@@ -286,6 +288,7 @@
     this.#sharing.forget(job)
     // Whoever is answered may submit the job again.
     this.#fleet.stopJob(job)
+    if (job.started) this.#attempts.remember(job.request.id, job.lastAttempt)
     for (const request of job.waiting) this.#answer(request, answer)
     job.waiting.clear()
     const { id, queue } = job.request
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -94,14 +94,20 @@
   successor: Job | undefined
   #left: number
 
-  constructor (request: JobRequest, now: number) {
+  /** @param attempts starts of its tasks before this submission, at most */
+  constructor (request: JobRequest, now: number, attempts = 0) {
     this.request = request
     this.arrivedAt = now
     this.deadline = now + request.remaining
-    this.tasks = request.steps.flatMap((step, index) => Array.from({ length: step.count }, (_none, number) => newTask(this, step, index, number)))
+    this.tasks = request.steps.flatMap((step, index) => Array.from({ length: step.count }, (_none, number) => newTask(this, step, index, number, attempts)))
     this.#left = this.tasks.length
   }
 
+  /** The highest number of a start of any task. */
+  get lastAttempt (): number {
+    return Math.max(...this.tasks.map(({ attempt }) => attempt))
+  }
+
   get done (): boolean {
     return this.#left === 0
   }
@@ -133,13 +139,13 @@
   }
 }
 
-function newTask (job: Job, step: Step, index: number, number: number): Task {
+function newTask (job: Job, step: Step, index: number, number: number, attempt: number): Task {
   return {
     name: `${job.request.id}.${index}.${number}`,
     step: index,
     job,
     state: step.after.length === 0 ? TaskState.Queued : TaskState.Blocked,
-    attempt: 0,
+    attempt,
     failures: 0,
     avoid: '',
     moved: false,
