Emulator: late processes, and targets that refuse connections, stop nothing, answer slowly or outlive their end

The incident of two runs of one task at once showed processes hundreds of milliseconds late and, on a test fleet, targets that refuse connections while they live. The emulator knew only whole freezes, and targets that crash or hang.

Calls to a target may belong to such a process, and end with its run. What happens to calls has a module of its own.

--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -1,15 +1,24 @@
-/** A target beside an agent under virtual time: orders reach it late, twice, or without an answer, and it crashes, hangs and slows. */
+/** A target beside an agent under virtual time: orders reach it late, twice, without an answer or not at all, and it crashes, hangs and slows. */
 import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
 import type { Resources } from '@amaranthmast/dispatch/resources'
 import type { RunPlan, WorkerRun } from '@amaranthmast/standins/leasedworker'
 import type { SeededRandom } from '@amaranthmast/standins/random'
 import type { Timeline } from './timeline.ts'
 import { PollFailure, RunEnd, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
+import { CallTroubles } from './calltroubles.ts'
 import { CapacityCheck } from './capacitycheck.ts'
 import { LeasedWorker } from '@amaranthmast/standins/leasedworker'
 
 type EffectOf<Type extends AgentEffect['type']> = Extract<AgentEffect, { type: Type }>
 
+/** A process that calls a target. */
+export interface Caller {
+  /** Number of its present run. */
+  readonly incarnation: number
+  /** Runs a timer of it. Durations in milliseconds. */
+  after: (milliseconds: number, run: () => void) => void
+}
+
 /** What kind of target it is. Durations in milliseconds. */
 export interface TargetTraits {
   service: string
@@ -26,21 +35,15 @@
   news: number
   /** Whether a poll waits for an end as long as it may, or is answered at once. */
   pollsWait: boolean
+  /** The process that calls it: its timers may be late, and its next run hears nothing of earlier calls. @default one that is never late */
+  caller?: Caller
   plan: (task: string) => RunPlan
   cpuOf: (task: string) => number
 }
 
-/** A call on the same machine takes this long one way, in milliseconds. */
-const FASTEST_CALL = 0.2
-const CALL_SPREAD = 2
-
 /** Least time to the next end, in milliseconds: rounded to the same instant, it would be waited for at it for ever. */
 const ROUNDING = 1e-6
 
-/** An order that is carried out late is so by this much, in milliseconds. */
-const LATE_LEAST = 2000
-const LATE_SPREAD = 10_000
-
 const START_ANSWERS = {
   started: StartAnswer.Started,
   fence: StartAnswer.Fenced,
@@ -49,12 +52,6 @@
   room: StartAnswer.Full
 } as const
 
-/** A share of the orders until a time. */
-interface Spell {
-  until: number
-  share: number
-}
-
 interface CallAnswers<Answer> {
   silent: Answer
   /** Nothing listens. */
@@ -63,6 +60,13 @@
   carryOut: () => Answer
 }
 
+/** A call that has not ended. */
+interface OpenCall {
+  /** Its connection has broken, and it may not have arrived. */
+  broken: boolean
+  breakOff: () => void
+}
+
 /** A poll that waits for an end. */
 interface WaitingPoll {
   instance: string
@@ -72,10 +76,10 @@
 
 export class EmulatedTarget {
   readonly #timeline: Timeline
-  readonly #random: SeededRandom
   readonly #traits: TargetTraits
   readonly #post: (event: AgentEvent) => void
   readonly check: CapacityCheck
+  readonly #troubles: CallTroubles
   #worker: LeasedWorker
   /** Name under which it is called, and this life of it. */
   #name = ''
@@ -87,21 +91,20 @@
   #up = true
   #refuses = false
   #leaving = false
+  /** It has deregistered, and has not ended yet. */
+  #deregistered = false
   /** When it will be gone, where its announcements state it. */
   #goneAt = Infinity
   /** Part of its capacity that it has at present. */
   #part = 1
   #rate = 1
-  /** Orders that are lost to the caller and carried out late. */
-  #late: Spell = { until: 0, share: 0 }
-  /** Answers are lost until then, while orders are carried out. */
-  #deaf: Spell = { until: 0, share: 0 }
+  readonly #open = new Set<OpenCall>()
   #waiting: WaitingPoll[] = []
   #wakeAt = Infinity
 
   constructor (timeline: Timeline, random: SeededRandom, traits: TargetTraits, post: (event: AgentEvent) => void) {
     this.#timeline = timeline
-    this.#random = random
+    this.#troubles = new CallTroubles(timeline, random)
     this.#traits = traits
     this.#post = post
     this.check = new CapacityCheck(traits.capacity.cpu, traits.news)
@@ -129,23 +132,44 @@
     if (!this.#up) return
     this.#up = false
     this.#refuses = refuses
+    this.#troubles.listenAgain()
     this.#waiting = []
     if (milliseconds === Infinity) return
     this.#timeline.after(milliseconds, () => {
       this.#up = true
       this.#leaving = false
+      this.#deregistered = false
       this.#goneAt = Infinity
       this.#worker = this.#newLife(keepsName)
       this.#heartbeat(this.#lives)
     })
   }
 
+  /** For a while it refuses connections, and those that are open break; what runs there goes on. */
+  refuse (milliseconds: number): void {
+    if (!this.#up) return
+    this.#troubles.refuse(milliseconds)
+    this.#waiting = []
+    for (const call of this.#open) call.breakOff()
+    this.#open.clear()
+  }
+
+  /** For a while orders to stop are lost, and everything else is answered. */
+  loseStops (milliseconds: number): void {
+    this.#troubles.loseStops(milliseconds)
+  }
+
+  /** For a while all that it answers comes late. */
+  answerSlowly (milliseconds: number): void {
+    this.#troubles.answerSlowly(milliseconds)
+  }
+
   carryOutLate (milliseconds: number, share: number): void {
-    this.#late = { until: this.#timeline.now + milliseconds, share }
+    this.#troubles.carryOutLate(milliseconds, share)
   }
 
   loseAnswers (milliseconds: number, share = 1): void {
-    this.#deaf = { until: this.#timeline.now + milliseconds, share }
+    this.#troubles.loseAnswers(milliseconds, share)
   }
 
   /** Everything that runs there works at this rate: 1 is sound, 0 stands still. */
@@ -160,22 +184,30 @@
    *
    * @param states whether it announces how much time is left
    * @param back after which time another life is there; infinite when it is gone for good
+   * @param lingers how long it runs on after it has deregistered, in milliseconds
    */
-  leave (milliseconds: number, { states = false, back = Infinity } = {}): void {
+  leave (milliseconds: number, { states = false, back = Infinity, lingers = 0 } = {}): void {
     if (!this.#up || this.#leaving) return
     const life = this.#lives
     this.#leaving = true
     if (states) this.#goneAt = this.#timeline.now + milliseconds
     this.check.noteLeaving(this.#timeline.now)
     this.announce()
+    const isOver = (): boolean => !this.#up || life !== this.#lives
     this.#timeline.after(milliseconds, () => {
-      if (!this.#up || life !== this.#lives) return
-      this.check.noteEnd(this.running().map(({ startedAt }) => this.#clockSince + startedAt / this.#traits.clockRate))
+      if (isOver()) return
       this.#post({ type: 'targetLeft', instance: this.#instance })
-      this.crash(back)
+      this.#deregistered = true
+      if (lingers === 0) return this.#end(back)
+      this.#timeline.after(lingers, () => { if (!isOver()) this.#end(back) })
     })
   }
 
+  #end (back: number): void {
+    this.check.noteEnd(this.running().map(({ startedAt }) => this.#clockSince + startedAt / this.#traits.clockRate))
+    this.crash(back)
+  }
+
   /** From now on it has this part of its capacity; its next heartbeat says so. What runs goes on. */
   setSize (part: number): void {
     this.#part = part
@@ -184,7 +216,7 @@
   }
 
   announce (): void {
-    if (this.#up) this.#post(this.announcement())
+    if (this.#up && !this.#deregistered) this.#post(this.announcement())
   }
 
   /** The next heartbeat. */
@@ -209,6 +241,7 @@
   stop (order: EffectOf<'stop'>): void {
     const { instance, task, run, token, timeout } = order
     const reply = (answered: boolean): void => this.#post({ type: 'stopAnswered', instance, task, run, answered })
+    if (this.#troubles.losesStops) return this.#callersTimer(timeout, () => reply(false))
     this.#call(order, timeout, reply, {
       silent: false,
       refused: false,
@@ -272,30 +305,46 @@
   }
 
   #call<Answer> (order: { instance: string }, timeout: number, reply: (answer: Answer) => void, answers: CallAnswers<Answer>, hold?: { acknowledged: number, wait: number }): void {
+    const call: OpenCall = {
+      broken: false,
+      breakOff: () => {
+        call.broken = true
+        this.#timeline.after(this.#troubles.travel(), () => settle(answers.silent))
+      }
+    }
+    const { caller } = this.#traits
+    const incarnation = caller?.incarnation
     let settled = false
     const settle = (answer: Answer): void => {
-      if (settled) return
+      this.#open.delete(call)
+      if (settled || incarnation !== caller?.incarnation) return
       settled = true
       reply(answer)
     }
-    this.#timeline.after(timeout, () => settle(answers.silent))
+    this.#callersTimer(timeout, () => settle(answers.silent))
+    if (this.#up && this.#troubles.refuses) return this.#timeline.after(this.#troubles.travel(), () => settle(answers.refused))
+    this.#open.add(call)
     const life = this.#lives
-    const late = this.#timeline.now < this.#late.until && this.#random.next() < this.#late.share
-    const lost = late || this.#isDeaf()
-    const travel = late ? LATE_LEAST + this.#random.next() * LATE_SPREAD : this.#travel()
+    const { late, lost, order: travel, answer: slowness } = this.#troubles.next()
     const answerBack = (): void => {
       const answer = this.#answer(order.instance, answers)
       this.#wakeIfDue()
-      if (answer !== undefined && !lost) this.#timeline.after(this.#travel(), () => settle(answer))
+      if (answer !== undefined && !lost) this.#timeline.after(slowness + this.#troubles.travel(), () => { if (!call.broken) settle(answer) })
     }
     this.#timeline.after(travel, () => {
       // What waits inside a worker ends with it.
       if (late && life !== this.#lives) return
+      if (call.broken && !this.#troubles.arrivesBroken()) return
       if (hold === undefined) return answerBack()
       this.#hold(order.instance, hold, answers, answerBack)
     })
   }
 
+  #callersTimer (milliseconds: number, run: () => void): void {
+    const timers = this.#traits.caller ?? this.#timeline
+    timers.after(milliseconds, run)
+  }
+
   /** The order of a poll takes effect as it arrives; its answer waits for an end. */
   #hold<Answer> (instance: string, { acknowledged, wait }: { acknowledged: number, wait: number }, answers: CallAnswers<Answer>, answerBack: () => void): void {
     this.#answer(instance, answers)
@@ -333,15 +382,6 @@
     for (const { answer } of ready) answer()
   }
 
-  #isDeaf (): boolean {
-    if (this.#timeline.now >= this.#deaf.until) return false
-    return this.#deaf.share === 1 || this.#random.next() < this.#deaf.share
-  }
-
-  #travel (): number {
-    return FASTEST_CALL + this.#random.next() * CALL_SPREAD
-  }
-
   /** Undefined while the machine is down: it says nothing at all, unless only the target on it is. */
   #answer<Answer> (instance: string, answers: CallAnswers<Answer>): Answer | undefined {
     if (!this.#up) return this.#refuses ? answers.refused : undefined
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -175,7 +175,7 @@
   }
 
   #addAgent (index: number, make: () => Agent): void {
-    const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.#timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect), costsOn(this.#plan.processor.agents[index], this.#plan.processor.agent, priceOfAgentEvent, priceOfAgentEffect))
+    const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.#timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect), { costs: costsOn(this.#plan.processor.agents[index], this.#plan.processor.agent, priceOfAgentEvent, priceOfAgentEffect) })
     this.agents.push(agent)
     const { dataCentre, capacity, labels, speed } = this.#plan.targets[index] as DayPlan['targets'][number]
     this.targets.push(new EmulatedTarget(this.#timeline, this.#random, {
@@ -196,7 +196,7 @@
 
   #addEntry (index: number, make: () => Entry): void {
     const { entries, entry } = this.#plan.processor
-    this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.#timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect), costsOn(entries[index], entry, priceOfEntryEvent, priceOfEntryEffect)))
+    this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.#timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect), { costs: costsOn(entries[index], entry, priceOfEntryEvent, priceOfEntryEffect) }))
   }
 
   #startEntry (index: number): void {
--- a/packages/emulator/src/process.ts
+++ b/packages/emulator/src/process.ts
@@ -1,4 +1,4 @@
-/** A process that can be frozen, killed and started again, around one of the decision cores. */
+/** A process that can be frozen, late, killed and started again, around one of the decision cores. */
 import type { Timeline } from './timeline.ts'
 
 interface Core<Event, Effect> {
@@ -14,6 +14,13 @@
   effect: (effect: Effect) => number
 }
 
+export interface ProcessOptions<Event, Effect> {
+  /** @default none */
+  costs?: Costs<Event, Effect>
+  /** What one turn handles of the events that it finds, and in which order. @default all, in the order of their arrival */
+  arrange?: (events: readonly Event[]) => readonly Event[]
+}
+
 const FREE = { event: () => 0, effect: () => 0 }
 
 export class Process<Event, Effect> {
@@ -22,6 +29,7 @@
   readonly #make: () => Core<Event, Effect>
   readonly #carryOut: (effect: Effect) => void
   readonly #costs: Costs<Event, Effect>
+  readonly #arrange: (events: readonly Event[]) => readonly Event[]
   /** Processor time used so far, in milliseconds. */
   used = 0
   readonly #tickEvent: Event
@@ -29,16 +37,24 @@
   #incarnation = 0
   #frozen = false
   #waiting: Event[] = []
+  /** Turns are taken only now and again until then. */
+  #lateUntil = 0
+  #late = false
+  /** A tick is due at the next turn. */
+  #tickDue = false
+  /** Timers of this process that have run out since the last turn. */
+  #expired: Array<() => void> = []
   /** The processor is busy with earlier events until then. */
   #busyUntil = 0
 
-  constructor (name: string, timeline: Timeline, make: () => Core<Event, Effect>, tick: Event, carryOut: (effect: Effect) => void, costs: Costs<Event, Effect> = FREE) {
+  constructor (name: string, timeline: Timeline, make: () => Core<Event, Effect>, tick: Event, carryOut: (effect: Effect) => void, { costs = FREE, arrange = events => events }: ProcessOptions<Event, Effect> = {}) {
     this.name = name
     this.#timeline = timeline
     this.#make = make
     this.#tickEvent = tick
     this.#carryOut = carryOut
     this.#costs = costs
+    this.#arrange = arrange
   }
 
   get incarnation (): number {
@@ -57,14 +73,15 @@
     this.#incarnation += 1
     this.#core = this.#make()
     this.#frozen = false
-    this.#waiting = []
+    this.#late = false
+    this.#clear()
     this.#busyUntil = 0
     this.#tick(this.#incarnation)
   }
 
   kill (): void {
     this.#core = undefined
-    this.#waiting = []
+    this.#clear()
   }
 
   freeze (milliseconds: number): void {
@@ -74,10 +91,33 @@
     this.#timeline.after(milliseconds, () => { if (incarnation === this.#incarnation) this.#thaw() })
   }
 
-  /** Hands an event over; a frozen process finds it when it wakes, a dead one never. */
+  /**
+   * For a while it takes turns only now and again: each finds all that has reached the process since the one before.
+   *
+   * @param pause time to the next turn, in milliseconds
+   */
+  delay (milliseconds: number, pause: () => number): void {
+    if (this.#core === undefined) return
+    this.#lateUntil = Math.max(this.#lateUntil, this.#timeline.now + milliseconds)
+    if (this.#late) return
+    this.#late = true
+    this.#takeTurnsLate(this.#incarnation, pause)
+  }
+
+  /** A timer of the process: one that is late finds it when it takes its turn, after what has reached it until then. */
+  after (milliseconds: number, run: () => void): void {
+    const incarnation = this.#incarnation
+    this.#timeline.after(milliseconds, () => {
+      if (this.#core === undefined || incarnation !== this.#incarnation) return
+      if (this.#frozen || this.#late) this.#expired.push(run)
+      else run()
+    })
+  }
+
+  /** Hands an event over; a frozen process finds it when it wakes, a late one with its next turn, a dead one never. */
   post (event: Event): void {
     if (this.#core === undefined) return
-    if (this.#frozen) {
+    if (this.#frozen || this.#late) {
       this.#waiting.push(event)
       return
     }
@@ -101,6 +141,50 @@
     }
   }
 
+  #takeTurnsLate (incarnation: number, pause: () => number): void {
+    this.#timeline.after(pause(), () => {
+      if (incarnation !== this.#incarnation || this.#core === undefined) return
+      const ends = this.#timeline.now >= this.#lateUntil
+      if (!this.#frozen) this.#takeTurn()
+      if (ends) this.#late = false
+      else this.#takeTurnsLate(incarnation, pause)
+    })
+  }
+
+  /** Everything that has arrived is handled before any effect is carried out, as the daemons' loops do. */
+  #takeTurn (): void {
+    this.#handleAll(this.#arrived())
+    const expired = this.#expired
+    this.#expired = []
+    for (const run of expired) run()
+    this.#handleAll(this.#arrived())
+  }
+
+  /** What has arrived since the last turn; timers run before anything is read. */
+  #arrived (): readonly Event[] {
+    const events = this.#tickDue ? [this.#tickEvent, ...this.#waiting] : this.#waiting
+    this.#waiting = []
+    this.#tickDue = false
+    return this.#arrange(events)
+  }
+
+  #handleAll (events: readonly Event[]): void {
+    const effects = events.flatMap(event => {
+      this.#spend(this.#costs.event(event))
+      return this.#core?.handle(event, this.#timeline.now) ?? []
+    })
+    for (const effect of effects) {
+      this.#spend(this.#costs.effect(effect))
+      this.#carryOut(effect)
+    }
+  }
+
+  #clear (): void {
+    this.#waiting = []
+    this.#expired = []
+    this.#tickDue = false
+  }
+
   #spend (milliseconds: number): void {
     this.used += milliseconds
     this.#busyUntil = Math.max(this.#timeline.now, this.#busyUntil) + milliseconds
@@ -108,14 +192,18 @@
 
   #thaw (): void {
     this.#frozen = false
-    const events = this.#waiting
-    this.#waiting = []
+    if (this.#late) return this.#takeTurn()
+    const events = this.#arrived()
+    const expired = this.#expired
+    this.#expired = []
     for (const event of events) this.post(event)
+    for (const run of expired) run()
   }
 
   #tick (incarnation: number): void {
     if (incarnation !== this.#incarnation || this.#core === undefined) return
-    if (!this.#frozen) this.post(this.#tickEvent)
+    if (this.#late) this.#tickDue = true
+    else if (!this.#frozen) this.post(this.#tickEvent)
     this.#timeline.after(TICK, () => this.#tick(incarnation))
   }
 }
