Explorer: a theme of late processes, refused connections and callers that leave early

Cause: the explorer had only whole freezes and targets that die when they refuse, so that it could not show the incident of two runs at once.

Theme 'lateness': targets that refuse connections for 30 to 2,000 ms while they live, lose stops, answer slowly, or outlive their deregistration by up to 200 ms; agents and entries that take turns only every 100 to 700 ms, separately and together; callers that leave early, also a late entry; an entry killed beside late agents whose stops are lost; targets that crash and refuse then. Ends of callers come first in a turn of an entry and withdraw what they submitted in it; a late entry dials with its own turns; answers to calls of an earlier run of an agent are not heard. A violation tells how long both runs went on. Callers have a module of their own.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -1,4 +1,5 @@
 /** Faults at random times, and the search over seeds. */
+import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import type { Violation } from './world.ts'
 import { ALL_GUARDS, guardsWithout, World } from './world.ts'
 
@@ -15,7 +16,9 @@
   /** The same as the first, targets that shrink, grow and leave, and that do not guard themselves. */
   Capacity = 'capacity',
   /** Processes, workers and links while entries give out room in partitions, and entries that give out the same targets. */
-  Partitions = 'partitions'
+  Partitions = 'partitions',
+  /** Processes that are late, targets that refuse connections, stop nothing, answer slowly or outlive their end, and callers that leave early. */
+  Lateness = 'lateness'
 }
 
 /** Length of one run of the world, in milliseconds: faults for most of it, then a quiet end. */
@@ -26,6 +29,9 @@
 const FAULTS_END = 12_000
 const MEAN_PAUSE = 500
 
+/** Callers that leave early do so within this time, in milliseconds. */
+const LEAVING_SPREAD = 800
+
 type Fault = (world: World) => void
 
 /** The kinds of faults, each as likely as the others; some strike what belongs together. */
@@ -136,12 +142,74 @@
   claimAllEach: world => { for (const entry of world.entries.keys()) world.claimAll(entry) }
 }
 
+const LATENESS_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  refuse: world => world.workers[anyAgent(world)]?.refuse(refusal(world)),
+  refuseEach: world => { for (const worker of world.workers) if (world.random.next() < 0.5) worker.refuse(refusal(world)) },
+  // The machine of a target that has crashed refuses calls too.
+  crashRefusing: world => world.workers[anyAgent(world)]?.crash(100 + world.random.next() * 3000, world.random.next() < 0.5, true),
+  refuseAndCrash: world => {
+    const worker = world.workers[anyAgent(world)]
+    worker?.refuse(refusal(world))
+    world.timeline.after(world.random.next() * 400, () => worker?.crash(1 + world.random.next() * 400, true, true))
+  },
+  lateAgent: world => world.delay(anyAgentOf(world), spell(world)),
+  lateEntry: world => world.delay(anyEntryOf(world), spell(world)),
+  lateAgents: world => { for (const agent of world.agents) world.delay(agent, spell(world)) },
+  lateEntries: world => { for (const entry of world.entries) world.delay(entry, spell(world)) },
+  lateAll: world => { for (const process of [...world.agents, ...world.entries]) world.delay(process, spell(world)) },
+  loseStops: world => world.workers[anyAgent(world)]?.loseStops(spell(world)),
+  answerSlowly: world => world.workers[anyAgent(world)]?.answerSlowly(spell(world)),
+  callersLeave: world => world.callers.leave(anyEntry(world), LEAVING_SPREAD),
+  callersLeaveLateEntry: world => {
+    const entry = anyEntry(world)
+    world.delay(world.entries[entry] as EntryProcess, spell(world))
+    world.callers.leave(entry, LEAVING_SPREAD)
+  },
+  callersLeaveLateAgents: world => {
+    for (const agent of world.agents) world.delay(agent, spell(world))
+    world.callers.leave(anyEntry(world), LEAVING_SPREAD)
+  },
+  callersLeaveUnstopped: world => {
+    const entry = anyEntry(world)
+    unstoppable(world)
+    world.delay(world.entries[entry] as EntryProcess, spell(world))
+    world.callers.leave(entry, LEAVING_SPREAD)
+  },
+  killEntryUnstopped: world => {
+    const entry = anyEntry(world)
+    unstoppable(world)
+    world.timeline.after(world.random.next() * LEAVING_SPREAD, () => world.restartEntry(entry, 200 + world.random.next() * 2000))
+  },
+  deregister: world => world.workers[anyAgent(world)]?.leave(world.random.next() * 1000, { back: 300 + world.random.next() * 1000, lingers: 1 + world.random.next() * 199 })
+}
+
+/** Some agents are late, and their orders to stop lost. */
+function unstoppable (world: World): void {
+  for (const [index, agent] of world.agents.entries()) {
+    if (world.random.next() < 0.5) continue
+    world.workers[index]?.loseStops(spell(world))
+    world.delay(agent, spell(world))
+  }
+}
+
+/** How long a target refuses connections, in milliseconds. */
+function refusal (world: World): number {
+  return 30 + world.random.next() ** 2 * 1970
+}
+
+/** How long processes are late, stops are lost or answers slow, in milliseconds. */
+function spell (world: World): number {
+  return 300 + world.random.next() * 2700
+}
+
 const FAULTS_OF: Readonly<Record<Theme, Readonly<Record<string, Fault>>>> = {
   [Theme.Processes]: FAULTS,
   [Theme.Operators]: OPERATOR_FAULTS,
   [Theme.Cancels]: CANCEL_FAULTS,
   [Theme.Capacity]: CAPACITY_FAULTS,
-  [Theme.Partitions]: PARTITION_FAULTS
+  [Theme.Partitions]: PARTITION_FAULTS,
+  [Theme.Lateness]: LATENESS_FAULTS
 }
 
 /** For a guard that is switched off: the faults that it is for, made likelier. */
@@ -158,7 +226,9 @@
   cancelNews: ['cancelWave'],
   capacityNews: ['shrink', 'shrinkAll'],
   drain: ['notice'],
-  grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers']
+  grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers'],
+  refusals: ['refuse', 'refuseEach', 'deregister'],
+  boundedLease: ['callersLeaveUnstopped', 'killEntryUnstopped']
 }
 
 /** How often one of the faults in focus is taken. */
@@ -172,23 +242,49 @@
   return world.random.integer(0, SIZES.agents - 1)
 }
 
+function anyEntryOf (world: World): EntryProcess {
+  return world.entries[anyEntry(world)] as EntryProcess
+}
+
+function anyAgentOf (world: World): AgentProcess {
+  return world.agents[anyAgent(world)] as AgentProcess
+}
+
 export interface RunResult {
   violation: Violation | undefined
   answers: ReadonlyMap<string, number>
 }
 
-/**
- * Plays one seed.
- *
- * @param broken guard to switch off
- */
-export function runSeed (seed: number, theme: Theme, broken?: string, trace?: (line: string) => void): RunResult {
+/** How a seed is played. */
+export interface RunOptions {
+  /** Guard to switch off. */
+  broken?: string | undefined
+  /** The only kind of fault; all kinds of the theme by default. */
+  only?: string | undefined
+  trace?: (line: string) => void
+}
+
+/** Plays one seed. */
+export function runSeed (seed: number, theme: Theme, { broken, only, trace }: RunOptions = {}): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
-  const world = new World(seed, guards, { ...SIZES, dataCentres: theme === Theme.Operators ? 2 : 1, longTasks: theme === Theme.Cancels, isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1, changing: theme === Theme.Capacity, partitions: theme === Theme.Partitions }, trace)
-  world.submitUntil(FAULTS_END)
-  strike(world, FAULTS_OF[theme], FOCUS[broken ?? ''] ?? [], trace)
+  const world = new World(seed, guards, {
+    ...SIZES,
+    dataCentres: theme === Theme.Operators ? 2 : 1,
+    longTasks: theme === Theme.Cancels,
+    isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1,
+    changing: theme === Theme.Capacity,
+    partitions: theme === Theme.Partitions,
+    late: theme === Theme.Lateness
+  }, trace)
+  world.callers.submitUntil(FAULTS_END)
+  strike(world, faultsOf(theme, only), FOCUS[broken ?? ''] ?? [], trace)
   world.timeline.runUntil(theme === Theme.Cancels ? LONG_LENGTH : LENGTH)
-  return { violation: world.violation, answers: world.answers }
+  return { violation: world.violation, answers: world.callers.answers }
+}
+
+function faultsOf (theme: Theme, only: string | undefined): Readonly<Record<string, Fault>> {
+  const faults = FAULTS_OF[theme]
+  return only === undefined ? faults : Object.fromEntries(Object.entries(faults).filter(([name]) => name === only))
 }
 
 function strike (world: World, faults: Readonly<Record<string, Fault>>, focus: readonly string[], trace: ((line: string) => void) | undefined): void {
@@ -202,11 +298,26 @@
   })
 }
 
+/** A seed that breaks a promise. */
+export interface Finding {
+  seed: number
+  violation: Violation
+}
+
 /** First seed from `first` on, within `runs`, that breaks the promise. */
-export function search (first: number, runs: number, theme: Theme, broken?: string): { seed: number, violation: Violation } | undefined {
+export function search (first: number, runs: number, theme: Theme, options: RunOptions = {}): Finding | undefined {
+  return findings(first, runs, theme, options).next().value ?? undefined
+}
+
+/** Every seed from `first` on, within `runs`, that breaks the promise. */
+export function * findings (first: number, runs: number, theme: Theme, options: RunOptions = {}): Generator<Finding, undefined> {
   for (let seed = first; seed < first + runs; seed += 1) {
-    const { violation } = runSeed(seed, theme, broken)
-    if (violation !== undefined) return { seed, violation }
+    const { violation } = runSeed(seed, theme, options)
+    if (violation !== undefined) yield { seed, violation }
   }
-  return undefined
+}
+
+/** Names of the kinds of faults of a theme. */
+export function faultNames (theme: Theme): string[] {
+  return Object.keys(FAULTS_OF[theme])
 }
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -1,17 +1,17 @@
 /** A small fleet under virtual time, its callers, and the promises: no task runs twice at one time, none starts in an evacuated data centre, none of a cancelled job runs on. */
 import type { AgentEffect, AgentEvent } from '../src/agenttypes.ts'
 import type { AgentGuards } from '../src/agentcontext.ts'
-import type { EntryEffect, EntryEvent } from '../src/entrytypes.ts'
+import type { AnswerKind, EntryEffect, EntryEvent } from '../src/entrytypes.ts'
 import type { FleetGuards } from '../src/fleetguards.ts'
 import type { TargetTraits } from '@amaranthmast/emulator/emulatedtarget'
 import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import { SeededRandom } from '@amaranthmast/standins/random'
+import { Callers } from './callers.ts'
 import { Cancels } from './cancels.ts'
 import { Operators } from './operators.ts'
 import { Agent } from '../src/agent.ts'
 import { ALL_AGENT_GUARDS } from '../src/agentcontext.ts'
 import { Entry } from '../src/entry.ts'
-import { AnswerKind } from '../src/entrytypes.ts'
 import { ALL_FLEET_GUARDS } from '../src/fleetguards.ts'
 import { DEFAULT_POLICY } from '../src/policy.ts'
 import { timingsFor } from '../src/timings.ts'
@@ -43,11 +43,13 @@
 const LONG_CALLER_DEADLINE = 10_000
 const SHORT_TASK = 1500
 const LONG_TASK = 9000
+
+/** A task that is left with its entry late must outlast the time after which its caller comes back, in milliseconds. */
+const LATE_TASK = 3000
 const DIAL_AGAIN = 60
 
 /** An entry that has started is linked to the others, and has heard what they know. */
 const LEARNING = 200
-const JOB_INTERVAL = 120
 const TASK_CPU = 3000
 const SCARCE_CPU = 6000
 const CHECK_INTERVAL = 5
@@ -65,6 +67,10 @@
 /** On every other seed links are as quiet as in a fleet of 35 entries: most starts wait for an echo. */
 const OFTEN_QUIET = 700
 
+/** A late process takes its turns so far apart, in milliseconds. */
+const LEAST_PAUSE = 100
+const PAUSE_SPREAD = 600
+
 /** A worker's steady clock is up to this much slow. */
 const CLOCK_SLOWNESS = 0.02
 
@@ -84,19 +90,15 @@
   changing: boolean
   /** Entries give out the room in partitions, and targets have little of it, so that they ask each other. */
   partitions: boolean
+  /** Processes take in what has reached them turn by turn, callers are heard late, and calls end with the process that made them. */
+  late: boolean
 }
 
 export interface Violation {
   at: number
   detail: string
-}
-
-/** One submission of a caller that waits for its answer. */
-interface Submission {
-  id: string
-  entry: number
-  incarnation: number
-  answered: boolean
+  /** For how long the two runs went on beside each other, in milliseconds; 0 for violations of other kinds. */
+  lasts: number
 }
 
 export class World {
@@ -105,23 +107,21 @@
   readonly entries: EntryProcess[] = []
   readonly agents: AgentProcess[] = []
   readonly workers: EmulatedTarget[] = []
-  readonly answers = new Map<string, number>()
+  readonly callers: Callers
   readonly operators: Operators
   readonly cancels: Cancels
-  readonly #longTasks: boolean
+  readonly #longestTask: number
   readonly #isolatesSuspects: boolean
   readonly #dataCentres: number
   readonly #changing: boolean
   /** When the notice of each target was acknowledged. */
   readonly #noticed = new Map<number, number>()
   readonly #partitions: boolean
+  readonly #late: boolean
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
-  readonly #submissions = new Map<number, Submission>()
   readonly #trace: ((line: string) => void) | undefined
-  #requests = 0
-  #jobs = 0
   /** From then on all entries run, and know what the others do. */
   #entriesWholeAt = 0
   violation: Violation | undefined
@@ -129,17 +129,20 @@
   constructor (seed: number, guards: Guards, sizes: WorldSizes, trace?: (line: string) => void) {
     this.#trace = trace
     this.#dataCentres = sizes.dataCentres
-    this.#longTasks = sizes.longTasks
+    this.#longestTask = longestTaskOf(sizes)
     this.#isolatesSuspects = sizes.isolatesSuspects
     this.#changing = sizes.changing
     this.#partitions = sizes.partitions
+    this.#late = sizes.late
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
-    this.#connections = new Connections(this.timeline, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
-    this.#peers = new PeerLinks(this.timeline, this.entries, () => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD)
+    const travel = (): number => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD
+    this.#connections = new Connections(this.timeline, travel)
+    this.#peers = new PeerLinks(this.timeline, this.entries, travel)
+    this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: QUEUE, cpu: TASK_CPU, deadline: sizes.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: BOUNDS.resubmission, travel: sizes.late ? travel : undefined })
     // The operators draw from a sequence of their own, so that a seed means the same processes with and without them.
     this.operators = new Operators({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, agents: this.agents, dataCentreOf: agent => this.dataCentreOf(agent) })
-    this.cancels = new Cancels({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => [...this.#submissions.values()].map(({ id }) => id), stop: BOUNDS.stop })
+    this.cancels = new Cancels({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => this.callers.waiting(), stop: BOUNDS.stop })
     const timings = timingsFor(BOUNDS)
     for (let index = 0; index < sizes.agents; index += 1) this.#addAgent(index, timings, guards)
     for (let index = 0; index < sizes.entries; index += 1) this.#addEntry(index, timings, guards)
@@ -155,14 +158,6 @@
     return DATA_CENTRES[agent % this.#dataCentres] as string
   }
 
-  /** Callers submit jobs until then. */
-  submitUntil (end: number): void {
-    if (this.timeline.now >= end) return
-    this.#jobs += 1
-    this.#submit(`job${this.#jobs}`)
-    this.timeline.after(this.random.next() * JOB_INTERVAL * 2, () => this.submitUntil(end))
-  }
-
   cut (entry: number, agent: number, milliseconds: number): void {
     this.#connections.cut(pairOf(entry, agent), milliseconds)
   }
@@ -185,7 +180,7 @@
     entry.kill()
     this.#peers.ended(index, false)
     this.agents.forEach((_agent, agent) => this.#connections.closeByEntry(pairOf(index, agent)))
-    this.#breakSubmissions(index)
+    this.callers.breakOff(index)
     this.timeline.after(milliseconds, () => {
       entry.start()
       this.#configure(entry)
@@ -214,6 +209,12 @@
     })
   }
 
+  /** A process takes its turns late for a while. */
+  delay (process: EntryProcess | AgentProcess, milliseconds: number): void {
+    const spread = this.random.next() * PAUSE_SPREAD
+    process.delay(milliseconds, () => LEAST_PAUSE + this.random.next() * spread)
+  }
+
   freezeAgent (index: number, milliseconds: number): void {
     this.agents[index]?.freeze(milliseconds)
     this.operators.noteDisturbed(index, this.timeline.now + milliseconds)
@@ -246,13 +247,13 @@
     const make = (): Agent => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing, partitions: this.#partitions } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
-    this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index)), event => {
+    this.workers.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index), agent), event => {
       if (event.type === 'targetSeen') this.#noteNotice(index, event.facts.leaving)
       agent.post(event)
     }))
   }
 
-  #traits (dataCentre: string): TargetTraits {
+  #traits (dataCentre: string, agent: AgentProcess): TargetTraits {
     return {
       service: 'service',
       dataCentre,
@@ -263,8 +264,9 @@
       heartbeat: HEARTBEAT,
       news: NEWS,
       rejectsOverload: !this.#changing,
-      pollsWait: this.#dataCentres > 1,
-      plan: () => ({ duration: 50 + this.random.next() * (this.#longTasks ? LONG_TASK : SHORT_TASK), fails: this.random.next() < 0.02 }),
+      pollsWait: this.#dataCentres > 1 || this.#late,
+      ...(this.#late ? { caller: agent } : {}),
+      plan: () => ({ duration: 50 + this.random.next() * this.#longestTask, fails: this.random.next() < 0.02 }),
       cpuOf: () => TASK_CPU
     }
   }
@@ -276,7 +278,7 @@
 
   #addEntry (index: number, timings: ReturnType<typeof timingsFor>, guards: Guards): void {
     const make = (): Entry => new Entry({ name: `entry${index}`, dataCentre: 'one', timings, grace: 6000, guards: guards.fleet, policy: { isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changing, partitions: this.#partitions } })
-    this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect)))
+    this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, make, { type: 'tick' }, effect => this.#carryOutEntry(index, effect), this.#late ? { arrange: endsFirst } : {}))
   }
 
   #configure (entry: EntryProcess): void {
@@ -287,7 +289,7 @@
     const worker = this.workers[index] as EmulatedTarget
     if (effect.type === 'start') {
       const fault = this.operators.faultOfStart(index) ?? this.#faultOfLateStart(index)
-      if (fault !== undefined) this.violation ??= { at: this.timeline.now, detail: fault }
+      if (fault !== undefined) this.violation ??= { at: this.timeline.now, detail: fault, lasts: 0 }
       worker.start(effect)
     }
     if (effect.type === 'readEvacuations') this.operators.readForAgent(index)
@@ -319,15 +321,27 @@
     if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} entry${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
   }
 
+  #answered (request: number, kind: AnswerKind): void {
+    this.cancels.answered(request)
+    this.callers.answered(request, kind)
+  }
+
   #dialAll (): void {
     this.#peers.dial()
-    this.entries.forEach((entry, index) => this.agents.forEach((agent, other) => {
-      const pair = pairOf(index, other)
-      if (entry.alive && agent.alive && !entry.frozen && !agent.frozen && !this.#connections.isCut(pair) && !this.#connections.get(pair)) this.#dial(index, other)
+    this.entries.forEach((entry, index) => this.agents.forEach((_agent, other) => {
+      if (!this.#dials(index, other)) return
+      // A late entry dials with its next turn, once it has heard that the link before is gone.
+      if (this.#late) entry.after(0, () => { if (this.#dials(index, other)) this.#dial(index, other) })
+      else this.#dial(index, other)
     }))
     this.timeline.after(DIAL_AGAIN, () => this.#dialAll())
   }
 
+  #dials (index: number, other: number): boolean {
+    const pair = pairOf(index, other)
+    return [this.entries[index], this.agents[other]].every(process => process?.alive === true && !process.frozen) && !this.#connections.isCut(pair) && !this.#connections.get(pair)
+  }
+
   #dial (index: number, other: number): void {
     const entry = this.entries[index] as EntryProcess
     const agent = this.agents[other] as AgentProcess
@@ -335,68 +349,58 @@
     this.#connections.open(pairOf(index, other), entryEnd, agentEnd)
   }
 
-  // Callers
-
-  get #callerDeadline (): number {
-    return this.#longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE
-  }
-
-  #submit (id: string): void {
-    const index = this.random.integer(0, this.entries.length - 1)
-    const entry = this.entries[index] as EntryProcess
-    if (!entry.alive) {
-      this.timeline.after(BOUNDS.resubmission, () => this.#submit(id))
-      return
-    }
-    this.#requests += 1
-    const request = this.#requests
-    this.#submissions.set(request, { id, entry: index, incarnation: entry.incarnation, answered: false })
-    const step = { count: 1 + Number(id.length % 2), needs: { cpu: TASK_CPU, memory: 1, accelerators: 0 }, estimated: 800, after: [], label: '', rack: '', perTarget: 0 }
-    entry.post({ type: 'submitted', request, job: { id, queue: QUEUE, payload: '', steps: [step], remaining: this.#callerDeadline } })
-    this.timeline.after(this.#callerDeadline, () => this.#giveUp(request))
-  }
-
-  #answered (request: number, kind: AnswerKind): void {
-    this.cancels.answered(request)
-    const submission = this.#submissions.get(request)
-    if (submission === undefined || submission.answered) return
-    submission.answered = true
-    this.#submissions.delete(request)
-    this.answers.set(kind, (this.answers.get(kind) ?? 0) + 1)
-    if (kind === AnswerKind.TimedOut) this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
-  }
-
-  /** The caller waits no longer: it goes, and submits again a while later. */
-  #giveUp (request: number): void {
-    const submission = this.#submissions.get(request)
-    if (submission === undefined) return
-    this.#submissions.delete(request)
-    this.entries[submission.entry]?.post({ type: 'requestGone', request })
-    this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
-  }
-
-  #breakSubmissions (entry: number): void {
-    for (const [request, submission] of this.#submissions) {
-      if (submission.entry !== entry) continue
-      this.#submissions.delete(request)
-      this.timeline.after(BOUNDS.resubmission, () => this.#submit(submission.id))
-    }
-  }
-
   // The promise
 
   #check (): void {
+    for (const fault of this.#faults()) this.violation ??= { at: this.timeline.now, detail: fault, lasts: 0 }
+    if (this.violation === undefined) this.timeline.after(CHECK_INTERVAL, () => this.#check())
+  }
+
+  #faults (): string[] {
+    const faults: string[] = []
     const where = new Map<string, number>()
     this.workers.forEach((worker, index) => {
-      if (worker.check.startsOver > 0) this.violation ??= { at: this.timeline.now, detail: `a start took worker ${index} over its capacity` }
+      if (worker.check.startsOver > 0) faults.push(`a start took worker ${index} over its capacity`)
       for (const { task, run } of worker.running()) {
         const other = where.get(task)
-        if (other !== undefined) this.violation ??= { at: this.timeline.now, detail: `${task} runs at worker ${other} and, as run ${run}, at worker ${index}` }
+        if (other !== undefined) {
+          faults.push(`${task} runs at worker ${other} and, as run ${run}, at worker ${index}`)
+          this.#measure(task)
+        }
         where.set(task, index)
         const fault = this.cancels.faultOfRun(task)
-        if (fault !== undefined) this.violation ??= { at: this.timeline.now, detail: `${fault} at worker ${index}` }
+        if (fault !== undefined) faults.push(`${fault} at worker ${index}`)
       }
     })
-    if (this.violation === undefined) this.timeline.after(CHECK_INTERVAL, () => this.#check())
+    return faults
+  }
+
+  /** For how long the task goes on at two workers that it runs at twice now. */
+  #measure (task: string): void {
+    if (this.violation !== undefined) return
+    const since = this.timeline.now
+    const look = (): void => {
+      const runs = this.workers.filter(worker => worker.running().some(run => run.task === task)).length
+      if (runs < 2) return
+      if (this.violation !== undefined) this.violation.lasts = this.timeline.now - since
+      this.timeline.after(CHECK_INTERVAL, look)
+    }
+    this.timeline.after(CHECK_INTERVAL, look)
   }
 }
+
+/** As an entry's loop does: ends of callers go before everything else, and what such a caller has submitted is not begun. */
+function endsFirst (events: readonly EntryEvent[]): readonly EntryEvent[] {
+  const gone = new Set(events.flatMap(event => event.type === 'requestGone' ? [event.request] : []))
+  if (gone.size === 0) return events
+  const withdrawn = new Set(events.flatMap(event => event.type === 'submitted' && gone.has(event.request) ? [event.request] : []))
+  const isEnd = (event: EntryEvent): boolean => event.type === 'requestGone'
+  const isLeft = (event: EntryEvent): boolean => !('request' in event) || !withdrawn.has(event.request)
+  return [...events.filter(isEnd), ...events.filter(event => !isEnd(event))].filter(isLeft)
+}
+
+/** In milliseconds. */
+function longestTaskOf ({ longTasks, late }: WorldSizes): number {
+  if (late) return LATE_TASK
+  return longTasks ? LONG_TASK : SHORT_TASK
+}
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -26,7 +26,9 @@
   cancelNews: { first: 1, runs: 40, theme: Theme.Cancels },
   capacityNews: { first: 1, runs: 60, theme: Theme.Capacity },
   drain: { first: 1, runs: 60, theme: Theme.Capacity },
-  grantedOnce: { first: 1, runs: 60, theme: Theme.Partitions }
+  grantedOnce: { first: 1, runs: 60, theme: Theme.Partitions },
+  refusals: { first: 1, runs: 60, theme: Theme.Lateness },
+  boundedLease: { first: 1, runs: 60, theme: Theme.Lateness }
 }
 
 test('no task runs twice at one time under random faults', () => {
@@ -49,6 +51,10 @@
   expect(search(5000, 60, Theme.Partitions)).toEqual(undefined)
 })
 
+test('late processes and targets that refuse connections start nothing twice', () => {
+  expect(search(5000, 60, Theme.Lateness)).toEqual(undefined)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which once failed, breaks no promise`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
@@ -57,6 +63,6 @@
 
 for (const [guard, { first, runs, theme = Theme.Processes }] of Object.entries(GUARDS)) {
   test(`without the guard "${guard}" a promise is broken`, () => {
-    expect(search(first, runs, theme, guard) === undefined).toEqual(false)
+    expect(search(first, runs, theme, { broken: guard }) === undefined).toEqual(false)
   })
 }
