--- a/packages/daemon/src/agentservice.ts
+++ b/packages/daemon/src/agentservice.ts
@@ -14,7 +14,9 @@
 import { exposeStoreCalls } from './configurationmetrics.ts'
 import { Exposition } from './exposition.ts'
 import { Loop, runLoop } from './loop.ts'
+import { lateTurnThreshold, LoopLag } from './looplag.ts'
 import { MetricsListener } from './metricslistener.ts'
+import { exposeDroppedLines } from './processmetrics.ts'
 import { SuspensionWatch } from './suspension.ts'
 import { Ticker } from './ticker.ts'
 
@@ -44,6 +46,7 @@
   readonly #visits: Dialer
   readonly #suspension: SuspensionWatch
   readonly #metricsListener: MetricsListener
+  readonly #lag: LoopLag
   readonly #entryAddresses = new Set<string>()
   readonly #linked = new Set<string>()
   #visitedAt: number
@@ -83,6 +86,7 @@
       }
     })
     this.#visits = new Dialer(own, { linked: () => {}, received: () => {}, unlinked: () => {} }, now)
+    this.#lag = new LoopLag({ threshold: lateTurnThreshold(settings.bounds.stop), now, note: decisions.decision })
     this.#metricsListener = new MetricsListener(() => this.#exposed(), decisions.log)
   }
 
@@ -93,7 +97,7 @@
     this.#metricsListener.listen(settings.metrics.host, settings.metrics.port)
     store.publish({ name: settings.id, role: PeerRole.Agent, address: settings.linkAddress })
     this.#recallTarget()
-    const ticker = new Ticker(() => this.#tick(), () => this.#agent.busy || this.#stopOrderedAt !== undefined)
+    const ticker = new Ticker(() => this.#tick(), () => this.#agent.busy || this.#stopOrderedAt !== undefined, this.#lag)
     ticker.start()
     try {
       await runLoop(this.#loop, this.#agent, this.#handlers, now)
@@ -151,11 +155,14 @@
 
   #exposed (): string {
     const exposition = new Exposition()
-    const { tasks, entries, cleared, silent } = this.#agent.status()
+    const { tasks, entries, cleared, silent, ends, strays } = this.#agent.status()
     const sizes = { tasks, entries, cleared: Number(cleared), silent: Number(silent) }
     exposition.gauge('amaranthmast_size', 'Tasks at the target, linked entries, state of the target', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.counter('amaranthmast_run_ends_total', 'Runs that counted as ended, by the evidence', [...ends].map(([evidence, value]) => ({ labels: { evidence }, value })))
+    exposition.counter('amaranthmast_stray_runs_total', 'Polls that list a run of which nobody here knows, each such run', [{ labels: {}, value: strays }])
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
-    exposition.counter('amaranthmast_log_lines_dropped_total', 'Log lines dropped', [{ labels: {}, value: this.#options.decisions.dropped() }])
+    exposeDroppedLines(exposition, this.#options.decisions.dropped())
+    this.#lag.expose(exposition)
     return exposition.text()
   }
 }
