--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -181,7 +181,14 @@
     unstoppable(world)
     world.timeline.after(world.random.next() * LEAVING_SPREAD, () => world.restartEntry(entry, 200 + world.random.next() * 2000))
   },
-  deregister: world => world.workers[anyAgent(world)]?.leave(world.random.next() * 1000, { back: 300 + world.random.next() * 1000, lingers: 1 + world.random.next() * 199 })
+  deregister: world => deregister(world, false),
+  // Its listener is closed first.
+  deregisterAndRefuse: world => deregister(world, true)
+}
+
+/** A target deregisters after a notice, and ends a little later. */
+function deregister (world: World, refuses: boolean): void {
+  world.workers[anyAgent(world)]?.leave(world.random.next() * 1000, { back: 300 + world.random.next() * 1000, lingers: 1 + world.random.next() * 199, refuses })
 }
 
 /** Some agents are late, and their orders to stop lost. */
@@ -227,7 +234,7 @@
   capacityNews: ['shrink', 'shrinkAll'],
   drain: ['notice'],
   grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers'],
-  refusals: ['refuse', 'refuseEach', 'deregister'],
+  refusals: ['refuse', 'refuseEach', 'deregister', 'deregisterAndRefuse'],
   boundedLease: ['callersLeaveUnstopped', 'killEntryUnstopped']
 }
 
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -185,8 +185,9 @@
    * @param states whether it announces how much time is left
    * @param back after which time another life is there; infinite when it is gone for good
    * @param lingers how long it runs on after it has deregistered, in milliseconds
+   * @param refuses whether it refuses connections from then on
    */
-  leave (milliseconds: number, { states = false, back = Infinity, lingers = 0 } = {}): void {
+  leave (milliseconds: number, { states = false, back = Infinity, lingers = 0, refuses = false } = {}): void {
     if (!this.#up || this.#leaving) return
     const life = this.#lives
     this.#leaving = true
@@ -199,6 +200,7 @@
       this.#post({ type: 'targetLeft', instance: this.#instance })
       this.#deregistered = true
       if (lingers === 0) return this.#end(back)
+      if (refuses) this.refuse(lingers)
       this.#timeline.after(lingers, () => { if (!isOver()) this.#end(back) })
     })
   }
--- a/packages/emulator/test/emulatedtarget.test.ts
+++ b/packages/emulator/test/emulatedtarget.test.ts
@@ -103,3 +103,14 @@
   timeline.runUntil(300)
   expect(tasksOf(bench)).toEqual([])
 })
+
+test('a target that lingers may refuse connections meanwhile', () => {
+  const bench = targetWithTask()
+  const { timeline, target, events, instance } = bench
+  target.leave(100, { lingers: 150, refuses: true })
+  timeline.runUntil(150)
+  target.poll({ type: 'poll', instance, token: TOKEN, sent: 150, deadline: undefined, acknowledged: 0, wait: 0, timeout: TIMEOUT })
+  timeline.runUntil(200)
+  expect(events.at(-1)).toEqual({ type: 'pollFailed', instance, sent: 150, failure: PollFailure.NoListener })
+  expect(tasksOf(bench)).toEqual(['a'])
+})
