Entry: a test that an end of an earlier submission changes nothing for a later one, failing

The announcement that it decides for the link before leaves on the new one, ahead of the ends that the link before had lost. The entry, whose job was submitted again meanwhile, places the task with attempt 1 again, and takes the end of attempt 1 of the earlier submission for that of the new one: a third start, beside the second.

Two things come together: an effect that was decided for one link leaves on the next, and attempts count from 1 in each submission.

Expected to fail: 'an end of an earlier submission changes nothing for a later one'.

--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -201,6 +201,22 @@
   expect(bench.answers()).toEqual([])
 })
 
+// A late agent may announce itself on a new link before it tells again what the link before had lost.
+test('an end of an earlier submission changes nothing for a later one', () => {
+  const bench = EntryBench.withAgents('a')
+  const request = bench.submit('job')
+  bench.do({ type: 'agentUnlinked', agent: 'a' })
+  bench.do({ type: 'requestGone', request })
+  bench.pass(TIMINGS.silence)
+  bench.link('a')
+  bench.take()
+  bench.submit('job')
+  expect(bench.starts()).toEqual(['a job.0.0 1'])
+  bench.take()
+  bench.end('a', 'job.0.0', Outcome.Gone, Cause.Lapsed)
+  expect(bench.starts()).toEqual([])
+})
+
 test('the tasks of a caller that has gone are stopped', () => {
   const bench = EntryBench.withAgents('one')
   const request = bench.submit('job', [step(2)])
