--- a/packages/dispatch/explore/callers.ts
+++ b/packages/dispatch/explore/callers.ts
@@ -3,6 +3,7 @@
 import type { Timeline } from '@amaranthmast/emulator/timeline'
 import type { SeededRandom } from '@amaranthmast/standins/random'
 import type { Queue } from '../src/queues.ts'
+import type { EntryEvent } from '../src/entrytypes.ts'
 import { AnswerKind } from '../src/entrytypes.ts'
 
 /** Pause between two jobs on average, in milliseconds. */
@@ -119,3 +120,13 @@
     timeline.after(resubmission, () => this.#submit(id))
   }
 }
+
+/** As an entry's loop does: ends of callers go before everything else, and what such a caller has submitted is not begun. */
+export function endsFirst (events: readonly EntryEvent[]): readonly EntryEvent[] {
+  const gone = new Set(events.flatMap(event => event.type === 'requestGone' ? [event.request] : []))
+  if (gone.size === 0) return events
+  const withdrawn = new Set(events.flatMap(event => event.type === 'submitted' && gone.has(event.request) ? [event.request] : []))
+  const isEnd = (event: EntryEvent): boolean => event.type === 'requestGone'
+  const isLeft = (event: EntryEvent): boolean => !('request' in event) || !withdrawn.has(event.request)
+  return [...events.filter(isEnd), ...events.filter(event => !isEnd(event))].filter(isLeft)
+}
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -6,7 +6,7 @@
 import type { TargetTraits } from '@amaranthmast/emulator/emulatedtarget'
 import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import { SeededRandom } from '@amaranthmast/standins/random'
-import { Callers } from './callers.ts'
+import { Callers, endsFirst } from './callers.ts'
 import { Cancels } from './cancels.ts'
 import { Operators } from './operators.ts'
 import { Agent } from '../src/agent.ts'
@@ -389,16 +389,6 @@
   }
 }
 
-/** As an entry's loop does: ends of callers go before everything else, and what such a caller has submitted is not begun. */
-function endsFirst (events: readonly EntryEvent[]): readonly EntryEvent[] {
-  const gone = new Set(events.flatMap(event => event.type === 'requestGone' ? [event.request] : []))
-  if (gone.size === 0) return events
-  const withdrawn = new Set(events.flatMap(event => event.type === 'submitted' && gone.has(event.request) ? [event.request] : []))
-  const isEnd = (event: EntryEvent): boolean => event.type === 'requestGone'
-  const isLeft = (event: EntryEvent): boolean => !('request' in event) || !withdrawn.has(event.request)
-  return [...events.filter(isEnd), ...events.filter(event => !isEnd(event))].filter(isLeft)
-}
-
 /** In milliseconds. */
 function longestTaskOf ({ longTasks, late }: WorldSizes): number {
   if (late) return LATE_TASK
