A deregistration ends no task either when connections are refused as well

Callers: a task ran twice for up to 180 ms where a target deregistered, closed its listener and ended a moment later.

Cause: a target that had deregistered was taken for gone at the first refused connection. A process closes its listener before it ends.

Change: what runs at a target that departs ends with its lease, with its listed end, or with another life at its address; one rule for refused connections and deregistrations.

The test that held a deregistered target for gone at a refused connection is replaced by one that holds its tasks until the lapse, silent or refusing.

--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -223,20 +223,26 @@
     this.#runs.stopInherited(now)
   }
 
-  /** A target that has said that it ends has ended; of any other it is not known, while its lease runs. */
+  /** What runs there may run on while its lease does. */
   #connectionRefused (now: number): void {
     this.#target.noteRefusal(now)
-    if (this.#target.deregistered) this.#targetLost('deregistered', LifeEnd.Left, now)
-    else if (this.#held.size === 0 || !this.#context.guards.refusals) this.#targetLost('nothing listens', LifeEnd.Unknown, now)
-    else this.#withdrawIfSilent(now)
+    this.#departs(now)
   }
 
+  /** It says that it will end, not that it has. */
   #deregistered (now: number): void {
     this.#target.noteDeregistered()
-    if (this.#held.size === 0 || !this.#context.guards.refusals) return this.#targetLost('deregistered', LifeEnd.Left, now)
-    this.#context.note('target deregistered', { instance: this.#target.facts?.instance, tasks: this.#held.size })
+    this.#departs(now)
+  }
+
+  #departs (now: number): void {
+    if (this.#held.size === 0 || !this.#context.guards.refusals) return this.#targetDeparted(now)
     this.#withdrawIfSilent(now)
-    this.#target.poll(undefined, 0, now)
+  }
+
+  #targetDeparted (now: number): void {
+    if (this.#target.deregistered) this.#targetLost('deregistered', LifeEnd.Left, now)
+    else this.#targetLost('nothing listens', LifeEnd.Unknown, now)
   }
 
   /** The life is over or does not answer, and what ran there is gone. */
@@ -244,7 +250,7 @@
     if (this.#target.facts === undefined) return
     const cause = this.#crashes.lost(ending, now)
     if (ending === LifeEnd.Replaced) this.#runs.endLife(cause, now)
-    else this.#runs.finishAll(cause, ending === LifeEnd.Left ? EndEvidence.Deregistered : EndEvidence.ConnectionRefused, now)
+    else this.#runs.finishAll(cause, EndEvidence.Assumed, now)
     this.#target.end(reason, ending !== LifeEnd.Unknown)
     this.#entries.announceToAll(now)
     const successor = this.#target.takeSuccessor()
@@ -349,9 +355,7 @@
     if (now < this.#target.lease.lapsedAt) return
     this.#crashes.lapsed(now)
     this.#runs.finishAll(Cause.Lapsed, EndEvidence.Lapsed, now)
-    if (!this.#target.departing) return
-    if (this.#target.deregistered) this.#targetLost('deregistered', LifeEnd.Left, now)
-    else this.#targetLost('nothing listens', LifeEnd.Unknown, now)
+    if (this.#target.departing) this.#targetDeparted(now)
   }
 
   #tick (now: number): void {
--- a/packages/dispatch/src/runends.ts
+++ b/packages/dispatch/src/runends.ts
@@ -10,12 +10,10 @@
   StartRefused = 'startRefused',
   /** The lease that it ran under has lapsed. */
   Lapsed = 'lapsed',
-  /** The target refused a connection. */
-  ConnectionRefused = 'connectionRefused',
   /** Another life answers at the target's address. */
   OtherLife = 'otherLife',
-  /** The target has deregistered. */
-  Deregistered = 'deregistered'
+  /** The target departs, with the guard switched off that waits for the lease. */
+  Assumed = 'assumed'
 }
 
 /** The end of a run as its agent takes it. */
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -197,6 +197,7 @@
   /** The target says that it ends. */
   noteDeregistered (): void {
     this.#deregistered = true
+    this.#context.note('target deregistered', { instance: this.#facts?.instance, tasks: this.#held.size })
   }
 
   /** A connection was refused: nothing listens, which does not say that nothing runs. */
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -233,14 +233,14 @@
 })
 
 test('a target that leaves, or has told that it will, did not crash', () => {
-  for (const [leave, end] of [[(bench: AgentBench) => bench.do({ type: 'targetLeft', instance: TARGET.instance }), 'one ended targetLost'], [(bench: AgentBench) => bench.seen({ leaving: true }), 'one ended lapsed']] as const) {
+  for (const leave of [(bench: AgentBench) => bench.do({ type: 'targetLeft', instance: TARGET.instance }), (bench: AgentBench) => bench.seen({ leaving: true })]) {
     const bench = AgentBench.ready({ policy: ISOLATES })
     bench.run('one')
     leave(bench)
     bench.pollFailed(PollFailure.NoListener)
     bench.pass(TIMINGS.lapse)
     bench.seen({ instance: 'target-2' })
-    expect(told(bench)).toEqual([end])
+    expect(told(bench)).toEqual(['one ended lapsed'])
   }
 })
 
--- a/packages/dispatch/test/runends.test.ts
+++ b/packages/dispatch/test/runends.test.ts
@@ -82,26 +82,28 @@
   expect(bench.ends()).toEqual(['job.0.1 notStarted unreachable'])
 })
 
-test('tasks at a target that has deregistered run until it refuses connections', () => {
-  const bench = AgentBench.ready()
-  bench.run('job.0.0')
-  bench.take()
-  bench.do({ type: 'targetLeft', instance: TARGET.instance })
-  expect(bench.ends()).toEqual([])
-  bench.pollFailed(PollFailure.NoListener)
-  expect(bench.ends()).toEqual(['job.0.0 gone targetLost'])
+test('tasks at a target that has deregistered count as running until their lease has lapsed, whether it is silent or refuses connections', () => {
+  for (const failure of [PollFailure.NoListener, PollFailure.Silent]) {
+    const bench = AgentBench.ready()
+    bench.run('job.0.0')
+    bench.take()
+    bench.do({ type: 'targetLeft', instance: TARGET.instance })
+    bench.pollFailed(failure)
+    bench.pass(TIMINGS.lapse - 50)
+    expect(bench.ends()).toEqual([])
+    bench.pass(100)
+    expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
+  }
 })
 
-test('tasks at a target that has deregistered and falls silent run until their lease has lapsed', () => {
+test('a target that has deregistered takes no task, and lists the ends of those that it has', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
   bench.take()
   bench.do({ type: 'targetLeft', instance: TARGET.instance })
-  bench.pollFailed(PollFailure.Silent)
-  bench.pass(TIMINGS.lapse - 50)
-  expect(bench.ends()).toEqual([])
-  bench.pass(100)
-  expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
+  bench.start([order('job.0.1')])
+  bench.polled([], [{ number: 1, task: 'job.0.0', run: 1, end: RunEnd.Done }])
+  expect(bench.ends()).toEqual(['job.0.1 notStarted leaving', 'job.0.0 done'])
 })
 
 test('an agent that is late holds no task of a lost entry until its caller is back, though stops are not answered', () => {
