Entry: nothing is placed for a job whose deadline has passed, also when the entry was late

Callers: two runs of a task for 4 to 22 ms, after their deadline had passed and their job had been submitted again elsewhere.

Cause: deadlines of jobs were looked at with the tick alone. A process that stood still takes what its links brought first: ends of tasks that agents had stopped meanwhile, which it placed again 1.6 s after the deadline.

Change: jobs that are due are given up before any event but those of agents, whose ready answers are given also late, and after each of these before anything is placed. A bound on the earliest deadline keeps that free while none is due.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -17,7 +17,7 @@
 import { refused, unknown } from './answers.ts'
 import { Cancellations } from './cancellations.ts'
 import { CrashSuspects } from './crashsuspects.ts'
-import { ANSWER_MILLISECONDS, REVIEW_MILLISECONDS } from './defaults.ts'
+import { REVIEW_MILLISECONDS } from './defaults.ts'
 import { Pressure } from './pressure.ts'
 import { AnswerKind, Reason } from './entrytypes.ts'
 import { EvacuationNews } from './evacuationnews.ts'
@@ -26,6 +26,7 @@
 import { ALL_FLEET_GUARDS } from './fleetguards.ts'
 import { Intake } from './intake.ts'
 import { Job, JobState } from './job.ts'
+import { JobDeadlines } from './jobdeadlines.ts'
 import { JobQueue } from './jobqueue.ts'
 import { DEFAULT_POLICY } from './policy.ts'
 import { Returns } from './returns.ts'
@@ -57,6 +58,7 @@
   readonly #queues = new Map<string, JobQueue>()
   readonly #answers = new AnsweredJobs()
   readonly #attempts = new Attempts()
+  readonly #deadlines = new JobDeadlines()
   #configuration: DispatchConfiguration | undefined
   /** By when everything must be answered; undefined while no stop is ordered. */
   #endsAt: number | undefined
@@ -156,7 +158,10 @@
   handle (event: EntryEvent, now: number): EntryEffect[] {
     this.#effects = []
     const handler = this.#handlers[event.type] as (event: EntryEvent, now: number) => void
+    // An answer that agents bring is given also late; nothing else goes before the deadlines, of which this process may be late to hear.
+    if (event.type !== 'agentMessage') this.#expire(now)
     handler(event, now)
+    this.#expire(now)
     if (now - this.#reviewedAt >= REVIEW_MILLISECONDS) this.#review(now)
     this.#sharing.settle(now)
     return this.#effects
@@ -232,6 +237,7 @@
 
   #open (job: Job, now: number): void {
     this.#jobs.set(job.request.id, job)
+    this.#deadlines.opened(job)
     this.#admission.estimate(job, now)
     this.#note('job taken', { job: job.request.id, queue: job.request.queue.name, configuration: this.#configuration?.version, tasks: job.tasks.length, remaining: Math.round(job.deadline - now), chain: Math.round(job.chain), slack: Math.round(job.startBy - now), queued: this.#queueOf(job).size + 1 })
     this.#ends.place(job, now)
@@ -344,9 +350,10 @@
     this.#evacuations.tick(now)
     this.#sharing.tick(now)
     this.#shares?.tick(now)
-    for (const job of this.#jobs.values()) {
-      if (job.state === JobState.Open && now >= job.deadline - ANSWER_MILLISECONDS) this.#giveUp(job, Reason.Deadline, now)
-    }
+  }
+
+  #expire (now: number): void {
+    for (const job of this.#deadlines.due(this.#jobs.values(), now)) this.#giveUp(job, Reason.Deadline, now)
   }
 
   /** Refuses at once what is known not to be served in time; a caller that hears it late can do less with it. */
