Stand-in of the worker: listener that closes while its tasks run on, late answers, ignored stops, exact run intervals

Cause: targets of the soak answered within a millisecond and never refused a connection while they lived, and what ran twice was looked for each 4 ms.

--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -1,11 +1,14 @@
 /**
  * Stand-in of the platform's worker over HTTP, around `LeasedWorker`. It announces itself to the
- * agent beside it, takes orders, and can lose answers, carry orders out late, refuse, or crash.
+ * agent beside it, takes orders, and can lose answers, answer or carry orders out late, refuse,
+ * close its listener, or crash.
  */
-import type { RunPlan } from './leasedworker.ts'
+import type { RunPlan, WorkerRun } from './leasedworker.ts'
+import type { RunInterval } from './runintervals.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createServer, request as httpRequest } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
 import { LeasedWorker } from './leasedworker.ts'
 
 export interface FleetWorkerOptions {
@@ -31,6 +34,12 @@
   delay: number
   /** It answers 503 and does nothing. */
   refuse: boolean
+  /** Orders are carried out at once and answered this much later, in milliseconds. */
+  answerDelay: number
+  /** Orders are carried out this much later and then answered, in milliseconds. */
+  orderDelay: number
+  /** Stops get no answer and are not carried out. */
+  ignoreStops: boolean
 }
 
 interface WireOrder {
@@ -45,14 +54,17 @@
 
 type Answer = { status: number, body: object }
 
+const STOP_PATH = '/v1/run-stop'
+
 const POLL_INTERVAL = 2
 const CPU_PER_TASK = 2000
 
 export class FleetWorker {
-  readonly faults: WorkerFaults = { loseAnswers: false, delay: 0, refuse: false }
+  readonly faults: WorkerFaults = { loseAnswers: false, delay: 0, refuse: false, answerDelay: 0, orderDelay: 0, ignoreStops: false }
   /** Starts that were carried out, in order: task and run. */
   readonly started: Array<{ task: string, run: number }> = []
   readonly #done = new Set<string>()
+  readonly #intervals: RunInterval[] = []
   readonly #options: FleetWorkerOptions
   readonly #server: Server
   #worker: LeasedWorker
@@ -67,7 +79,7 @@
 
   readonly #handlers: Readonly<Record<string, (order: WireOrder) => Answer | Promise<Answer | undefined>>> = {
     '/v1/run-start': order => this.#start(order),
-    '/v1/run-stop': order => this.#stop(order),
+    [STOP_PATH]: order => this.#stop(order),
     '/v1/hold': async order => await this.#hold(order)
   }
 
@@ -96,12 +108,34 @@
     return this.#worker.running.map(({ task }) => task)
   }
 
+  /** When each run was there, on the clock of this process; those that go on until now. */
+  get intervals (): RunInterval[] {
+    this.#worker.advance(this.#clock)
+    return [...this.#intervals, ...this.#worker.running.map(run => this.#interval(run, 'running', this.#clock))]
+  }
+
   /** @returns the address on which it takes orders */
   async listen (host: string, port = 0): Promise<string> {
-    await new Promise<void>(resolve => this.#server.listen(port, host, resolve))
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, host, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
+    })
     return `${host}:${(this.#server.address() as AddressInfo).port}`
   }
 
+  /** For this long, in milliseconds, it breaks every connection and refuses new ones, while all that runs goes on. */
+  async closeListener (milliseconds: number): Promise<void> {
+    if (!this.#server.listening) return
+    const { address, port } = this.#server.address() as AddressInfo
+    this.#server.close()
+    this.#server.closeAllConnections()
+    await pause(milliseconds)
+    await this.listen(address, port)
+  }
+
   /** Begins to announce itself. */
   announce (): void {
     this.#beat()
@@ -110,7 +144,7 @@
 
   /** A new life: a new id, nothing running, no token seen. */
   crash (): void {
-    this.#lives += 1
+    this.#endLife()
     this.#instance = `i-${this.#lives}`
     this.#worker = this.#newLife()
     this.#state = 'ready'
@@ -119,10 +153,10 @@
 
   /** A new life under the same id: nothing running, no token seen, counts and clock started anew. */
   restart (): void {
-    this.#lives += 1
+    this.#endLife()
     this.#worker = this.#newLife()
     this.#born = Math.max(Date.now(), this.#born + 1)
-    this.#clockSince = performance.now()
+    this.#clockSince = Math.floor(performance.now())
     this.#sequence = 0
     this.#state = 'ready'
     this.#beat()
@@ -140,7 +174,7 @@
   }
 
   get #clock (): number {
-    return Math.floor(performance.now() - this.#clockSince)
+    return Math.floor(performance.now()) - this.#clockSince
   }
 
   /** What it says of its start in heartbeats and lists of runs. */
@@ -150,7 +184,17 @@
 
   #newLife (): LeasedWorker {
     const { cpu, longestLease = 1000, plan } = this.#options
-    return new LeasedWorker({ cpu, longestLease, plan })
+    return new LeasedWorker({ cpu, longestLease, plan, ended: (run, how, at) => this.#intervals.push(this.#interval(run, how, at)) })
+  }
+
+  #endLife (): void {
+    const ended = this.intervals.slice(this.#intervals.length)
+    this.#intervals.push(...ended.map(interval => ({ ...interval, how: 'crashed' })))
+    this.#lives += 1
+  }
+
+  #interval ({ task, run, startedAt }: WorkerRun, how: string, at: number): RunInterval {
+    return { task, run, from: this.#clockSince + startedAt, to: this.#clockSince + at, how }
   }
 
   #handle (request: IncomingMessage, response: ServerResponse): void {
@@ -162,15 +206,18 @@
   async #order (request: IncomingMessage, order: WireOrder, response: ServerResponse): Promise<void> {
     const handler = this.#handlers[request.url ?? '']
     if (handler === undefined) return reply(response, { status: 404, body: {} })
+    const { delay, loseAnswers, answerDelay, orderDelay, ignoreStops } = this.faults
+    if (orderDelay > 0) await pause(orderDelay)
     const expected = request.headers['x-expected-instance']
     if (expected !== undefined && expected !== this.#instance) return reply(response, { status: 421, body: {} })
     if (this.faults.refuse) return reply(response, { status: 503, body: {} })
-    const { delay, loseAnswers } = this.faults
+    if (ignoreStops && request.url === STOP_PATH) return
     if (delay > 0) {
       setTimeout(() => { handler(order) }, delay)
       return
     }
     const answer = await handler(order)
+    if (answerDelay > 0) await pause(answerDelay)
     if (answer === undefined) response.destroy()
     else if (!loseAnswers) reply(response, answer)
   }
--- a/packages/standins/src/leasedworker.ts
+++ b/packages/standins/src/leasedworker.ts
@@ -52,6 +52,8 @@
   /** Whether it refuses what does not fit; else it starts whatever it is told to. @default true */
   rejectsOverload?: boolean
   plan: (task: string) => RunPlan
+  /** Hears of each end, with the reading of the worker's clock at which the run ended. */
+  ended?: (run: WorkerRun, how: WorkerEnd['how'], at: number) => void
 }
 
 const WHOLE_PERCENT = 100
@@ -108,7 +110,7 @@
     if (token < this.#token) return false
     this.#token = token
     const present = this.#running.get(task)
-    if (present !== undefined && present.run <= run) this.#end(present, 'stopped')
+    if (present !== undefined && present.run <= run) this.#end(present, 'stopped', clock)
     this.#closed.set(task, Math.max(run, this.#closed.get(task) ?? 0))
     return true
   }
@@ -129,9 +131,10 @@
   /** Ends what has ended by the given time, and everything when the lease has lapsed. */
   advance (clock: number): void {
     for (const run of this.running) {
-      if (this.#endOf(run) <= Math.min(clock, this.#deadline)) this.#end(run, run.plan.fails ? 'failed' : 'done')
+      const end = this.#endOf(run)
+      if (end <= Math.min(clock, this.#deadline)) this.#end(run, run.plan.fails ? 'failed' : 'done', end)
     }
-    if (clock >= this.#deadline) for (const run of this.running) this.#end(run, 'lapsed')
+    if (clock >= this.#deadline) for (const run of this.running) this.#end(run, 'lapsed', this.#deadline)
   }
 
   /** From now on everything works at this rate: 1 is sound, 0 stands still. */
@@ -167,10 +170,11 @@
     this.#deadline = Math.max(this.#deadline, Math.min(deadline, clock + this.#options.longestLease))
   }
 
-  #end (run: WorkerRun, how: WorkerEnd['how']): void {
+  #end (run: WorkerRun, how: WorkerEnd['how'], at: number): void {
     this.#running.delete(run.task)
     this.#closed.set(run.task, Math.max(run.run, this.#closed.get(run.task) ?? 0))
     this.#number += 1
     this.#ends.push({ number: this.#number, task: run.task, run: run.run, how })
+    this.#options.ended?.(run, how, at)
   }
 }
