Soak: theme of refused connections, late answers and late processes; overlaps from exact intervals; load mode

Cause: nothing of ours had targets that look gone while they live, nor processes that are late rather than frozen. The looks each 4 ms are replaced by a comparison of the runs' intervals, which finds what they found and shorter overlaps, and says how long both ran.

--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -1,9 +1,12 @@
 /** One seed of the soak: random faults in series and overlapping, then quiet, and the promises all the while. */
+import type { PlacedRun } from '@amaranthmast/standins/runintervals'
 import type { Told } from './soakcallers.ts'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { setTimeout as pause } from 'node:timers/promises'
+import { overlapsOf } from '@amaranthmast/standins/runintervals'
 import { SeededRandom } from '@amaranthmast/standins/random'
 import { Fate, SoakCallers } from './soakcallers.ts'
-import { CONFIGURATION_FAULTS, FAULTS, OPERATOR_FAULTS } from './soakfaults.ts'
+import { CONFIGURATION_FAULTS, FAULTS, OPERATOR_FAULTS, REFUSAL_FAULTS } from './soakfaults.ts'
 import { SoakFleet } from './soakfleet.ts'
 
 export interface SoakOptions {
@@ -24,6 +27,12 @@
   operators?: boolean
   /** Large and frequent configurations, and stores that single entries don't hear, among the faults. @default false */
   configurations?: boolean
+  /** Workers that refuse connections while they live, answer slowly or ignore stops, and processes that are late, among the faults. @default false */
+  refusals?: boolean
+  /** Callers that leave early and come back at another entry. @default as `refusals` */
+  leaves?: boolean
+  /** Processes beside the fleet that only compute. @default 0 */
+  busy?: number
 }
 
 export interface SoakResult {
@@ -34,6 +43,8 @@
   /** Faults in order, with their times, for the trace of a seed that failed. */
   struck: string[]
   logs: Record<string, readonly string[]>
+  /** How late this process was at most, and with it the workers and callers in it, in milliseconds. */
+  late: number
 }
 
 /** Mean time between two faults, in milliseconds. */
@@ -52,6 +63,16 @@
 const LONG_EVERY = 8
 const LONG_EXTRA = 1400
 
+/** The intervals hold for a fleet of so many agents; a larger one gets more jobs. */
+const AGENTS = 4
+
+/** Jobs stay this far apart, in milliseconds: the callers share a process with the workers. */
+const SHORTEST_JOB_INTERVAL = 12
+
+/** Resolution with which the lateness of this process is measured, in milliseconds. */
+const LOOP_RESOLUTION = 5
+const NANOSECONDS_PER_MILLISECOND = 1e6
+
 /** Time for the fleet to start, and after the faults to be whole again, in milliseconds. */
 const START = 1500
 const RECOVERY = 3000
@@ -63,8 +84,6 @@
 /** Number of the first job after an evacuation was taken back. */
 const RETURN_JOBS = 0x200000
 
-const LOOK_INTERVAL = 4
-
 /** How often an entry is asked for the newest queue, in milliseconds. */
 const ASK_INTERVAL = 50
 
@@ -75,25 +94,30 @@
 const EVACUATED_INTERVAL_FACTOR = 2.5
 const EVACUATED_AT_END = 'two'
 
+const ALL_FAULTS = { ...CONFIGURATION_FAULTS, ...REFUSAL_FAULTS }
+
 /** Part of the jobs that must be completed once all faults are over. */
 const SERVED_PART = 0.95
 
 export async function soak (options: SoakOptions): Promise<SoakResult> {
-  const { seed, program, entries = 3, agents = 4, long = false, operators = false, configurations = false } = options
-  const interval = long ? LONG_JOB_INTERVAL : JOB_INTERVAL
+  const { seed, program, entries = 3, agents = AGENTS, long = false, operators = false, configurations = false, refusals = false, leaves = refusals, busy = 0 } = options
+  const interval = Math.max(SHORTEST_JOB_INTERVAL, (long ? LONG_JOB_INTERVAL : JOB_INTERVAL) * AGENTS / agents)
   const random = new SeededRandom(seed)
   const fleet = new SoakFleet(program, { operators: operators || configurations, relaysEntries: configurations })
   const findings: string[] = []
   const struck: string[] = []
   await fleet.start(entries, agents, task => durationOf(numberOf(task), long))
+  fleet.load(busy)
   await pause(START)
-  const watch = setInterval(() => findings.push(...doubled(fleet)), LOOK_INTERVAL)
+  const began = performance.now()
+  const loop = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION })
+  loop.enable()
   let asked = 0
   const asking = setInterval(() => {
     asked += 1
     if (configurations) denied(fleet, asked).then(found => findings.push(...found))
   }, ASK_INTERVAL)
-  const callers = new SoakCallers(fleet, random, 0)
+  const callers = new SoakCallers(fleet, random, 0, { leaves })
   const calling = callers.run(options.faults, interval)
   await strikeFor(options, fleet, random, struck)
   await calling
@@ -101,12 +125,12 @@
   fleet.evacuate(EVACUATED_AT_END, operators || configurations)
   await pause(RECOVERY)
   findings.push(...await (operators || configurations ? evacuated(fleet, random, interval) : afterwards(fleet, random, interval)))
-  clearInterval(watch)
   clearInterval(asking)
-  findings.push(...judge(fleet, callers.told), ...ended(fleet))
+  loop.disable()
+  findings.push(...doubled(fleet, began), ...judge(fleet, callers.told), ...ended(fleet))
   const logs = Object.fromEntries([...fleet.entries, ...fleet.agents].map(({ name, process }) => [name, process?.log ?? []]))
   await fleet.close()
-  return { seed, findings: [...new Set(findings)], jobs: count(callers.told), struck, logs }
+  return { seed, findings: [...new Set(findings)], jobs: count(callers.told), struck, logs, late: Math.round(loop.max / NANOSECONDS_PER_MILLISECOND) - LOOP_RESOLUTION }
 }
 
 /** Number of the job of a task: the last digits of its id. */
@@ -120,7 +144,8 @@
   return long && job % LONG_EVERY === 0 ? short + LONG_EXTRA : short
 }
 
-function kindsOf ({ operators = false, configurations = false }: Pick<SoakOptions, 'operators' | 'configurations'>): string[] {
+function kindsOf ({ operators = false, configurations = false, refusals = false }: Pick<SoakOptions, 'operators' | 'configurations' | 'refusals'>): string[] {
+  if (refusals) return Object.keys(REFUSAL_FAULTS)
   return Object.keys(configurations ? CONFIGURATION_FAULTS : operators ? OPERATOR_FAULTS : FAULTS)
 }
 
@@ -143,24 +168,16 @@
   while (performance.now() - began < faults) {
     const kind = random.pick(kinds ?? kindsOf(options))
     struck.push(`${Math.round(performance.now() - began)} ${kind}`)
-    running.push(CONFIGURATION_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
+    running.push(ALL_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
     await pause(random.next() * 2 * FAULT_INTERVAL)
   }
   await Promise.all(running)
 }
 
-/** Tasks that run at two workers at this moment. */
-function doubled (fleet: SoakFleet): string[] {
-  const where = new Map<string, number>()
-  const found: string[] = []
-  fleet.workers.forEach((worker, index) => {
-    for (const task of worker.running) {
-      const other = where.get(task)
-      if (other !== undefined) found.push(`${task} runs at workers ${other} and ${index}`)
-      where.set(task, index)
-    }
-  })
-  return found
+/** Tasks that ran at two workers at once, with how long and, from the first fault on, when. */
+function doubled (fleet: SoakFleet, began: number): string[] {
+  const name = ({ place, run, how, from, to }: PlacedRun): string => `worker ${place} (run ${run}, ${Math.round(from - began)} to ${Math.round(to - began)}, ${how})`
+  return overlapsOf(fleet.workers.map(({ intervals }) => intervals)).map(({ first, second, lasted }) => `${first.task} ran for ${lasted} ms at ${name(first)} and ${name(second)}`)
 }
 
 /** Nothing starts in a data centre that was evacuated after the faults, and something does once that is taken back. */
@@ -170,7 +187,7 @@
   const started = fleet.startsIn(EVACUATED_AT_END) - before
   if (started > 0) findings.push(`${started} tasks started in an evacuated data centre`)
   fleet.evacuate(EVACUATED_AT_END, false)
-  const callers = new SoakCallers(fleet, random, RETURN_JOBS, true)
+  const callers = new SoakCallers(fleet, random, RETURN_JOBS, { persistent: true })
   await callers.run(RECOVERY, interval)
   await callers.settled()
   if (fleet.startsIn(EVACUATED_AT_END) === before) findings.push('nothing starts in the data centre whose evacuation was taken back')
@@ -182,7 +199,7 @@
  * they are told to: jobs come at random, and for a moment there can be more of them than four targets have room for.
  */
 async function afterwards (fleet: SoakFleet, random: SeededRandom, interval: number): Promise<string[]> {
-  const quiet = new SoakCallers(fleet, random, QUIET_JOBS, true)
+  const quiet = new SoakCallers(fleet, random, QUIET_JOBS, { persistent: true })
   await quiet.run(QUIET, interval)
   await quiet.settled()
   const served = quiet.told.filter(({ fate }) => fate === Fate.Completed).length
--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -1,6 +1,7 @@
 /** Faults from outside: signals, links, the store and the workers. Each undoes itself after a while. */
 import type { Member, SoakFleet } from './soakfleet.ts'
 import type { SeededRandom } from '@amaranthmast/standins/random'
+import type { FleetWorker, WorkerFaults } from '@amaranthmast/standins/fleetworker'
 import { readFileSync } from 'node:fs'
 import { setTimeout as pause } from 'node:timers/promises'
 import { LinkState } from '@amaranthmast/standins/cutter'
@@ -179,6 +180,71 @@
   }
 }
 
+/** How long the listener of a living worker is closed, in milliseconds. */
+const SHORTEST_CLOSED = 30
+const LONGEST_CLOSED = 2000
+
+/** How long a worker takes for an answer, in milliseconds. */
+const SHORTEST_ANSWER = 50
+const LONGEST_ANSWER = 500
+
+/** How long a process that is late, not frozen, stands still at a time and then works, in milliseconds, and how often. */
+const SHORTEST_STALL = 100
+const LONGEST_STALL = 700
+const LONGEST_WORK = 300
+const MOST_STALLS = 6
+
+/** The faults of `FAULTS`, and what makes a living worker look gone, leaves its stops open, or makes processes late. */
+export const REFUSAL_FAULTS: Readonly<Record<string, Fault>> = {
+  ...FAULTS,
+  closeListener: async (fleet, random) => await closeListener(random.pick(fleet.workers), random),
+  closeListenerAndKillEntry: async (fleet, random) => await closeListenerAnd('killEntry', fleet, random),
+  closeListenerAndFreezeEntry: async (fleet, random) => await closeListenerAnd('freezeEntry', fleet, random),
+  closeListenerAndKillAgent: async (fleet, random) => await closeListenerAndStrike(fleet, random, async member => await kill(fleet, member, random)),
+  closeListenerAndFreezeAgent: async (fleet, random) => await closeListenerAndStrike(fleet, random, async member => await freeze(member, random)),
+  slowAnswers: async (fleet, random) => await answerLate('answerDelay', fleet, random),
+  slowOrders: async (fleet, random) => await answerLate('orderDelay', fleet, random),
+  ignoreStops: async (fleet, random) => {
+    const { faults } = random.pick(fleet.workers)
+    faults.ignoreStops = true
+    await pause(length(random))
+    faults.ignoreStops = false
+  },
+  stallAgent: async (fleet, random) => await strikeOne(fleet.agents, random, async member => await stall(member, random)),
+  stallEntry: async (fleet, random) => await strikeOne(fleet.entries, random, async member => await stall(member, random))
+}
+
+async function closeListener (worker: FleetWorker, random: SeededRandom): Promise<void> {
+  await worker.closeListener(random.logarithmic(SHORTEST_CLOSED, LONGEST_CLOSED))
+}
+
+async function closeListenerAnd (kind: string, fleet: SoakFleet, random: SeededRandom): Promise<void> {
+  await Promise.all([closeListener(random.pick(fleet.workers), random), FAULTS[kind]?.(fleet, random)])
+}
+
+/** The worker's own agent is struck with it. */
+async function closeListenerAndStrike (fleet: SoakFleet, random: SeededRandom, fault: (member: Member) => Promise<void>): Promise<void> {
+  const index = random.integer(0, fleet.workers.length - 1)
+  const member = fleet.agents[index] as Member
+  await Promise.all([closeListener(fleet.workers[index] as FleetWorker, random), strike(member, async () => await fault(member))])
+}
+
+async function answerLate (which: keyof Pick<WorkerFaults, 'answerDelay' | 'orderDelay'>, fleet: SoakFleet, random: SeededRandom): Promise<void> {
+  const { faults } = random.pick(fleet.workers)
+  faults[which] = random.integer(SHORTEST_ANSWER, LONGEST_ANSWER)
+  await pause(length(random))
+  faults[which] = 0
+}
+
+async function stall ({ process }: Member, random: SeededRandom): Promise<void> {
+  for (let count = random.integer(2, MOST_STALLS); count > 0; count -= 1) {
+    process?.pause()
+    await pause(random.integer(SHORTEST_STALL, LONGEST_STALL))
+    process?.resume()
+    await pause(random.next() * LONGEST_WORK)
+  }
+}
+
 async function strikeOne (members: readonly Member[], random: SeededRandom, fault: (member: Member) => Promise<void>): Promise<void> {
   const member = random.pick(members)
   await strike(member, async () => await fault(member))
--- a/packages/trials/src/soakfleet.ts
+++ b/packages/trials/src/soakfleet.ts
@@ -69,6 +69,11 @@
     this.#traits = traits
   }
 
+  /** Starts processes that only compute, beside the fleet. */
+  load (busy: number): void {
+    for (let index = 0; index < busy; index += 1) this.#processes.start({ name: `busy-${index}`, script: 'none', nodeArguments: ['--eval', 'for (;;) {}'] })
+  }
+
   async start (entries: number, agents: number, duration: (task: string) => number): Promise<void> {
     this.#storeAddress = await this.store.listen(HOST)
     this.configure()
@@ -142,7 +147,7 @@
     const linkPort = await this.#ports.pick()
     const dataCentre = this.#traits.operators ? DATA_CENTRES[index % DATA_CENTRES.length] as string : 'one'
     const worker = new FleetWorker({ service: 'checks', dataCentre, statesStart: this.#traits.operators, cpu: 8000, agent: announcements, plan: task => ({ duration: duration(task), fails: false }) })
-    const target = { address: await worker.listen(HOST), service: 'checks' }
+    const target = { address: await worker.listen(HOST, await this.#ports.pick()), service: 'checks' }
     const relayed = await this.#relay(linkPort)
     const listen = { callers: '', readiness: '', announcements }
     const settings = this.#settings(`agent-${index}`, { linkPorts: [linkPort, linkPort], linkAddress: `${HOST}:${relayed}`, listen, target, metricsPort: await this.#ports.pick() })
--- a/packages/trials/src/soakmain.ts
+++ b/packages/trials/src/soakmain.ts
@@ -4,6 +4,8 @@
  *     npm run soak -- --seed 1 --minutes 2          fresh seeds from 1 on for two minutes
  *     npm run soak -- --seed 17 --seeds 1 --kinds killEntry,freezeAgent
  *     npm run soak -- --seed 50 --minutes 2 --configurations   with large configurations and stores that single entries don't hear
+ *     npm run soak -- --seed 70 --minutes 2 --refusals         with workers that refuse connections while they live, and late processes
+ *     npm run soak -- --seed 80 --seeds 3 --refusals --entries 8 --agents 40 --busy 16   the same with a large fleet on a busy machine
  *     npm run soak -- --seed 30 --minutes 2 --long   with tasks that outlast the pause of their callers
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
@@ -22,18 +24,23 @@
   .option('long', { type: 'boolean', default: false, describe: 'every eighth job has tasks that outlast the pause of its caller' })
   .option('operators', { type: 'boolean', default: true, describe: 'evacuations, and workers that start again under their id, among the faults' })
   .option('configurations', { type: 'boolean', default: false, describe: 'large and frequent configurations, and stores that single entries do not hear, among the faults' })
+  .option('refusals', { type: 'boolean', default: false, describe: 'workers that refuse connections while they live, answer slowly or ignore stops, and late processes among the faults' })
+  .option('leaves', { type: 'boolean', describe: 'callers leave early and come back at another entry; without it as with --refusals' })
+  .option('entries', { type: 'number', default: 3, describe: 'entries of the fleet' })
+  .option('agents', { type: 'number', default: 4, describe: 'agents of the fleet, each with a worker' })
+  .option('busy', { type: 'number', default: 0, describe: 'processes beside the fleet that only compute' })
   .option('program', { type: 'string', default: 'dist/amaranthmast-fleet.js', describe: 'the built program' })
   .strict()
   .parseSync()
 
 const end = performance.now() + settings.minutes * MILLISECONDS_PER_MINUTE
-const kinds = settings.kinds?.split(',')
+const { kinds, leaves = settings.refusals, ...options } = settings
 let failed = 0
 let played = 0
 for (let seed = settings.seed; settings.seeds === undefined ? performance.now() < end : played < settings.seeds; seed += 1) {
-  const result = await soak({ seed, program: settings.program, faults: settings.faults, long: settings.long, operators: settings.operators, configurations: settings.configurations, ...(kinds === undefined ? {} : { kinds }) })
+  const result = await soak({ ...options, seed, leaves, ...(kinds === undefined ? {} : { kinds: kinds.split(',') }) })
   played += 1
-  console.log(`seed ${seed}: ${JSON.stringify(result.jobs)}, ${result.struck.length} faults, ${result.findings.length} findings`)
+  console.log(`seed ${seed}: ${JSON.stringify(result.jobs)}, ${result.struck.length} faults, itself ${result.late} ms late at most, ${result.findings.length} findings`)
   for (const finding of result.findings) console.log(`  ${finding}`)
   if (result.findings.length === 0) continue
   failed += 1
