Soak: stalls with short turns between them, ignored stops with a late agent; long tasks for the theme of refusals

Cause: stalls with 150 ms of work between them let an agent catch up, and one job in eight with long tasks seldom had one running when its caller left.

--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -50,18 +50,27 @@
 /** Mean time between two faults, in milliseconds. */
 const FAULT_INTERVAL = 450
 
+/** How long tasks run and how often jobs come. */
+interface Sizes {
+  /** Mean time between two jobs, in milliseconds. */
+  interval: number
+  /** One of so many jobs has long tasks. */
+  longEvery: number
+  /** How much longer they are, in milliseconds: a caller comes back after 1,300. */
+  longExtra: number
+}
+
 /**
- * Mean time between two jobs, in milliseconds: 2.5 tasks of 0.47 s on two cores are 21 of the 32 cores. At 60 ms the fleet was
- * overloaded all the while, and refused in the quiet part what it had no room for.
+ * 2.5 tasks of 0.47 s on two cores each 110 ms are 21 of the 32 cores. At 60 ms the fleet was overloaded all the while,
+ * and refused in the quiet part what it had no room for.
  */
-const JOB_INTERVAL = 110
+const SIZES: Sizes = { interval: 110, longEvery: Infinity, longExtra: 0 }
 
-/** The same with long tasks among them: the mean run time is then 0.67 s. */
-const LONG_JOB_INTERVAL = 160
+/** The mean run time is then 0.67 s. */
+const LONG_SIZES: Sizes = { interval: 160, longEvery: 8, longExtra: 1400 }
 
-/** One of so many jobs has long tasks, and how much longer they are, in milliseconds: a caller comes back after 1,300. */
-const LONG_EVERY = 8
-const LONG_EXTRA = 1400
+/** Where processes are late: whenever its caller leaves, a long task has more to do than the pause. */
+const LATE_LONG_SIZES: Sizes = { interval: 350, longEvery: 2, longExtra: 1900 }
 
 /** The intervals hold for a fleet of so many agents; a larger one gets more jobs. */
 const AGENTS = 4
@@ -101,12 +110,13 @@
 
 export async function soak (options: SoakOptions): Promise<SoakResult> {
   const { seed, program, entries = 3, agents = AGENTS, long = false, operators = false, configurations = false, refusals = false, leaves = refusals, busy = 0 } = options
-  const interval = Math.max(SHORTEST_JOB_INTERVAL, (long ? LONG_JOB_INTERVAL : JOB_INTERVAL) * AGENTS / agents)
+  const sizes = long ? (refusals ? LATE_LONG_SIZES : LONG_SIZES) : SIZES
+  const interval = Math.max(SHORTEST_JOB_INTERVAL, sizes.interval * AGENTS / agents)
   const random = new SeededRandom(seed)
   const fleet = new SoakFleet(program, { operators: operators || configurations, relaysEntries: configurations })
   const findings: string[] = []
   const struck: string[] = []
-  await fleet.start(entries, agents, task => durationOf(numberOf(task), long))
+  await fleet.start(entries, agents, task => durationOf(numberOf(task), sizes))
   fleet.load(busy)
   await pause(START)
   const began = performance.now()
@@ -139,9 +149,9 @@
 }
 
 /** Run time of a job's tasks, in milliseconds. */
-function durationOf (job: number, long: boolean): number {
+function durationOf (job: number, { longEvery, longExtra }: Sizes): number {
   const short = 20 + (job * 97) % 900
-  return long && job % LONG_EVERY === 0 ? short + LONG_EXTRA : short
+  return job % longEvery === 0 ? short + longExtra : short
 }
 
 function kindsOf ({ operators = false, configurations = false, refusals = false }: Pick<SoakOptions, 'operators' | 'configurations' | 'refusals'>): string[] {
--- a/packages/trials/src/soakfaults.ts
+++ b/packages/trials/src/soakfaults.ts
@@ -191,8 +191,9 @@
 /** How long a process that is late, not frozen, stands still at a time and then works, in milliseconds, and how often. */
 const SHORTEST_STALL = 100
 const LONGEST_STALL = 700
+const SHORTEST_WORK = 3
 const LONGEST_WORK = 300
-const MOST_STALLS = 6
+const MOST_STALLS = 10
 
 /** The faults of `FAULTS`, and what makes a living worker look gone, leaves its stops open, or makes processes late. */
 export const REFUSAL_FAULTS: Readonly<Record<string, Fault>> = {
@@ -200,16 +201,12 @@
   closeListener: async (fleet, random) => await closeListener(random.pick(fleet.workers), random),
   closeListenerAndKillEntry: async (fleet, random) => await closeListenerAnd('killEntry', fleet, random),
   closeListenerAndFreezeEntry: async (fleet, random) => await closeListenerAnd('freezeEntry', fleet, random),
-  closeListenerAndKillAgent: async (fleet, random) => await closeListenerAndStrike(fleet, random, async member => await kill(fleet, member, random)),
-  closeListenerAndFreezeAgent: async (fleet, random) => await closeListenerAndStrike(fleet, random, async member => await freeze(member, random)),
+  closeListenerAndKillAgent: async (fleet, random) => await strikePair(fleet, random, closeListener, async member => await kill(fleet, member, random)),
+  closeListenerAndFreezeAgent: async (fleet, random) => await strikePair(fleet, random, closeListener, async member => await freeze(member, random)),
   slowAnswers: async (fleet, random) => await answerLate('answerDelay', fleet, random),
   slowOrders: async (fleet, random) => await answerLate('orderDelay', fleet, random),
-  ignoreStops: async (fleet, random) => {
-    const { faults } = random.pick(fleet.workers)
-    faults.ignoreStops = true
-    await pause(length(random))
-    faults.ignoreStops = false
-  },
+  ignoreStops: async (fleet, random) => await ignoreStops(random.pick(fleet.workers), random),
+  ignoreStopsAndStallAgent: async (fleet, random) => await strikePair(fleet, random, ignoreStops, async member => await stall(member, random)),
   stallAgent: async (fleet, random) => await strikeOne(fleet.agents, random, async member => await stall(member, random)),
   stallEntry: async (fleet, random) => await strikeOne(fleet.entries, random, async member => await stall(member, random))
 }
@@ -222,11 +219,17 @@
   await Promise.all([closeListener(random.pick(fleet.workers), random), FAULTS[kind]?.(fleet, random)])
 }
 
-/** The worker's own agent is struck with it. */
-async function closeListenerAndStrike (fleet: SoakFleet, random: SeededRandom, fault: (member: Member) => Promise<void>): Promise<void> {
+async function ignoreStops ({ faults }: FleetWorker, random: SeededRandom): Promise<void> {
+  faults.ignoreStops = true
+  await pause(length(random))
+  faults.ignoreStops = false
+}
+
+/** A worker and its own agent at one time. */
+async function strikePair (fleet: SoakFleet, random: SeededRandom, worker: (worker: FleetWorker, random: SeededRandom) => Promise<void>, agent: (member: Member) => Promise<void>): Promise<void> {
   const index = random.integer(0, fleet.workers.length - 1)
   const member = fleet.agents[index] as Member
-  await Promise.all([closeListener(fleet.workers[index] as FleetWorker, random), strike(member, async () => await fault(member))])
+  await Promise.all([worker(fleet.workers[index] as FleetWorker, random), strike(member, async () => await agent(member))])
 }
 
 async function answerLate (which: keyof Pick<WorkerFaults, 'answerDelay' | 'orderDelay'>, fleet: SoakFleet, random: SeededRandom): Promise<void> {
@@ -241,7 +244,7 @@
     process?.pause()
     await pause(random.integer(SHORTEST_STALL, LONGEST_STALL))
     process?.resume()
-    await pause(random.next() * LONGEST_WORK)
+    await pause(random.logarithmic(SHORTEST_WORK, LONGEST_WORK))
   }
 }
 
