--- /dev/null
+++ b/packages/trials/test/latestops.test.ts
@@ -0,0 +1,63 @@
+import type { Member } from '../src/soakfleet.ts'
+import { after, test } from 'node:test'
+import { setTimeout as pause } from 'node:timers/promises'
+import { clientJob } from '@amaranthmast/standins/fleetdocuments'
+import { overlapsOf } from '@amaranthmast/standins/runintervals'
+import { waitFor } from '@amaranthmast/standins/wait'
+import { expect } from 'earl'
+import { SoakFleet } from '../src/soakfleet.ts'
+
+const ID = '00000000000000f1'
+const TASK_MILLISECONDS = 2600
+const DEADLINE_MILLISECONDS = 3000
+const RESUBMISSION_MILLISECONDS = 1300
+
+/** How long an agent that is late stands still at a time, how long it works between, in milliseconds, and how often. */
+const STILL_MILLISECONDS = 300
+const WORK_MILLISECONDS = 15
+const TURNS = 12
+
+const fleet = new SoakFleet('dist/amaranthmast-fleet.js')
+after(() => fleet.close())
+
+/** Submits the job; resolves when it is answered or its connection breaks. */
+async function submit (entry: Member): Promise<void> {
+  const options = { method: 'POST', body: clientJob(1, TASK_MILLISECONDS), headers: { 'x-deadline-ms': String(DEADLINE_MILLISECONDS) }, signal: AbortSignal.timeout(DEADLINE_MILLISECONDS) }
+  await fetch(fleet.urlOf(entry, ID), options).catch(() => {})
+}
+
+async function standStillOften ({ process }: Member): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) {
+    process?.pause()
+    await pause(STILL_MILLISECONDS)
+    process?.resume()
+    await pause(WORK_MILLISECONDS)
+  }
+}
+
+// The agent went on renewing the lease of a task of the entry that was gone until four stops had got no answer, one in
+// each of its turns: the task ended 1.54 s after its entry, and for 0.2 s the next submission ran beside it.
+test('a task whose entry was killed has ended when its caller comes back, though the agent is late and its stops get no answer', { timeout: 60_000 }, async () => {
+  await fleet.start(2, 4, () => TASK_MILLISECONDS)
+  const [first, second] = fleet.entries as [Member, Member]
+  const starts = (): number[] => fleet.workers.flatMap(({ started }, index) => started.map(() => index))
+  await waitFor('both entries', 10_000, 50, async () => {
+    const answers = await Promise.all([first, second].map(async entry => await fetch(fleet.urlOf(entry, '')).then(({ status }) => status, () => 0)))
+    return answers.every(status => status === 200)
+  })
+  submit(first)
+  await waitFor('a run', 5000, 1, () => starts().length > 0)
+  const index = starts()[0] as number
+  await pause(200)
+  const worker = fleet.workers[index]
+  if (worker !== undefined) worker.faults.ignoreStops = true
+  const late = standStillOften(fleet.agents[index] as Member)
+  await pause(100)
+  await first.process?.kill()
+  await pause(RESUBMISSION_MILLISECONDS)
+  const again = submit(second)
+  await waitFor('a second run', 5000, 1, () => starts().length > 1)
+  await late
+  await again
+  expect(overlapsOf(fleet.workers.map(({ intervals }) => intervals)).map(({ lasted }) => lasted)).toEqual([])
+})
