--- /dev/null
+++ b/packages/dispatch/test/lateentry.test.ts
@@ -0,0 +1,31 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { Cause, Outcome } from '../src/messages.ts'
+import { EntryBench, step } from './entrybench.ts'
+
+const REMAINING = 3000
+const WHILE_ON_TIME = 2500
+const LATE = 1000
+
+// An entry that was late heard that its tasks had been stopped before it looked at the clock: 1.6 s after the deadline it
+// placed them again, beside the runs of the next submission through another entry.
+test('a task that ends after the deadline of its job is not placed again by an entry that is late', () => {
+  const bench = EntryBench.withAgents('one', 'two')
+  bench.submit('job', [step(1)], { remaining: REMAINING })
+  const [agent] = bench.starts().map(start => start.split(' ')[0] as string)
+  bench.pass(WHILE_ON_TIME, ['one', 'two'])
+  bench.take()
+  bench.now += LATE
+  bench.end(agent as string, 'job.0.0', Outcome.Gone, Cause.Stopped)
+  expect(bench.starts()).toEqual([])
+})
+
+test('a task that ends before the deadline of its job is placed again', () => {
+  const bench = EntryBench.withAgents('one', 'two')
+  bench.submit('job', [step(1)], { remaining: REMAINING + LATE })
+  const [agent] = bench.starts().map(start => start.split(' ')[0] as string)
+  bench.pass(WHILE_ON_TIME, ['one', 'two'])
+  bench.take()
+  bench.end(agent as string, 'job.0.0', Outcome.Gone, Cause.Stopped)
+  expect(bench.starts().length).toEqual(1)
+})
