--- a/packages/dispatch/test/lateentry.test.ts
+++ b/packages/dispatch/test/lateentry.test.ts
@@ -7,8 +7,7 @@
 const WHILE_ON_TIME = 2500
 const LATE = 1000
 
-// An entry that was late heard that its tasks had been stopped before it looked at the clock: 1.6 s after the deadline it
-// placed them again, beside the runs of the next submission through another entry.
+// Guards against starts beside those of the caller's next submission through another entry.
 test('a task that ends after the deadline of its job is not placed again by an entry that is late', () => {
   const bench = EntryBench.withAgents('one', 'two')
   bench.submit('job', [step(1)], { remaining: REMAINING })
--- a/packages/trials/test/latestops.test.ts
+++ b/packages/trials/test/latestops.test.ts
@@ -35,8 +35,7 @@
   }
 }
 
-// The agent went on renewing the lease of a task of the entry that was gone until four stops had got no answer, one in
-// each of its turns: the task ended 1.54 s after its entry, and for 0.2 s the next submission ran beside it.
+// Guards against a lease that is renewed for as long as the stops of a task get no answer.
 test('a task whose entry was killed has ended when its caller comes back, though the agent is late and its stops get no answer', { timeout: 60_000 }, async () => {
   await fleet.start(2, 4, () => TASK_MILLISECONDS)
   const [first, second] = fleet.entries as [Member, Member]
