Entry: tasks of a run of an agent that is over lapse also while its successor finds no target

Callers: jobs waited until their deadline.

Cause: an entry ended tasks of a silent agent by its last echo, but not while a link to that agent's next run stood; those of the run before waited for the announcement of a clear target, which may never come.

Change: they lapse by the last echo to the run that started them, as at a silent agent.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -213,6 +213,7 @@
     }
     if (agent.incarnation !== incarnation) {
       agent.incarnation = incarnation
+      agent.predecessorEchoedAt = agent.placements.size > 0 ? agent.echoedAt : undefined
       agent.received = 0
       agent.noteTarget(undefined)
     }
@@ -286,12 +287,26 @@
         this.#options.emit({ type: 'unlink', agent: agent.name })
       }
       if (!agent.linked && agent.placements.size === 0 && now - agent.heardAt >= AGENT_MEMORY_MILLISECONDS) this.#forget(agent)
-      if (agent.linked || agent.placements.size === 0 || (this.#options.guards.silence && now < agent.echoedAt + silence)) continue
-      this.#note('tasks of a silent agent ended', { agent: agent.name, tasks: agent.placements.size, echoedAgo: Math.round(now - agent.echoedAt) })
-      for (const placement of [...agent.placements.values()]) this.#gone(agent, placement, Cause.Lapsed, now)
+      this.#endPredecessors(agent, now)
+      if (agent.linked || (this.#options.guards.silence && now < agent.echoedAt + silence)) continue
+      this.#endSilent(agent, [...agent.placements.values()], agent.echoedAt, now)
     }
   }
 
+  /** What a run of the agent that is over had started has lapsed, also while its successor finds no target. */
+  #endPredecessors (agent: AgentView, now: number): void {
+    const { predecessorEchoedAt: echoedAt, incarnation } = agent
+    if (echoedAt === undefined || now < echoedAt + this.#options.timings.silence) return
+    agent.predecessorEchoedAt = undefined
+    this.#endSilent(agent, [...agent.placements.values()].filter(placement => placement.incarnation !== incarnation), echoedAt, now)
+  }
+
+  #endSilent (agent: AgentView, placements: readonly Placement[], echoedAt: number, now: number): void {
+    if (placements.length === 0) return
+    this.#note('tasks of a silent agent ended', { agent: agent.name, tasks: placements.length, echoedAgo: Math.round(now - echoedAt) })
+    for (const placement of placements) this.#gone(agent, placement, Cause.Lapsed, now)
+  }
+
   #forget (agent: AgentView): void {
     this.#agents.delete(agent.name)
     this.#trust.remove(agent)
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -72,6 +72,8 @@
   heardAt = Number.NEGATIVE_INFINITY
   /** When the last echo was sent: the agent may count on this entry from then on. */
   echoedAt = Number.NEGATIVE_INFINITY
+  /** The same for the run of the agent before this one, while tasks of it are left. */
+  predecessorEchoedAt: number | undefined
   /** Reading of the agent's clock that is to be echoed. */
   toEcho: number | undefined
   received = 0
