A departing target is dropped once its last task has ended

Cause: a target that had deregistered was looked at again only when tasks lapsed there. When its last task was listed as ended and it fell silent then, it was polled for ever and its agent counted as busy (199 polls in 10 s). Found by review, shown by departures.test.ts.

Change: the tick drops a target that departs and has no task.

--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -360,6 +360,7 @@
 
   #tick (now: number): void {
     if (this.#target.superseded) this.#targetLost('silent, and another life announced itself', LifeEnd.Replaced, now)
+    if (this.#target.departing && this.#held.size === 0) this.#targetDeparted(now)
     this.#withdrawIfSilent(now)
     this.#announceIfClosed(now)
     if (this.#room.expire(now)) this.#entries.noteFreed()
