A target that has deregistered has not crashed when another life follows

Cause: since tasks of a deregistered target wait for their lease, its next life may answer first; that counted as a crash under them, and two crashes give a job up. Found by review, shown by departures.test.ts.

--- a/packages/dispatch/src/crashreports.ts
+++ b/packages/dispatch/src/crashreports.ts
@@ -37,10 +37,10 @@
 
   /** The life is over, or does not answer; gives the cause for which its tasks end. Entries hear of a crash before these ends. */
   lost (ending: LifeEnd, now: number): Cause {
-    const { context: { policy }, target: { facts } } = this.#parts
+    const { context: { policy }, target: { facts, deregistered } } = this.#parts
     if (facts === undefined) return Cause.TargetLost
     if (ending === LifeEnd.Unknown) this.#unreachable = facts.instance
-    if (!policy.isolatesSuspects || facts.leaving || ending !== LifeEnd.Replaced) return Cause.TargetLost
+    if (!policy.isolatesSuspects || facts.leaving || deregistered || ending !== LifeEnd.Replaced) return Cause.TargetLost
     this.#tell('target crashed under tasks', this.#crashes.crashed(facts.instance, this.#heldNames(), now))
     return Cause.Crashed
   }
