The next life of a target inherits what renewals for the one before may have granted it

Callers: a task ran twice where a target started again under its id.

Cause: what the life before was sent counted against the next one only while tasks were held. A renewal on the old clock that reaches the next life is cut to the longest lease there and never shortens; the agent counted its own renewal and 700 ms, so that tasks which it started in the new life counted as lapsed up to 350 ms before the target ended them.

Change: the inherited lease always counts. departures.test.ts failed before.

--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -274,7 +274,7 @@
 
   /** The next life has no lease, but for what it may have been sent in the name of the one before. */
   #inheritLease (): void {
-    this.#lease = new TargetLease(this.#context.timings, this.#held.size > 0 ? this.#lease.lapsedInNextLifeAt : undefined)
+    this.#lease = new TargetLease(this.#context.timings, this.#lease.lapsedInNextLifeAt)
   }
 
   /** Another process holds a higher token: only a predecessor whose clock was ahead can have used one. */
