Starts go under what is left of a lease that may not be renewed

Callers: while an entry that was lost had tasks at a target, every start of the others there was turned down until those were listed as ended.

Cause: starts renew the lease, so none could be sent. Found by review.

Change: such a start carries the deadline that was granted last, as long as the shortest lease is left of it: it prolongs nothing, and runs on when the others' ends are listed in time. Weighed: announcing the target as taking no work, at two messages for each entry and agent.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -186,6 +186,20 @@
   deregisterAndRefuse: world => deregister(world, true)
 }
 
+/** Faults that are played by name only. */
+const RARE_FAULTS: Readonly<Record<string, Fault>> = {
+  // Orders and renewals of a late agent reach the next life of its target, which has the same name and is not stopped; nobody waits for its tasks.
+  nextLifeUnstopped: world => {
+    const index = anyAgent(world)
+    const worker = world.workers[index]
+    world.delay(world.agents[index] as AgentProcess, 200 + world.random.next() * 600)
+    world.timeline.after(world.random.next() * 300, () => worker?.crash(1 + world.random.next() * 20, true, true))
+    world.timeline.after(350, () => worker?.loseStops(3000))
+    const entry = anyEntry(world)
+    world.timeline.after(world.random.next() * 300, () => world.restartEntry(entry, 200 + world.random.next() * 2000))
+  }
+}
+
 /** A target deregisters after a notice, and ends a little later. */
 function deregister (world: World, refuses: boolean): void {
   world.workers[anyAgent(world)]?.leave(world.random.next() * 1000, { back: 300 + world.random.next() * 1000, lingers: 1 + world.random.next() * 199, refuses })
@@ -291,7 +305,7 @@
 
 function faultsOf (theme: Theme, only: string | undefined): Readonly<Record<string, Fault>> {
   const faults = FAULTS_OF[theme]
-  return only === undefined ? faults : Object.fromEntries(Object.entries(faults).filter(([name]) => name === only))
+  return only === undefined ? faults : Object.fromEntries(Object.entries({ ...faults, ...RARE_FAULTS }).filter(([name]) => name === only))
 }
 
 function strike (world: World, faults: Readonly<Record<string, Fault>>, focus: readonly string[], trace: ((line: string) => void) | undefined): void {
--- a/packages/dispatch/src/targetlease.ts
+++ b/packages/dispatch/src/targetlease.ts
@@ -12,6 +12,8 @@
   /** Reading of the target's clock, and when it arrived here. */
   #reading: { clock: number, at: number } | undefined
   #renewedAt = Number.NEGATIVE_INFINITY
+  /** Last deadline that was sent, on the target's clock. */
+  #deadline: number | undefined
   /** Since when no poll was answered; undefined while the last one was. */
   #silentSince: number | undefined
   /** Until when tasks may run that the life before was sent. */
@@ -50,7 +52,15 @@
   renew (now: number): number | undefined {
     if (this.#reading === undefined || this.silent) return undefined
     this.#renewedAt = now
-    return Math.floor(this.#reading.clock + (now - this.#reading.at) + this.#timings.lease)
+    this.#deadline = Math.floor(this.#reading.clock + (now - this.#reading.at) + this.#timings.lease)
+    return this.#deadline
+  }
+
+  /** The last deadline, for a message that must not prolong the lease; undefined when less than `least` milliseconds are left of it. */
+  granted (least: number, now: number): number | undefined {
+    const clock = this.clockAt(now)
+    if (this.#deadline === undefined || clock === undefined || this.silent) return undefined
+    return this.#deadline - clock >= least ? this.#deadline : undefined
   }
 
   /** What the target's clock reads now, or a little less; undefined while it is not known. */
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -6,7 +6,7 @@
 import { AnswerTimes } from './answertimes.ts'
 import {
   IDLE_POLL_MILLISECONDS, POLL_SLACK_MILLISECONDS, POLL_TIMER_MILLISECONDS, POLL_WAIT_MILLISECONDS,
-  LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS,
+  LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SHORTEST_LEASE_MILLISECONDS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS,
   STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE
 } from './defaults.ts'
 import { Stage } from './heldtasks.ts'
@@ -136,7 +136,7 @@
   obstacle (expected: number, now: number): Cause {
     if (this.#deregistered || (this.#facts?.leaving === true && !this.#lends(expected, now))) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
-    return this.#lease.silent || !this.#mayRenew(now) ? Cause.Unreachable : Cause.None
+    return this.#lease.silent || this.#endsWithLease() || !this.#mayStart(now) ? Cause.Unreachable : Cause.None
   }
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
@@ -359,6 +359,16 @@
     this.#lease.noteSilence(now)
   }
 
+  /** Deadline of a start; undefined while none may be sent. */
+  startDeadline (now: number): number | undefined {
+    return this.#mayRenew(now) ? this.#lease.renew(now) : this.#lease.granted(SHORTEST_LEASE_MILLISECONDS, now)
+  }
+
+  /** While the lease may not be renewed, starts go under what is left of it: it is renewed as soon as the ends of others are listed. */
+  #mayStart (now: number): boolean {
+    return this.#mayRenew(now) || this.#lease.granted(SHORTEST_LEASE_MILLISECONDS, now) !== undefined
+  }
+
   /**
    * Whether the lease may be renewed: not beyond the time for which each task is awaited, so that the target holds none for
    * longer however late this process is.
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -115,7 +115,7 @@
   }
 
   #start (held: HeldTask, now: number): void {
-    const deadline = this.#target.lease.renew(now)
+    const deadline = this.#target.startDeadline(now)
     if (deadline === undefined) return this.#notStarted(held, Cause.Unreachable, now)
     held.startedAt = now
     held.advancedAt = now
