--- a/packages/dispatch/test/agent.test.ts
+++ b/packages/dispatch/test/agent.test.ts
@@ -210,17 +210,6 @@
   expect(bench.ends()).toEqual(['job.0.1 notStarted unreachable'])
 })
 
-test('a connection that the target refuses does not prove that its tasks are gone', () => {
-  const bench = AgentBench.ready()
-  bench.run('job.0.0')
-  bench.pollFailed(PollFailure.NoListener)
-  expect(bench.ends()).toEqual([])
-  expect(bench.agent.status().target?.instance).toEqual(TARGET.instance)
-  bench.pass(TIMINGS.lapse)
-  expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
-  expect(bench.agent.status().target).toEqual(undefined)
-})
-
 test('a new instance at the address ends the tasks of the old one', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
--- a/packages/dispatch/test/runends.test.ts
+++ b/packages/dispatch/test/runends.test.ts
@@ -40,6 +40,17 @@
   return held
 }
 
+test('a connection that the target refuses does not prove that its tasks are gone', () => {
+  const bench = AgentBench.ready()
+  bench.run('job.0.0')
+  bench.pollFailed(PollFailure.NoListener)
+  expect(bench.ends()).toEqual([])
+  expect(bench.agent.status().target?.instance).toEqual(TARGET.instance)
+  bench.pass(TIMINGS.lapse)
+  expect(bench.ends()).toEqual(['job.0.0 gone lapsed'])
+  expect(bench.agent.status().target).toEqual(undefined)
+})
+
 test('tasks at a target that refuses connections count as running until their lease has lapsed', () => {
   const bench = AgentBench.ready()
   bench.run('job.0.0')
