Stand-in of a worker: a poll that waits grants the lease once, on its arrival

Both stand-ins carried the deadline of a waiting poll out again while, or when, its answer waited. For the life that a poll is meant for that changes nothing; a poll meant for the life before had its next life grant the longest lease twice, the second time up to 120 ms later. By the protocol only the response waits, and the emulated target's own comment says that the order takes effect as it arrives.

--- a/packages/standins/src/fleetworker.ts
+++ b/packages/standins/src/fleetworker.ts
@@ -238,8 +238,11 @@
   async #hold ({ fencing_token: token = 0, deadline_ms: deadline, acked = 0, wait_ms: wait = 0 }: WireOrder): Promise<Answer | undefined> {
     const life = this.#lives
     const until = this.#clock + wait
+    // It grants the lease once, on its arrival, however long its answer waits.
+    let granting = deadline
     while (life === this.#lives) {
-      const poll = this.#worker.poll(token, deadline, acked, this.#clock)
+      const poll = this.#worker.poll(token, granting, acked, this.#clock)
+      granting = undefined
       for (const { task, how } of poll.ended) if (how === 'done') this.#done.add(task)
       if (poll.fenced) return { status: 409, body: { clock_ms: this.#clock, reason: 'fence' } }
       if (poll.ended.length > 0 || this.#clock >= until) return { status: 200, body: { ...wirePoll(poll, this.#clock), ...this.#stated } }
