What the next life of a target may take is bounded by its longest lease

What callers saw: a task ran twice, up to 705 ms beside its second run, when a target started again under its id (a worker that states `born`) while its agent was late, its stops were lost and an entry died.

Cause, two sides of one belief, "the lease of the present life bounds what is sent": a start or renewal meant for the life before is carried out by the next one, whose clock has started anew, so that it grants its longest lease (1,120 ms until it has certainly lapsed) in place of ours (700 ms). 1. The agent sent deadlines for tasks whose entry had last been heard up to 600 ms before: 600 + 1,120 is more than the 1,300 ms after which a caller is back. 2. The agent itself counted a task as lapsed after the 700 ms of the present life, also one that it had never seen listed there, and told the entry, which started it elsewhere. This is what made the long overlaps. A start under what was left of a lease was not counted as a message that grants one at all.

For others: a deadline is sent only while every task that the present life has not listed has a contact of at most silence - longestLapse = 180 ms; a start in an older one waits for the echo of a ping that is sent at once (one round trip); an entry with tasks there is pinged twice in that time (90 ms in place of 200); a task that was not listed lapses 1,120 ms after the last deadline that was sent. Crash records are kept from the first task of a silent life that lapses, so that those that lapse later are not taken for tasks that were alone.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -255,6 +255,9 @@
 /** How often one of the faults in focus is taken. */
 const FOCUS_SHARE = 0.6
 
+/** Themes in which workers start again under their names. */
+const KEEP_NAMES: ReadonlySet<Theme> = new Set([Theme.Operators, Theme.Cancels, Theme.Lateness])
+
 function anyEntry (world: World): number {
   return world.random.integer(0, SIZES.entries - 1)
 }
@@ -295,7 +298,8 @@
     isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1,
     changing: theme === Theme.Capacity,
     partitions: theme === Theme.Partitions,
-    late: theme === Theme.Lateness
+    late: theme === Theme.Lateness,
+    keepNames: KEEP_NAMES.has(theme)
   }, trace)
   world.callers.submitUntil(FAULTS_END)
   strike(world, faultsOf(theme, only), FOCUS[broken ?? ''] ?? [], trace)
@@ -338,7 +342,7 @@
   }
 }
 
-/** Names of the kinds of faults of a theme. */
+/** Names of the kinds of faults that a theme may be played with alone. */
 export function faultNames (theme: Theme): string[] {
-  return Object.keys(FAULTS_OF[theme])
+  return Object.keys({ ...FAULTS_OF[theme], ...RARE_FAULTS })
 }
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -90,6 +90,8 @@
   changing: boolean
   /** Entries give out the room in partitions, and targets have little of it, so that they ask each other. */
   partitions: boolean
+  /** Workers may start again under their names. */
+  keepNames: boolean
   /** Processes take in what has reached them turn by turn, callers are heard late, and calls end with the process that made them. */
   late: boolean
 }
@@ -118,6 +120,7 @@
   readonly #noticed = new Map<number, number>()
   readonly #partitions: boolean
   readonly #late: boolean
+  readonly #keepNames: boolean
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
@@ -134,6 +137,7 @@
     this.#changing = sizes.changing
     this.#partitions = sizes.partitions
     this.#late = sizes.late
+    this.#keepNames = sizes.keepNames
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? OFTEN_QUIET : DEFAULT_POLICY.quietPing
     const travel = (): number => FASTEST_MESSAGE + this.random.next() * MESSAGE_SPREAD
@@ -264,6 +268,7 @@
       heartbeat: HEARTBEAT,
       news: NEWS,
       rejectsOverload: !this.#changing,
+      refusesOtherLives: !this.#keepNames,
       pollsWait: this.#dataCentres > 1 || this.#late,
       ...(this.#late ? { caller: agent } : {}),
       plan: () => ({ duration: 50 + this.random.next() * this.#longestTask, fails: this.random.next() < 0.02 }),
--- a/packages/dispatch/src/agent.ts
+++ b/packages/dispatch/src/agent.ts
@@ -250,7 +250,7 @@
     if (this.#target.facts === undefined) return
     const cause = this.#crashes.lost(ending, now)
     if (ending === LifeEnd.Replaced) this.#runs.endLife(cause, now)
-    else this.#runs.finishAll(cause, EndEvidence.Assumed, now)
+    else this.#runs.finishAll(this.#held.all(), cause, EndEvidence.Assumed, now)
     this.#target.end(reason, ending !== LifeEnd.Unknown)
     this.#entries.announceToAll(now)
     const successor = this.#target.takeSuccessor()
@@ -265,7 +265,7 @@
   #announced (now: number): TargetFacts | undefined {
     const { facts, cleared } = this.#target
     if (facts === undefined || !cleared) return undefined
-    const { remaining: _stated, ...lasting } = facts
+    const { remaining: _stated, refusesOtherLives: _calls, ...lasting } = facts
     const closed = this.#stopping || this.#withdrawn
     const remaining = closed ? undefined : this.#target.remaining(now)
     return { ...lasting, leaving: facts.leaving || closed, ...(remaining === undefined ? {} : { remaining }) }
@@ -353,9 +353,11 @@
     if (this.#held.size === 0) return
     this.#entries.expire(now)
     if (now < this.#target.lease.lapsedAt) return
+    const lapsed = this.#held.all().filter(held => now >= this.#target.grants.lapsesAt(held))
+    if (lapsed.length === 0) return
     this.#crashes.lapsed(now)
-    this.#runs.finishAll(Cause.Lapsed, EndEvidence.Lapsed, now)
-    if (this.#target.departing) this.#targetDeparted(now)
+    this.#runs.finishAll(lapsed, Cause.Lapsed, EndEvidence.Lapsed, now)
+    if (this.#target.departing && this.#held.size === 0) this.#targetDeparted(now)
   }
 
   #tick (now: number): void {
--- a/packages/dispatch/src/agentcontext.ts
+++ b/packages/dispatch/src/agentcontext.ts
@@ -17,6 +17,8 @@
   heldStarts: boolean
   /** A task that may have reached the next life of the target is stopped there before it counts as gone. */
   nextLife: boolean
+  /** What the next life of the target may take is sent only in so fresh a contact that its longest lease ends in time. */
+  freshContact: boolean
   /** A life of the target is followed by another only when it no longer answers. */
   lifeProof: boolean
   /** A refused connection, or a deregistration alone, ends no task before its lease has lapsed. */
@@ -33,7 +35,7 @@
   drain: boolean
 }
 
-export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, lifeProof: true, refusals: true, boundedLease: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
+export const ALL_AGENT_GUARDS: Readonly<AgentGuards> = { contact: true, takeBack: true, clearing: true, echoAge: true, heldStarts: true, nextLife: true, freshContact: true, lifeProof: true, refusals: true, boundedLease: true, evacuation: true, evacuationReads: true, capacityNews: true, drain: true }
 
 export interface AgentContext {
   readonly timings: Timings
--- a/packages/dispatch/src/crashmemory.ts
+++ b/packages/dispatch/src/crashmemory.ts
@@ -17,12 +17,12 @@
   /** The life went down by itself; gives what entries are to be told, also of tasks that had lapsed while it was silent. */
   crashed (instance: string, tasks: readonly string[], now: number): CrashRecord[] {
     const silent = this.#settle(instance, CrashEvidence.Crashed, now)
-    return [...silent, ...this.#note(instance, tasks, CrashEvidence.Crashed, now)]
+    return [...silent, ...this.#note(instance, this.#unknown(instance, tasks), CrashEvidence.Crashed, now)]
   }
 
-  /** The life is silent, and all that ran there has lapsed. */
+  /** The life is silent, and what runs there begins to lapse; what is known of it already stays as it is. */
   silent (instance: string, tasks: readonly string[], now: number): CrashRecord[] {
-    return this.#note(instance, tasks, CrashEvidence.Silent, now)
+    return this.#note(instance, this.#unknown(instance, tasks), CrashEvidence.Silent, now)
   }
 
   /** The life answers again: it had not gone down. */
@@ -46,6 +46,11 @@
     return [...this.#records.values()].map(record => told(record, now))
   }
 
+  /** Tasks that nothing is known of in that life. */
+  #unknown (instance: string, tasks: readonly string[]): string[] {
+    return tasks.filter(task => !this.#records.has(keyOf(task, instance)))
+  }
+
   #note (instance: string, tasks: readonly string[], evidence: CrashEvidence, now: number): CrashRecord[] {
     this.#forgetOld(now)
     return tasks.map(task => {
--- a/packages/dispatch/src/crashreports.ts
+++ b/packages/dispatch/src/crashreports.ts
@@ -45,7 +45,7 @@
     return Cause.Crashed
   }
 
-  /** All that runs has lapsed. Silence proves no crash, but the tasks are started again as if it did until the target is heard of. */
+  /** Tasks begin to lapse. Silence proves no crash, but the tasks are started again as if it did until the target is heard of. */
   lapsed (now: number): void {
     const { context: { policy }, target: { facts, lease, deregistered } } = this.#parts
     if (!policy.isolatesSuspects || facts === undefined || facts.leaving || deregistered || !lease.silent) return
--- a/packages/dispatch/src/defaults.ts
+++ b/packages/dispatch/src/defaults.ts
@@ -9,6 +9,9 @@
 /** Shortest lease that a stall of a process (garbage collection, a spent processor quota of 100 ms) leaves intact. */
 export const SHORTEST_LEASE_MILLISECONDS = 250
 
+/** Contact in which a ping and its echo fit when the longest lease leaves none: orders that a next life of the target takes are then bounded by their stops only. */
+export const SHORTEST_FRESH_CONTACT_MILLISECONDS = 50
+
 /** Pings in the time after which an entry's tasks are stopped: one may be held up by a stall of 100 ms at either end. */
 export const PINGS_PER_CONTACT = 3
 
--- a/packages/dispatch/src/entrysessions.ts
+++ b/packages/dispatch/src/entrysessions.ts
@@ -95,12 +95,17 @@
     const session = this.#sessions.get(entry)
     if (session === undefined || !session.connected) return undefined
     if (message.type === 'start' && message.echo !== undefined) this.echoed(session, message.echo, now)
-    if (message.type !== 'start' || !this.#context.guards.contact || session.inContact(now)) return session
-    if (session.role === RoomRole.Asks) this.#hold(session, message, now)
+    if (message.type !== 'start' || !this.#context.guards.contact || this.#mayStart(session, now)) return session
+    if (session.inContact(now) || session.role === RoomRole.Asks) this.#hold(session, message, now)
     else this.#refuseContact(session, message.tasks.length)
     return undefined
   }
 
+  /** Whether the contact is fresh enough for tasks of the entry to be started. */
+  #mayStart (session: EntrySession, now: number): boolean {
+    return now < this.#parts.target.grants.startableUntil(session.contactUntil)
+  }
+
   /** The order was held up, or this process was: the entry counts on it not being followed. */
   #refuseContact (session: EntrySession, tasks: number): void {
     this.#context.note('start out of contact', { entry: session.entry, tasks })
@@ -109,7 +114,7 @@
   }
 
   /**
-   * On a link that may be quiet, starts wait until the entry has echoed a ping that is sent now. One that a partition or a
+   * On a link that may be quiet, and where the contact is not fresh enough, starts wait until the entry has echoed a ping that is sent now. One that a partition or a
    * frozen process held up gets no such echo: an entry that counts the task as gone has closed the link before.
    */
   #hold (session: EntrySession, message: Extract<EntryMessage, { type: 'start' }>, now: number): void {
@@ -122,7 +127,7 @@
 
   /** Starts that waited for the contact that now stands. */
   takeHeld (session: EntrySession, now: number): Array<Extract<EntryMessage, { type: 'start' }>> {
-    if (session.held.length === 0 || !session.inContact(now)) return []
+    if (session.held.length === 0 || !this.#mayStart(session, now)) return []
     const { held } = session
     session.held = []
     return held
@@ -202,7 +207,8 @@
 
   #pingInterval ({ tasks, role }: EntrySession): number {
     const { ping, idlePing } = this.#context.timings
-    if (tasks > 0 || role === RoomRole.Allocates) return ping
+    if (tasks > 0) return this.#parts.target.grants.ping
+    if (role === RoomRole.Allocates) return ping
     if (role !== RoomRole.Asks) return idlePing
     const { partitions, quietPing } = this.#context.policy
     const factor = partitions ? PARTITION_QUIET_FACTOR : 1
--- a/packages/dispatch/src/heldtasks.ts
+++ b/packages/dispatch/src/heldtasks.ts
@@ -76,10 +76,10 @@
     return this.#tasks.get(task)
   }
 
-  /** Until when somebody may wait for each of the tasks; infinite without any. */
-  get awaitedUntil (): number {
+  /** The earliest time until when somebody may wait for one of the tasks that are chosen; infinite without any. */
+  awaitedUntil (isChosen: (held: HeldTask) => boolean = () => true): number {
     let until = Infinity
-    for (const { contactAtStop, session } of this.#tasks.values()) until = Math.min(until, contactAtStop ?? session.contactUntil)
+    for (const held of this.#tasks.values()) if (isChosen(held)) until = Math.min(until, held.contactAtStop ?? held.session.contactUntil)
     return until
   }
 
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -114,6 +114,8 @@
   labels: string[]
   /** It takes no new work. */
   leaving: boolean
+  /** Calls that name another life of it are turned down. @default false: a call reaches whichever life has its name */
+  refusesOtherLives?: boolean
   /** While it leaves: how long it goes on at least, in milliseconds from this message; undefined when it does not say. */
   remaining?: number
 }
--- a/packages/dispatch/src/targetlease.ts
+++ b/packages/dispatch/src/targetlease.ts
@@ -12,6 +12,8 @@
   /** Reading of the target's clock, and when it arrived here. */
   #reading: { clock: number, at: number } | undefined
   #renewedAt = Number.NEGATIVE_INFINITY
+  /** When a deadline was sent last, also one that renews nothing. */
+  #sentAt = Number.NEGATIVE_INFINITY
   /** Last deadline that was sent, on the target's clock. */
   #deadline: number | undefined
   /** Since when no poll was answered; undefined while the last one was. */
@@ -41,7 +43,7 @@
 
   /** The same for what a next life of the target may have been sent unnoticed, whose clock has started anew. */
   get lapsedInNextLifeAt (): number {
-    return Math.max(this.#inherited, this.#renewedAt + this.#timings.longestLapse)
+    return Math.max(this.#inherited, this.#sentAt + this.#timings.longestLapse)
   }
 
   /**
@@ -52,15 +54,23 @@
   renew (now: number): number | undefined {
     if (this.#reading === undefined || this.silent) return undefined
     this.#renewedAt = now
+    this.#sentAt = now
     this.#deadline = Math.floor(this.#reading.clock + (now - this.#reading.at) + this.#timings.lease)
     return this.#deadline
   }
 
-  /** The last deadline, for a message that must not prolong the lease; undefined when less than `least` milliseconds are left of it. */
-  granted (least: number, now: number): number | undefined {
+  /** The last deadline, for a message that is sent now and must not prolong the lease; undefined unless the lease lasts for `least` milliseconds. */
+  repeat (least: number, now: number): number | undefined {
+    if (!this.lasts(least, now)) return undefined
+    this.#sentAt = now
+    return this.#deadline
+  }
+
+  /** Whether the target answers and as much as `least` milliseconds is left of the lease. */
+  lasts (least: number, now: number): boolean {
     const clock = this.clockAt(now)
-    if (this.#deadline === undefined || clock === undefined || this.silent) return undefined
-    return this.#deadline - clock >= least ? this.#deadline : undefined
+    if (this.#deadline === undefined || clock === undefined || this.silent) return false
+    return this.#deadline - clock >= least
   }
 
   /** What the target's clock reads now, or a little less; undefined while it is not known. */
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -6,10 +6,10 @@
 import { AnswerTimes } from './answertimes.ts'
 import {
   IDLE_POLL_MILLISECONDS, POLL_SLACK_MILLISECONDS, POLL_TIMER_MILLISECONDS, POLL_WAIT_MILLISECONDS,
-  LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SHORTEST_LEASE_MILLISECONDS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS,
-  STOP_TIMEOUT_MILLISECONDS, STOPS_BEFORE_LAPSE
+  LOSSY_POLL_WAIT_MILLISECONDS, LOSSY_POLLS, SILENCE_TOLD_MILLISECONDS, START_TIMEOUT_MILLISECONDS,
+  STOP_TIMEOUT_MILLISECONDS
 } from './defaults.ts'
-import { Stage } from './heldtasks.ts'
+import { LeaseGrants } from './leasegrants.ts'
 import { Cause } from './messages.ts'
 import { TargetPace } from './progress.ts'
 import { fits } from './resources.ts'
@@ -48,6 +48,7 @@
 export class TargetWatch {
   readonly #context: AgentContext
   readonly #held: HeldTasks
+  readonly grants: LeaseGrants
   #lease: TargetLease
   #notice: TargetNotice
   #pace: TargetPace
@@ -79,6 +80,14 @@
     this.#held = held
     this.#pace = new TargetPace(context.policy)
     this.#lease = new TargetLease(context.timings)
+    this.grants = new LeaseGrants({
+      context,
+      held,
+      lease: () => this.#lease,
+      refusesOtherLives: () => this.#facts?.refusesOtherLives === true,
+      deregistered: () => this.#deregistered,
+      isProven: task => this.isProven(task)
+    })
     this.#notice = new TargetNotice(context.drain)
     this.#token = Math.floor(context.wallClock())
   }
@@ -136,7 +145,7 @@
   obstacle (expected: number, now: number): Cause {
     if (this.#deregistered || (this.#facts?.leaving === true && !this.#lends(expected, now))) return Cause.Leaving
     if (this.#facts === undefined || !this.#cleared) return Cause.NoTarget
-    return this.#lease.silent || this.#endsWithLease() || !this.#mayStart(now) ? Cause.Unreachable : Cause.None
+    return this.#lease.silent || this.grants.endsWithLease || !this.grants.mayStart(now) ? Cause.Unreachable : Cause.None
   }
 
   /** Takes an announcement of the known life in; a new life is left to `begin`, after the old one's tasks have ended. */
@@ -182,7 +191,7 @@
   /** Whether it takes no work: it refuses connections, does not answer for longer than a few lost polls would explain, or its lease has to end. */
   isWithdrawn (now: number): boolean {
     if (!this.#context.policy.withdrawsSilent) return false
-    return this.departing || this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || this.#endsWithLease()
+    return this.departing || this.#lease.silentFor(now) >= SILENCE_TOLD_MILLISECONDS || this.grants.endsWithLease
   }
 
   /** Whether the target refuses connections or has deregistered: when its tasks have lapsed, it is gone. */
@@ -295,7 +304,7 @@
     const busy = this.#held.size > 0
     const urgent = busy || !this.#cleared || this.#lease.silent
     if (!urgent && now - this.#polledAt < IDLE_POLL_MILLISECONDS) return
-    const deadline = busy && this.#mayRenew(now) ? this.#lease.renew(now) : undefined
+    const deadline = busy ? this.grants.renewal(now) : undefined
     const wait = busy && this.#cleared && !this.#lease.silent ? this.#pollWait(now) : 0
     this.#polls.add(now)
     this.#pollAnswered = false
@@ -358,30 +367,6 @@
     if (!this.#lease.silent) this.#context.note('target silent', { instance: this.#facts?.instance, tasks: this.#held.size })
     this.#lease.noteSilence(now)
   }
-
-  /** Deadline of a start; undefined while none may be sent. */
-  startDeadline (now: number): number | undefined {
-    return this.#mayRenew(now) ? this.#lease.renew(now) : this.#lease.granted(SHORTEST_LEASE_MILLISECONDS, now)
-  }
-
-  /** While the lease may not be renewed, starts go under what is left of it: it is renewed as soon as the ends of others are listed. */
-  #mayStart (now: number): boolean {
-    return this.#mayRenew(now) || this.#lease.granted(SHORTEST_LEASE_MILLISECONDS, now) !== undefined
-  }
-
-  /**
-   * Whether the lease may be renewed: not beyond the time for which each task is awaited, so that the target holds none for
-   * longer however late this process is.
-   */
-  #mayRenew (now: number): boolean {
-    if (this.#context.guards.boundedLease && now >= this.#held.awaitedUntil) return false
-    return !this.#deregistered && !this.#endsWithLease()
-  }
-
-  /** A run that several orders did not stop ends with the lease, at the price of those beside it. */
-  #endsWithLease (): boolean {
-    return this.#held.strayStays || this.#held.all().some(held => held.stopConfirmedAt === undefined && held.stage === Stage.Stopping && held.stops > STOPS_BEFORE_LAPSE)
-  }
 }
 
 /** Whether both announcements tell of the same size and labels. */
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -115,7 +115,7 @@
   }
 
   #start (held: HeldTask, now: number): void {
-    const deadline = this.#target.startDeadline(now)
+    const deadline = this.#target.grants.startDeadline(now)
     if (deadline === undefined) return this.#notStarted(held, Cause.Unreachable, now)
     held.startedAt = now
     held.advancedAt = now
@@ -303,8 +303,8 @@
     for (const held of this.#held.all()) this.stop(held, now)
   }
 
-  finishAll (cause: Cause, evidence: EndEvidence, now: number): void {
-    for (const held of this.#held.all()) this.#finish(held, { outcome: Outcome.Gone, cause, evidence }, now)
+  finishAll (tasks: readonly HeldTask[], cause: Cause, evidence: EndEvidence, now: number): void {
+    for (const held of tasks) this.#finish(held, { outcome: Outcome.Gone, cause, evidence }, now)
   }
 
   #notStarted (held: HeldTask, cause: Cause, now: number): void {
@@ -316,7 +316,7 @@
     this.ends.note(evidence)
     this.#parts.room.noteLeft(held)
     const { task, attempt } = held.order
-    if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, evidence, instance: this.#target.order().instance, entry: held.session.entry, age: Math.round(now - held.startedAt), leaseLeft: Math.round(this.#target.lease.lapsedAt - now) })
+    if (outcome !== Outcome.Done) this.#context.note('task ended', { task, attempt, run: held.run, outcome, cause, evidence, instance: this.#target.order().instance, entry: held.session.entry, age: Math.round(now - held.startedAt), leaseLeft: Math.round(this.#target.grants.lapsesAt(held) - now) })
     this.#parts.tell(held.session, { task, attempt, outcome, cause, ran: Math.max(0, now - held.startedAt) }, now)
   }
 }
--- a/packages/dispatch/src/timings.ts
+++ b/packages/dispatch/src/timings.ts
@@ -1,5 +1,5 @@
 /** How long a task may outlive whoever watches over it, worked out from the platform's bounds. */
-import { CLOCK_RATE_MARGIN, IDLE_PING_MILLISECONDS, PINGS_PER_CONTACT, SHORTEST_LEASE_MILLISECONDS, TIMER_MARGIN_MILLISECONDS } from './defaults.ts'
+import { CLOCK_RATE_MARGIN, IDLE_PING_MILLISECONDS, PINGS_PER_CONTACT, SHORTEST_FRESH_CONTACT_MILLISECONDS, SHORTEST_LEASE_MILLISECONDS, TIMER_MARGIN_MILLISECONDS } from './defaults.ts'
 
 /** Bounds of the platform, in milliseconds. */
 export interface Bounds {
@@ -25,6 +25,8 @@
   longestLapse: number
   /** From the last echo that an entry sent until its tasks at a silent agent have certainly ended. */
   silence: number
+  /** The same as `contact` for what a life of the target may take that has started again unnoticed: it grants the longest lease. */
+  freshContact: number
 }
 
 /**
@@ -42,13 +44,16 @@
   const lapseOf = (lease: number): number => Math.ceil(lease * (1 + CLOCK_RATE_MARGIN)) + bounds.stop + TIMER_MARGIN_MILLISECONDS
   const lapse = lapseOf(lease)
   const contact = Math.max(SHORTEST_LEASE_MILLISECONDS, bounds.resubmission - lapse)
+  const longestLapse = lapseOf(bounds.longestLease)
+  const silence = contact + lapse
   return {
     lease,
     contact,
     ping: Math.floor(contact / PINGS_PER_CONTACT),
     idlePing: IDLE_PING_MILLISECONDS,
     lapse,
-    longestLapse: lapseOf(bounds.longestLease),
-    silence: contact + lapse
+    longestLapse,
+    silence,
+    freshContact: Math.min(contact, Math.max(SHORTEST_FRESH_CONTACT_MILLISECONDS, silence - longestLapse))
   }
 }
--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -30,6 +30,8 @@
   longestLease: number
   /** Whether it refuses what does not fit; else its agent alone guards it. @default true */
   rejectsOverload?: boolean
+  /** Whether it turns down calls that name another of its lives, which then never keeps its name. @default false */
+  refusesOtherLives?: boolean
   heartbeat: number
   /** For how long room that has shrunk still counts in its own check of what is started there. */
   news: number
@@ -223,10 +225,10 @@
 
   /** The next heartbeat. */
   announcement (): AgentEvent {
-    const { service, dataCentre, labels } = this.#traits
+    const { service, dataCentre, labels, refusesOtherLives = false } = this.#traits
     this.#sequence += 1
     const remaining = this.#goneAt === Infinity ? {} : { remaining: Math.max(0, this.#goneAt - this.#timeline.now) }
-    return { type: 'targetSeen', facts: { instance: this.#instance, service, dataCentre, capacity: this.#capacity, labels, leaving: this.#leaving, ...remaining }, sequence: this.#sequence, clock: this.#clock }
+    return { type: 'targetSeen', facts: { instance: this.#instance, service, dataCentre, capacity: this.#capacity, labels, leaving: this.#leaving, ...(refusesOtherLives ? { refusesOtherLives } : {}), ...remaining }, sequence: this.#sequence, clock: this.#clock }
   }
 
   start (order: EffectOf<'start'>): void {
@@ -255,13 +257,16 @@
   poll (order: EffectOf<'poll'>): void {
     const { instance, token, sent, deadline, acknowledged, wait, timeout } = order
     const failed = (failure: PollFailure): AgentEvent => ({ type: 'pollFailed', instance, sent, failure })
+    // It grants the lease once, on its arrival, however long its answer waits.
+    let granting = deadline
     const answers: CallAnswers<AgentEvent> = {
       silent: failed(PollFailure.Silent),
       refused: failed(PollFailure.NoListener),
       otherInstance: failed(PollFailure.OtherInstance),
       carryOut: () => {
         const meant = instance === this.#instance
-        const { fenced, running, ended } = this.#worker.poll(token, deadline, acknowledged, this.#clock)
+        const { fenced, running, ended } = this.#worker.poll(token, granting, acknowledged, this.#clock)
+        granting = undefined
         if (!meant) return failed(PollFailure.OtherInstance)
         if (fenced) return failed(PollFailure.Fenced)
         return { type: 'polled', instance, sent, clock: this.#clock, running, ended: ended.map(end => ({ ...end, end: end.how as RunEnd })) }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -16,6 +16,7 @@
 import { EmulatedTarget } from './emulatedtarget.ts'
 import { linkEnds, numberOf, pairOf } from './linkends.ts'
 import { PeerLinks } from './peerlinks.ts'
+import { TroubleKind } from './troubletypes.ts'
 import { priceOfAgentEffect, priceOfAgentEvent, priceOfEntryEffect, priceOfEntryEvent } from './prices.ts'
 import { Process } from './process.ts'
 
@@ -33,6 +34,9 @@
 /** A target that a task has crashed is back after this, in milliseconds: half of them under their names, half of them refusing calls meanwhile. */
 const CRASHED_MILLISECONDS = 3000
 
+/** Troubles after which targets start again under their names. */
+const KEEPS_NAMES: ReadonlySet<TroubleKind> = new Set([TroubleKind.Restart, TroubleKind.Crashing])
+
 /** Crashes of targets after which a task may not be started again (the users' rule). */
 const CRASHES_ALLOWED = 3
 
@@ -186,6 +190,7 @@
       clockRate: 1,
       longestLease: BOUNDS.longestLease,
       rejectsOverload: this.#plan.rejectsOverload,
+      refusesOtherLives: !this.#plan.troubles.some(({ kind }) => KEEPS_NAMES.has(kind)),
       heartbeat: HEARTBEAT,
       news: NEWS,
       pollsWait: true,
