Log: planned stops, refused dispatches, tasks lost with their agent, jobs refused without targets

The failure of the rolling replacement could not be told apart from the logs: nothing said which entries knew of a stop, what an agent refused and why, what was lost when an agent was given up, or what the entry believed of its targets when it refused a job. The log of a trial kept the last run of each daemon only; it keeps all of them now.

Agent: `stop ordered` and `stopped`, each with the connected entries, whether they are members and whether they know; `dispatch refused` with the reason. Entry: `agent announced`, `agent disconnected`, `tasks lost with their agent` (task, attempt, age), `dispatch not sent`, `job refused without targets` with the trust in each target.

--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -73,7 +73,7 @@
     return refuse(Cause.QuotaExceeded, 'the tenant is above its quota: send less, or ask the operators for more', retryAfter((quota - allowed) * spread))
   }
   if (question.slots <= 0) {
-    return refuse(Cause.Overloaded, 'no target takes this work now: come back later', retryAfter(1000 * spread))
+    return { admitted: false, cause: Cause.Overloaded, detail: 'no target takes this work now: come back later', retryAfterMilliseconds: retryAfter(1000 * spread), withoutTargets: true }
   }
   const expected = expectedDuration(question)
   if (expected <= allowed) return { admitted: true }
--- a/packages/coordination/src/agent.ts
+++ b/packages/coordination/src/agent.ts
@@ -170,6 +170,7 @@
     }
     const objection = this.#objection(entry, now)
     if (objection !== undefined) {
+      this.#note('dispatch refused', { entry, job: dispatch.job, index: dispatch.index, detail: objection, connected: this.#connected.has(entry), member: isMember(this.#view, entry) })
       this.#tasks.refuse(entry, dispatch, objection, now)
       return
     }
@@ -261,6 +262,7 @@
   #stopOrdered (now: number): void {
     if (this.#stop.ordered) return
     this.#stop.order(now)
+    this.#note('stop ordered', { running: this.#tasks.running, queued: this.#tasks.queued, entries: this.#entriesTold() })
     this.#lastHeartbeat = Number.NEGATIVE_INFINITY
     this.#refreshState(now)
     this.#reportAll()
@@ -272,9 +274,19 @@
     if (!this.#stop.ordered || busy || !this.#stop.relieved(this.#connected, this.#view, now)) return
     if (!this.#ledger.allAcknowledged(holder => isMember(this.#view, holder))) return
     this.#stopped = true
+    this.#note('stopped', { after: Math.round(this.#stop.orderedFor(now)), entries: this.#entriesTold() })
     this.#emit({ type: 'stopped' })
   }
 
+  /** Every connected entry, whether it is a member here, and whether it knows of the stop. */
+  #entriesTold (): Array<{ entry: Instance, member: boolean, knows: boolean }> {
+    return [...this.#connected].map(entry => ({ entry, member: isMember(this.#view, entry), knows: this.#stop.knownTo(entry) }))
+  }
+
+  #note (what: string, fields: Record<string, unknown>): void {
+    this.#emit({ type: 'note', what, fields: { ...fields, view: this.#view.version } })
+  }
+
   #send (entry: Instance, message: AgentToEntry): void {
     if (!this.#connected.has(entry)) return
     this.#emit({ type: 'sendEntry', entry, message })
--- a/packages/coordination/src/agentexchange.ts
+++ b/packages/coordination/src/agentexchange.ts
@@ -77,6 +77,7 @@
   }
 
   disconnected (agent: Instance, now: number): void {
+    this.#context.emit({ type: 'note', what: 'agent disconnected', fields: { agent } })
     this.#agents.disconnected(agent, now)
     this.#scheduler.targetDown(agent, now)
     this.#adoption.disconnected(agent)
@@ -99,6 +100,7 @@
 
   #announced (agent: Instance, target: TargetDescription, report: TargetReport, now: number): void {
     const replaced = this.#agents.announced(agent, target)
+    this.#context.emit({ type: 'note', what: 'agent announced', fields: { agent, replaced, leaving: report.leaving, view: this.#membership.view.version } })
     if (replaced !== undefined) this.#giveUp(replaced, now)
     this.#context.sendAgent(agent, this.#hello())
     this.#scheduler.targetUp(agent, target, report, now)
--- a/packages/coordination/src/agentstop.ts
+++ b/packages/coordination/src/agentstop.ts
@@ -23,6 +23,15 @@
     if (this.#orderedAt !== undefined && sent > this.#orderedAt) this.#relievedBy.add(entry)
   }
 
+  /** Time since the order, in milliseconds. */
+  orderedFor (now: number): number {
+    return now - (this.#orderedAt ?? now)
+  }
+
+  knownTo (entry: Instance): boolean {
+    return this.#relievedBy.has(entry)
+  }
+
   /**
    * Whether every entry knows that this agent leaves. A dispatch that was on its way when the stop was
    * ordered would find nobody: its task, which never started, would be answered "may have run". What an
--- a/packages/coordination/src/agenttypes.ts
+++ b/packages/coordination/src/agenttypes.ts
@@ -27,6 +27,8 @@
   /** No entry is reachable: read the view from the store. */
   | { type: 'readView' }
   | { type: 'stateChanged', state: AgentState, detail: string }
+  /** A decision, for the log. */
+  | { type: 'note', what: string, fields: Record<string, unknown> }
   /** Nothing is left to do: the process may end. */
   | { type: 'stopped' }
 
--- a/packages/coordination/src/dispatching.ts
+++ b/packages/coordination/src/dispatching.ts
@@ -98,6 +98,8 @@
 
   /** What an agent that is given up had may have run; the answer when that ends the job. */
   loseTasks (execution: Execution, agent: Instance, now: number): Answer | undefined {
+    const lost = execution.outstanding().filter(({ task }) => task.agent === agent)
+    if (lost.length > 0) this.#context.emit({ type: 'note', what: 'tasks lost with their agent', fields: { job: execution.key, agent, tasks: lost.map(({ index, task }) => [index, task.attempt, Math.round(now - task.dispatchedAt)]) } })
     for (const { index, task } of execution.outstanding()) {
       if (task.agent !== agent) continue
       this.#scheduler.settled({ job: execution.key, index, agent }, TaskOutcome.MayHaveRun, 0, now)
@@ -154,7 +156,7 @@
     const job = execution.job as Job
     const request = job.tasks[index]
     if (request === undefined) return
-    this.#context.sendAgent(task.agent, {
+    const sent = this.#context.sendAgent(task.agent, {
       case: 'dispatch',
       value: {
         job: job.key,
@@ -170,5 +172,6 @@
         needs: request.needs
       }
     })
+    if (!sent) this.#context.emit({ type: 'note', what: 'dispatch not sent', fields: { job: job.key, index, attempt: task.attempt, agent: task.agent } })
   }
 }
--- a/packages/coordination/src/entrytypes.ts
+++ b/packages/coordination/src/entrytypes.ts
@@ -39,6 +39,8 @@
   /** A newer configuration came from a peer and is now in force; `document` as stored. */
   | { type: 'configurationAdopted', configuration: Configuration }
   | { type: 'stateChanged', state: EntryState, detail: string }
+  /** A decision, for the log. */
+  | { type: 'note', what: string, fields: Record<string, unknown> }
   /** For metrics, once per job and per task. `idealMilliseconds`: run of the longest task that has ended. */
   | { type: 'jobFinished', tenant: string, service: string, answer: Answer, tasks: number, wholeMilliseconds: number, idealMilliseconds: number }
   | { type: 'taskFinished', tenant: string, service: string, waitMilliseconds: number, runMilliseconds: number }
--- a/packages/coordination/src/jobs.ts
+++ b/packages/coordination/src/jobs.ts
@@ -69,7 +69,8 @@
       ? { admitted: false as const, cause: Cause.Overloaded, detail: 'too many jobs are open at this entry', retryAfterMilliseconds: 1000 }
       : this.#scheduler.admit(tasks, now)
     if (!admission.admitted) {
-      const { cause, detail, retryAfterMilliseconds } = admission
+      const { cause, detail, retryAfterMilliseconds, withoutTargets = false } = admission
+      if (withoutTargets) this.#context.emit({ type: 'note', what: 'job refused without targets', fields: { job: job.key, ...this.#scheduler.status() } })
       const kind = forgotten ? AnswerKind.MayHaveRun : AnswerKind.Refused
       this.refuse(job.key, from, answerWithout(kind, cause, detail, retryAfterMilliseconds), now)
       return
--- a/packages/daemon/src/agentdaemon.ts
+++ b/packages/daemon/src/agentdaemon.ts
@@ -53,6 +53,7 @@
       this.#state = state
       this.#environment.log.info({ state, detail }, 'state changed')
     },
+    note: ({ what, fields }) => this.#environment.log.info(fields, what),
     stopped: () => this.#loop.end()
   }
 
--- a/packages/daemon/src/entrydaemon.ts
+++ b/packages/daemon/src/entrydaemon.ts
@@ -71,6 +71,7 @@
     },
     jobFinished: effect => this.#entryMetrics.jobFinished(effect),
     taskFinished: effect => this.#entryMetrics.taskFinished(effect),
+    note: ({ what, fields }) => this.#environment.log.info(fields, what),
     stopped: () => this.#loop.end()
   }
 
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -61,6 +61,8 @@
   /** Where callers reach an entry; empty for an agent. */
   callersUrl: string
   process?: LaunchedProcess
+  /** Logs of its runs that have ended. */
+  earlierLogs: Array<readonly string[]>
 }
 
 /** One target process. */
@@ -182,6 +184,7 @@
   /** Starts one entry or agent that does not run. Resolves when it is healthy. */
   async startDaemon (daemon: Daemon): Promise<void> {
     await this.#reopenPeersLink(daemon)
+    if (daemon.process !== undefined) daemon.earlierLogs.push(daemon.process.log)
     daemon.process = await this.#group.launch({
       name: daemon.id,
       script: this.#program('amaranthmastd'),
@@ -295,7 +298,8 @@
       id,
       settingsFile,
       statusUrl: `http://${LOOPBACK}:${statusPort}`,
-      callersUrl: callersPort === undefined ? '' : `http://${LOOPBACK}:${callersPort}`
+      callersUrl: callersPort === undefined ? '' : `http://${LOOPBACK}:${callersPort}`,
+      earlierLogs: []
     }
   }
 
--- a/packages/trials/src/trial.ts
+++ b/packages/trials/src/trial.ts
@@ -250,8 +250,8 @@
     const name = this.fleet.folder.slice(-6)
     await writeFile(join(folder, `${name}-records.json`), JSON.stringify(this.records))
     await writeFile(join(folder, `${name}-starts.json`), JSON.stringify(await fetchRecords(this.fleet.targetUrls).catch(() => [])))
-    for (const { id, process: launched } of this.daemons) {
-      await writeFile(join(folder, `${name}-${id}.log`), launched?.log.join('\n') ?? '')
+    for (const { id, process: launched, earlierLogs } of this.daemons) {
+      await writeFile(join(folder, `${name}-${id}.log`), [...earlierLogs.flat(), ...launched?.log ?? []].join('\n'))
     }
   }
 }
