A planned stop of an agent waits for entries whose links are down, and until its refusals have arrived

Causes found, each shown by a test that fails without the change: 1. The agent waited for the relief of connected entries only. One whose link was down at that moment may have sent dispatches over it; it sends them again over the next link, and found nobody. 2. The agent waited until results of tasks that ran had been acknowledged, and not for those that it refused. What it refused last could be lost with the process.

Ruled out: entries that are connected and no members of the agent's view (the agent dials the members of its view and keeps no other link); a relief that overtakes a dispatch (one stream, in order).

Change: every member of the view has to know of the stop, and to have acknowledged what was refused, for 3 s at most as before.

--- a/packages/coordination/src/agent.ts
+++ b/packages/coordination/src/agent.ts
@@ -16,6 +16,7 @@
 import { DEFAULT_MEMORY_LIMITS, DEFAULT_TIMINGS } from './defaults.ts'
 import { Ledger, Verdict } from './ledger.ts'
 import { handleMessage } from './messagehandlers.ts'
+import { LedgerState } from './messages.ts'
 import { ownerOf } from './rendezvous.ts'
 import { EMPTY_VIEW, epochOf, isMember, liveMembers, mergeViews } from './view.ts'
 
@@ -268,11 +269,13 @@
     this.#reportAll()
   }
 
-  /** A planned stop ends when nothing runs and every live entry has the outcomes it waits for. */
+  /** A planned stop ends when nothing runs and every live entry has the outcomes and refusals it waits for. */
   #stopWhenDone (now: number): void {
     const busy = this.#tasks.running + this.#tasks.queued > 0
-    if (!this.#stop.ordered || busy || !this.#stop.relieved(this.#connected, this.#view, now)) return
-    if (!this.#ledger.allAcknowledged(holder => isMember(this.#view, holder))) return
+    if (!this.#stop.ordered || busy || !this.#stop.relieved(this.#view, now)) return
+    const isWaiting = (holder: Instance): boolean => isMember(this.#view, holder)
+    if (!this.#ledger.allAcknowledged(LedgerState.Finished, isWaiting)) return
+    if (!this.#stop.overdue(now) && !this.#ledger.allAcknowledged(LedgerState.Refused, isWaiting)) return
     this.#stopped = true
     this.#note('stopped', { after: Math.round(this.#stop.orderedFor(now)), entries: this.#entriesTold() })
     this.#emit({ type: 'stopped' })
--- a/packages/coordination/src/agentstop.ts
+++ b/packages/coordination/src/agentstop.ts
@@ -1,8 +1,8 @@
 /** The planned stop of an agent: whether it was ordered, and which entries know. */
 import type { Instance, View } from './messages.ts'
-import { isMember } from './view.ts'
+import { liveMembers } from './view.ts'
 
-/** How long a planned stop waits for entries to learn of it. */
+/** How long a planned stop waits for entries to learn of it, and to confirm what was refused. */
 const RELIEF_PATIENCE_MILLISECONDS = 3000
 
 export class AgentStop {
@@ -32,13 +32,18 @@
     return this.#relievedBy.has(entry)
   }
 
+  /** Whether entries that are not heard of are waited for no longer. */
+  overdue (now: number): boolean {
+    return this.orderedFor(now) >= RELIEF_PATIENCE_MILLISECONDS
+  }
+
   /**
-   * Whether every entry knows that this agent leaves. A dispatch that was on its way when the stop was
+   * Whether every member knows that this agent leaves, also one whose link is down: what it sent over that link it sends again
+   * over the next. A dispatch that was on its way when the stop was
    * ordered would find nobody: its task, which never started, would be answered "may have run". What an
    * entry sends before it answers a heartbeat arrives before the answer, so that it is refused in time.
    */
-  relieved (connected: Iterable<Instance>, view: View, now: number): boolean {
-    if (now - (this.#orderedAt ?? now) >= RELIEF_PATIENCE_MILLISECONDS) return true
-    return [...connected].every(entry => !isMember(view, entry) || this.#relievedBy.has(entry))
+  relieved (view: View, now: number): boolean {
+    return this.overdue(now) || liveMembers(view).every(({ instance }) => this.#relievedBy.has(instance))
   }
 }
--- a/packages/coordination/src/ledger.ts
+++ b/packages/coordination/src/ledger.ts
@@ -174,10 +174,10 @@
     return results
   }
 
-  /** Whether every finished task has been confirmed by its holder, for those that `counts`. */
-  allAcknowledged (counts: (holder: Instance) => boolean): boolean {
+  /** Whether every task in this state has been confirmed by its holder, for those that `counts`. */
+  allAcknowledged (state: LedgerState.Finished | LedgerState.Refused, counts: (holder: Instance) => boolean): boolean {
     for (const entry of this.#entries.values()) {
-      if (entry.state === LedgerState.Finished && !entry.acknowledged && counts(entry.holder)) return false
+      if (entry.state === state && !entry.acknowledged && counts(entry.holder)) return false
     }
     return true
   }
--- a/packages/coordination/test/agent.test.ts
+++ b/packages/coordination/test/agent.test.ts
@@ -127,3 +127,49 @@
   const epochs = effects.flatMap(effect => effect.type === 'sendEntry' && effect.message.case === 'recalled' ? [effect.message.value.epoch] : [])
   expect(epochs).toEqual(['3'])
 })
+
+function hasStopped (effects: AgentEffect[]): boolean {
+  return effects.some(({ type }) => type === 'stopped')
+}
+
+/** An agent whose stop was ordered at 10 and that has sent its heartbeats at 20. */
+function stoppingAgent (agent = servingAgent()): Agent {
+  agent.handle({ type: 'stopOrdered' }, 10)
+  agent.handle({ type: 'tick' }, 20)
+  return agent
+}
+
+test('a planned stop ends once every entry knows of it', () => {
+  const agent = stoppingAgent()
+  expect(hasStopped(from(agent, 'a', reply(20, 0), 21))).toEqual(false)
+  expect(hasStopped(from(agent, 'b', reply(20, 0), 21))).toEqual(true)
+})
+
+// Guards against a task answered as lost that never began: its entry sends it again over the next link, and finds nobody.
+test('a planned stop waits for an entry whose link is down', () => {
+  const agent = servingAgent()
+  agent.handle({ type: 'entryDisconnected', entry: 'b' }, 9)
+  stoppingAgent(agent)
+  expect(hasStopped(from(agent, 'a', reply(20, 0), 21))).toEqual(false)
+  agent.handle({ type: 'entryConnected', entry: 'b' }, 30)
+  expect(outcomes(from(agent, 'b', dispatch('job'), 31))).toEqual([TaskOutcome.NotStarted])
+  from(agent, 'b', { case: 'acknowledge', value: { tasks: [{ job: 'job', index: 0, attempt: 1 }] } }, 32)
+  expect(hasStopped(from(agent, 'b', reply(30, 0), 33))).toEqual(true)
+})
+
+// Guards against the same when the refusal is lost with the process that ends.
+test('a planned stop waits until its refusals have arrived', () => {
+  const agent = stoppingAgent()
+  expect(outcomes(from(agent, 'a', dispatch('job'), 20))).toEqual([TaskOutcome.NotStarted])
+  from(agent, 'a', reply(20, 0), 21)
+  expect(hasStopped(from(agent, 'b', reply(20, 0), 21))).toEqual(false)
+  const acknowledge: EntryToAgent = { case: 'acknowledge', value: { tasks: [{ job: 'job', index: 0, attempt: 1 }] } }
+  expect(hasStopped(from(agent, 'a', acknowledge, 22))).toEqual(true)
+})
+
+test('a planned stop does not wait for ever for an entry that is not heard of', () => {
+  const agent = stoppingAgent()
+  from(agent, 'a', reply(20, 0), 21)
+  expect(hasStopped(agent.handle({ type: 'tick' }, 3009))).toEqual(false)
+  expect(hasStopped(agent.handle({ type: 'tick' }, 3010))).toEqual(true)
+})
