The last target that takes work is not closed for one refusal; a new agent takes none before all entries know it

Cause: an entry closes a target that refuses what it has room for, unless too few would be left. One that is leaving counted as left, since it is up until its link ends. So with one agent down or just back, one leaving and one that refuses a task for a moment, none took work for 250 ms, and every job of that moment was refused, whatever its deadline. What refuses for a moment is there in each replacement: agents are "not yet known to every entry" after their start and "cut off from the view" when an entry joins, and entries sent them tasks only to have them refused.

Change: a target is closed or ejected only while another one takes work; an agent reports that it takes none until every entry has answered it (while the guard `rooted` is on), and says so at once when they have.

Ruled out as a way: to report "takes no work" also while an agent is cut off from the view. All agents are for some milliseconds when an entry joins, and each job of that moment would be refused.

--- a/packages/coordination/src/agent.ts
+++ b/packages/coordination/src/agent.ts
@@ -232,7 +232,10 @@
    * another then knows every agent that may have started something for it.
    */
   #refreshState (now: number): void {
-    if (!this.#rooted) this.#rooted = this.#confirmation.everyMemberReplied(this.#view)
+    if (!this.#rooted && this.#confirmation.everyMemberReplied(this.#view)) {
+      this.#rooted = true
+      this.#reportAll()
+    }
     const state = this.#currentState(now)
     if (state === this.#state) return
     this.#state = state
@@ -247,7 +250,7 @@
 
   #report (entry: Instance): TargetReport {
     const load = this.#slots.load(entry)
-    return { ...load, leaving: this.#stop.ordered, viewVersion: this.#view.version, configurationVersion: this.#configurationVersion }
+    return { ...load, leaving: this.#stop.ordered || (this.#guards.rooted && !this.#rooted), viewVersion: this.#view.version, configurationVersion: this.#configurationVersion }
   }
 
   #reportAll (): void {
--- a/packages/coordination/src/targets.ts
+++ b/packages/coordination/src/targets.ts
@@ -146,7 +146,7 @@
     else target.health.noteSuccess(runRatio, now)
     if (!target.up) return
     this.#fleetHealth.add(target.health)
-    if (!failed || !this.#fleetHealth.shouldEject(target.health)) return
+    if (!failed || !this.#fleetHealth.shouldEject(target.health) || !this.#othersTakeWork(target)) return
     this.#fleetHealth.remove(target.health)
     target.health.eject(now)
     this.#fleetHealth.add(target.health)
@@ -160,7 +160,7 @@
   noteRefusal (target: Target, now: number): void {
     const room = Math.floor((1 + QUEUE_PER_SLOT) * target.description.slots / this.#entries)
     if (target.health.trust === Trust.Ejected) return
-    if (!target.up || target.outstanding >= room || !this.#fleetHealth.canSpare(target.health)) {
+    if (!target.up || target.outstanding >= room || !this.#canSpare(target)) {
       target.noteFull(now)
       return
     }
@@ -200,12 +200,21 @@
    * have been broken off at their deadlines. Ejected, it is probed with one task at a time.
    */
   #ejectSilent (target: Target, now: number): void {
-    if (!this.#fleetHealth.canSpare(target.health)) return
+    if (!this.#canSpare(target)) return
     this.#fleetHealth.remove(target.health)
     target.health.noteSilence(now)
     this.#fleetHealth.add(target.health)
   }
 
+  #canSpare (target: Target): boolean {
+    return this.#fleetHealth.canSpare(target.health) && this.#othersTakeWork(target)
+  }
+
+  /** Whether a target besides this one takes work: one that leaves is up as well, and counts as trusted. */
+  #othersTakeWork (target: Target): boolean {
+    return this.#usable.size > (this.#usable.has(target) ? 1 : 0)
+  }
+
   #probe (target: Target): void {
     this.#fleetHealth.remove(target.health)
     target.health.probe()
--- a/packages/coordination/test/agent.test.ts
+++ b/packages/coordination/test/agent.test.ts
@@ -173,3 +173,16 @@
   expect(hasStopped(agent.handle({ type: 'tick' }, 3009))).toEqual(false)
   expect(hasStopped(agent.handle({ type: 'tick' }, 3010))).toEqual(true)
 })
+
+// Guards against a new run that gets tasks only to refuse them, and is taken for one that cannot be reached.
+test('an agent that is not known to every entry yet reports that it takes no work', () => {
+  const reports = (effects: AgentEffect[]): boolean[] => effects.flatMap(effect => {
+    if (effect.type !== 'sendEntry') return []
+    if (effect.message.case === 'announce') return [effect.message.value.report.leaving]
+    return effect.message.case === 'report' ? [effect.message.value.leaving] : []
+  })
+  const agent = connectedAgent()
+  expect(reports(agent.handle({ type: 'entryConnected', entry: 'a' }, 0))).toEqual([true])
+  from(agent, 'a', reply(0, 0), 1)
+  expect(reports(from(agent, 'b', reply(0, 0), 1))).toEqual([false, false])
+})
--- a/packages/coordination/test/scheduler.test.ts
+++ b/packages/coordination/test/scheduler.test.ts
@@ -396,3 +396,23 @@
   }
   expect(started).toEqual(3)
 })
+
+// Guards against jobs refused for want of targets: beside one that leaves, the last that takes work was closed for one refusal.
+test('the last target that takes work is not closed for a refusal while another one leaves', () => {
+  const scheduler = schedulerWith(['a1', 'b1'].map(target => describe(target)))
+  warmUp(scheduler)
+  scheduler.targetReport('b1#1', { ...report(), leaving: true }, 1)
+  scheduler.enqueue(tasks('refused', 1), 1)
+  for (const assignment of scheduler.decide(1)) scheduler.settled(assignment, TaskOutcome.NotStarted, 0, 1)
+  expect(scheduler.admit(tasks('job', 1), 2).admitted).toEqual(true)
+})
+
+test('a target that refuses what it has room for is closed while others take work', () => {
+  const scheduler = schedulerWith(['a1', 'b1'].map(target => describe(target)))
+  warmUp(scheduler)
+  scheduler.enqueue(tasks('refused', 1), 1)
+  const [assignment] = scheduler.decide(1)
+  if (assignment !== undefined) scheduler.settled(assignment, TaskOutcome.NotStarted, 0, 1)
+  scheduler.enqueue(tasks('job', 4), 2)
+  expect(scheduler.decide(2).some(({ agent }) => agent === assignment?.agent)).toEqual(false)
+})
