Log: a refused job with the figures that it was judged by

A refusal names the time that a job is expected to need, and not what that was worked out from: slots, work before it, patience.

`job refused` (in place of `job refused without targets`) carries them, ten lines a second at most with the count of the others.

--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -59,9 +59,13 @@
   return Math.ceil(bounded)
 }
 
-/** A refusal. */
-export function refuse (cause: Cause, detail: string, retryAfterMilliseconds: number): Admission {
-  return { admitted: false, cause, detail, retryAfterMilliseconds }
+/**
+ * A refusal.
+ *
+ * @param figures what it was judged by, for the log
+ */
+export function refuse (cause: Cause, detail: string, retryAfterMilliseconds: number, figures: Readonly<Record<string, number>> = {}): Admission {
+  return { admitted: false, cause, detail, retryAfterMilliseconds, figures }
 }
 
 /** Decides by expected time against the time left. `jitter` in [0, 1) spreads the callers' return. */
@@ -73,9 +77,9 @@
     return refuse(Cause.QuotaExceeded, 'the tenant is above its quota: send less, or ask the operators for more', retryAfter((quota - allowed) * spread))
   }
   if (question.slots <= 0) {
-    return { admitted: false, cause: Cause.Overloaded, detail: 'no target takes this work now: come back later', retryAfterMilliseconds: retryAfter(1000 * spread), withoutTargets: true }
+    return refuse(Cause.Overloaded, 'no target takes this work now: come back later', retryAfter(1000 * spread), { ...question })
   }
   const expected = expectedDuration(question)
   if (expected <= allowed) return { admitted: true }
-  return refuse(Cause.Overloaded, `the job is expected to need ${Math.round(expected)} ms: come back later or allow more time`, retryAfter((expected - allowed) * spread))
+  return refuse(Cause.Overloaded, `the job is expected to need ${Math.round(expected)} ms: come back later or allow more time`, retryAfter((expected - allowed) * spread), { ...question, expected })
 }
--- a/packages/coordination/src/jobs.ts
+++ b/packages/coordination/src/jobs.ts
@@ -17,6 +17,9 @@
 /** Tells an entry, this one or another, the answer to one of its requests. */
 export type Reply = (to: Attachment, job: JobKey, answer: Answer, now: number) => void
 
+/** Least time between two log lines on refused jobs, in milliseconds. */
+const REFUSAL_LINE_MILLISECONDS = 100
+
 export class Jobs {
   readonly #context: EntryContext
   readonly #scheduler: Scheduler
@@ -30,6 +33,8 @@
   readonly #dispatching: Dispatching
   readonly #secondMemory: SecondMemory
   #open = 0
+  #refusalSaidAt = Number.NEGATIVE_INFINITY
+  #refusalsUnsaid = 0
 
   constructor (context: EntryContext, scheduler: Scheduler, reply: Reply) {
     const { retention } = context.timings
@@ -69,8 +74,8 @@
       ? { admitted: false as const, cause: Cause.Overloaded, detail: 'too many jobs are open at this entry', retryAfterMilliseconds: 1000 }
       : this.#scheduler.admit(tasks, now)
     if (!admission.admitted) {
-      const { cause, detail, retryAfterMilliseconds, withoutTargets = false } = admission
-      if (withoutTargets) this.#context.emit({ type: 'note', what: 'job refused without targets', fields: { job: job.key, ...this.#scheduler.status() } })
+      const { cause, detail, retryAfterMilliseconds, figures } = admission
+      this.#noteRefusal(job, { cause, ...figures }, now)
       const kind = forgotten ? AnswerKind.MayHaveRun : AnswerKind.Refused
       this.refuse(job.key, from, answerWithout(kind, cause, detail, retryAfterMilliseconds), now)
       return
@@ -85,6 +90,15 @@
     this.#secondMemory.require(execution, from, now)
   }
 
+  /** Under overload few of the refusals are logged, with the count of the others. */
+  #noteRefusal (job: Job, fields: Record<string, unknown>, now: number): void {
+    this.#refusalsUnsaid += 1
+    if (now - this.#refusalSaidAt < REFUSAL_LINE_MILLISECONDS) return
+    this.#context.emit({ type: 'note', what: 'job refused', fields: { job: job.key, tasks: job.tasks.length, ...fields, unsaid: this.#refusalsUnsaid - 1, trust: this.#scheduler.status().health } })
+    this.#refusalSaidAt = now
+    this.#refusalsUnsaid = 0
+  }
+
   /** Whether a job that nobody has seen before would be taken now. */
   admits (job: Job, now: number): boolean {
     return this.#scheduler.admit(schedulableTasks(job, now), now).admitted
--- a/packages/coordination/src/scheduling.ts
+++ b/packages/coordination/src/scheduling.ts
@@ -37,7 +37,7 @@
 /** Whether a job is taken. */
 export type Admission =
   | { admitted: true }
-  | { admitted: false, cause: Cause, detail: string, retryAfterMilliseconds: number, withoutTargets?: boolean }
+  | { admitted: false, cause: Cause, detail: string, retryAfterMilliseconds: number, figures?: Readonly<Record<string, number>> }
 
 /** Load and share figures for status pages and metrics. */
 export interface SchedulerStatus {
