--- a/packages/dispatch/src/leasegrants.ts
+++ b/packages/dispatch/src/leasegrants.ts
@@ -19,7 +19,7 @@
   held: HeldTasks
   /** Of the present life. */
   lease: () => TargetLease
-  /** Whether the target turns down calls that name another life of it. */
+  /** Whether the target turns down calls that name another life of it, or there is none. */
   refusesOtherLives: () => boolean
   /** Whether the target has said that it ends. */
   deregistered: () => boolean
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -84,7 +84,7 @@
       context,
       held,
       lease: () => this.#lease,
-      refusesOtherLives: () => this.#facts?.refusesOtherLives === true,
+      refusesOtherLives: () => this.#facts === undefined || this.#facts.refusesOtherLives === true,
       deregistered: () => this.#deregistered,
       isProven: task => this.isProven(task)
     })
--- a/packages/dispatch/test/nextlife.test.ts
+++ b/packages/dispatch/test/nextlife.test.ts
@@ -111,6 +111,14 @@
   expect(bench.of('poll').map(({ deadline }) => deadline !== undefined)).toEqual([true])
 })
 
+test('a start without a target is refused at once, however old the contact', () => {
+  const bench = new AgentBench()
+  bench.link()
+  bench.now += TIMINGS.contact - 1
+  bench.start([order('job.0.0')])
+  expect(bench.ends()).toEqual(['job.0.0 notStarted noTarget'])
+})
+
 test('a start that waits for an echo ends with its link', () => {
   const bench = AgentBench.ready()
   bench.now += TIMINGS.freshContact
