A job answered failed for crashes of targets: a test that fails

Callers see 200 failed, which is final, for a job none of whose tasks has a failure that a target listed: after two crashes of targets under one of its tasks the entry takes the task for their cause.

The test drives an entry through crashes under one task and expects no answer of that kind.

--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -68,6 +68,17 @@
   expect(bench.entry.status().convictions).toEqual(1)
 })
 
+// Guards against a final answer that rests on a suspicion: no target has listed a failure.
+test('a job is not answered as failed when targets crash under a task that has not failed', () => {
+  const bench = entry()
+  bench.submit('one')
+  for (let crashes = 0; crashes < 5 && bench.answers().length === 0; crashes += 1) {
+    crash(bench, 'one.0.0')
+    bench.advance(400, AGENTS)
+  }
+  expect(bench.answers().filter(([, answer]) => answer.startsWith('failed'))).toEqual([])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
