A job is answered failed for listed failures only

Callers saw: 200 failed, which is final, for a job none of whose tasks had a listed failure.

Cause: an entry that takes a task for the cause of crashes (two targets lost under it) closed its job as failed. The class of fault: a final answer given on a belief instead of a listed fact.

Change: the job is given up at once. A submission of which a start was sent gets 504, one that comes while its task is still blocked gets 503 (nothing of it was sent) with a Retry-After at which the oldest loss no longer counts.

--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -94,6 +94,12 @@
     return inconclusive ? CrashVerdict.Withheld : CrashVerdict.Blocked
   }
 
+  /** Time until the oldest loss no longer counts against a task, in milliseconds. */
+  blockedFor (task: string, now: number): number {
+    const oldest = Math.min(...[...this.#losses.get(task)?.values() ?? []].map(({ at }) => at))
+    return Math.max(0, oldest + CRASH_RETENTION_MILLISECONDS - now)
+  }
+
   /** Losses recorded against a task, for the log. */
   evidenceOf (task: string): Array<{ life: string } & TargetLoss> {
     return [...this.#losses.get(task) ?? []].map(([life, loss]) => ({ life, ...loss }))
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -128,7 +128,7 @@
       suspects: this.#suspects,
       enqueue: job => this.#enqueue(job),
       close: (job, answer, now) => this.#close(job, answer, now),
-      giveUp: (job, reason, now) => this.#abandon(job, reason, now),
+      giveUp: (job, reason, now, retryAfter) => this.#abandon(job, reason, now, retryAfter),
       gone: (job, now) => this.#removeIfStopped(job, now),
       note: (what, fields) => this.#note(what, fields)
     })
@@ -383,13 +383,13 @@
    * Ends a job without completing it. It is refused if none of its tasks was ever placed, since it has then certainly
    * not run; otherwise it is answered as timed out.
    */
-  #abandon (job: Job, reason: Reason, now: number): void {
+  #abandon (job: Job, reason: Reason, now: number, retryAfter?: number): void {
     const { service } = job.request.queue
     const known = this.#fleet.known(service)
     const usable = this.#fleet.usable(service, now)
     this.#note('job given up', { job: job.request.id, reason, targets: known.length, usable: usable.length, free: usable.filter(agent => agent.healthAllowsMore()).map(agent => Math.round(agent.free.cpu)), needs: job.request.steps[0]?.needs.cpu, queued: this.#queueOf(job).size })
     if (job.started) return this.#close(job, { kind: AnswerKind.TimedOut, reason, retryAfter: 0 }, now)
-    this.#close(job, refused(reason, this.#retryAfter(job.request, now)), now)
+    this.#close(job, refused(reason, retryAfter ?? this.#retryAfter(job.request, now)), now)
   }
 
   #retryAfter ({ id, queue }: JobRequest, now: number): number {
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -13,11 +13,11 @@
 export enum AnswerKind {
   /** Every task is done. */
   Completed = 'completed',
-  /** A task failed as often as its queue allows. */
+  /** The targets have listed as many failures of a task as its queue allows. */
   Failed = 'failed',
   /** The job has not run, and never will under this submission. */
   Refused = 'refused',
-  /** The job was not finished in time; some of its tasks ran. */
+  /** The job was not finished in time or was given up; some of its tasks may have run. */
   TimedOut = 'timedOut',
   Cancelled = 'cancelled',
   /** At least one task has been started. */
@@ -37,7 +37,7 @@
   Overload = 'overload',
   Deadline = 'deadline',
   TaskFailed = 'taskFailed',
-  /** One of its tasks is confirmed to crash its targets. */
+  /** One of its tasks is taken for the cause of crashes of its targets, and is started no more. */
   TaskCrashes = 'taskCrashes',
   Stopping = 'stopping',
   CallerGone = 'callerGone',
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -1,6 +1,6 @@
 /**
  * Decides what follows when one start of a task has ended or progresses too slowly: the task is done, started again,
- * isolated from others, or its job fails.
+ * isolated from others, or its job fails or is given up.
  */
 import type { Admission } from './admission.ts'
 import type { CrashSuspects } from './crashsuspects.ts'
@@ -33,7 +33,8 @@
   /** Queues the job so that its tasks are placed. */
   enqueue: (job: Job) => void
   close: (job: Job, answer: Answer, now: number) => void
-  giveUp: (job: Job, reason: Reason, now: number) => void
+  /** @param retryAfter when to submit again if the job has not run, in milliseconds; by the load if omitted */
+  giveUp: (job: Job, reason: Reason, now: number, retryAfter?: number) => void
   /** A task of a closed job has ended. */
   gone: (job: Job, now: number) => void
   note: (what: string, fields: Record<string, unknown>) => void
@@ -59,7 +60,7 @@
     if (end.outcome === Outcome.Failed) {
       task.failures += 1
       task.avoid = agent.name
-      if (task.failures >= job.request.queue.attempts) return this.#dependencies.close(job, failed(Reason.TaskFailed), now)
+      if (task.failures >= job.request.queue.attempts) return this.#dependencies.close(job, { kind: AnswerKind.Failed, reason: Reason.TaskFailed, retryAfter: 0 }, now)
     } else if (end.cause !== Cause.Evacuated) {
       if (end.cause === Cause.Crashed) task.avoid = agent.name
       task.refusals += 1
@@ -83,11 +84,14 @@
     this.#dependencies.fleet.stop(agent, [placement])
   }
 
-  /** Queues the ready tasks of an open job. The job fails if one of its tasks is blocked for crashing targets. */
+  /**
+   * Queues the ready tasks of an open job. The job is given up if one of its tasks is blocked for crashing targets. It is not
+   * answered as failed, since that the task is the cause is an inference.
+   */
   place (job: Job, now: number): void {
     for (const task of job.tasks) {
       if (task.state !== TaskState.Queued && task.state !== TaskState.Withheld) continue
-      if (this.#updateVerdict(task, now) === CrashVerdict.Blocked) return this.#dependencies.close(job, failed(Reason.TaskCrashes), now)
+      if (this.#updateVerdict(task, now) === CrashVerdict.Blocked) return this.#dependencies.giveUp(job, Reason.TaskCrashes, now, this.#dependencies.suspects.blockedFor(task.name, now))
     }
     if (job.tasks.some(({ state }) => state === TaskState.Withheld)) this.#withheld.add(job)
     if (job.tasks.some(({ state }) => state === TaskState.Queued)) this.#dependencies.enqueue(job)
@@ -132,7 +136,3 @@
     this.place(job, now)
   }
 }
-
-function failed (reason: Reason): Answer {
-  return { kind: AnswerKind.Failed, reason, retryAfter: 0 }
-}
