Lines dropped since the last warning are reported at the end of the decision log

Operators saw: the log of a process that stops doesn't say how many lines it dropped in its last half second, though an overload often ends in a stop. With the warning in the budget, numbers that wait for a line would be lost there as well. Cause: only the timer writes `lines dropped`; the flush at the end writes the buffer alone. Evidence: a new test ends the log with a burst. Ruled out: a warning at the end outside the budget, which exceeds the bound. Change: the flush reports what is due, after it has emptied the buffer so that there is room for the line. The budget of the changes reserves a second line for it, which the timer leaves. Conclusion: the warnings of a log that was flushed add up to the lines it dropped by its budgets.

--- a/packages/daemon/src/decisionlog.ts
+++ b/packages/daemon/src/decisionlog.ts
@@ -19,7 +19,10 @@
 const MAX_CHANGE_LINE_BURST = 300
 
 /** Lines of each budget that are reserved for the warnings about dropped lines: without them, no warning is written as long as an overload lasts. */
-const RESERVED_LINES: Readonly<Record<LineClass, number>> = { [LineClass.Routine]: 0, [LineClass.Change]: 1 }
+const RESERVED_LINES: Readonly<Record<LineClass, number>> = { [LineClass.Routine]: 0, [LineClass.Change]: 2 }
+
+/** Number of the reserved lines that are left for the warning at the end, which has no later one to wait for. */
+const RESERVED_FOR_END = 1
 
 /** Maximum number of characters buffered for the reader. */
 const BUFFER_CHARACTERS = 256 * 1024
@@ -41,7 +44,7 @@
   decision: (what: string, fields: Record<string, unknown>) => void
   /** Returns the number of lines dropped so far. */
   dropped: () => DroppedLines
-  /** Writes all buffered lines. */
+  /** Writes all buffered lines, and the number of lines dropped since the last warning. To be called at the end. */
   flush: () => void
 }
 
@@ -55,9 +58,9 @@
     [LineClass.Change]: new LineBudget(CHANGE_LINES_PER_SECOND, MAX_CHANGE_LINE_BURST, now())
   }
   const limits: Readonly<Record<LineClass, number>> = { [LineClass.Routine]: ROUTINE_BUFFER_CHARACTERS, [LineClass.Change]: BUFFER_CHARACTERS }
-  const warn = dropReporter(log, dropped, () => budgets[LineClass.Change].take(now()))
+  const warn = dropReporter(log, dropped, reserved => budgets[LineClass.Change].take(now(), reserved))
   const timer = setInterval(() => {
-    warn()
+    warn(RESERVED_FOR_END)
     out.flush()
   }, FLUSH_MILLISECONDS)
   timer.unref()
@@ -69,21 +72,25 @@
       else dropped[lineClass] += 1
     },
     dropped: () => dropped,
-    flush: () => { out.flushSync() }
+    flush: () => {
+      out.flushSync()
+      warn(0)
+      out.flushSync()
+    }
   }
 }
 
 /**
  * Returns a function that logs how many lines were dropped since they were last logged, if any.
  *
- * @param allowed whether the budget allows a line now; if not, the numbers are logged by a later call
+ * @param allowed whether the budget allows a line now that leaves the reserved ones; if not, the numbers are logged by a later call
  */
-function dropReporter (log: Logger, dropped: DroppedLines, allowed: () => boolean): () => void {
+function dropReporter (log: Logger, dropped: DroppedLines, allowed: (reserved: number) => boolean): (reserved: number) => void {
   let reported = { ...dropped }
-  return () => {
+  return reserved => {
     const routine = dropped.routine - reported.routine
     const change = dropped.change - reported.change
-    if (routine + change === 0 || !allowed()) return
+    if (routine + change === 0 || !allowed(reserved)) return
     reported = { ...dropped }
     log.warn({ dropped: routine + change, routine, change }, 'lines dropped')
   }
--- a/packages/daemon/test/decisionlog.test.ts
+++ b/packages/daemon/test/decisionlog.test.ts
@@ -46,6 +46,11 @@
   expect(countOf(lines, 'job taken')).toEqual(100)
 })
 
+/** Returns how many lines the warnings report as dropped. */
+function reportedDrops (lines: Line[]): number {
+  return lines.reduce((sum, { msg, dropped }) => msg === 'lines dropped' ? sum + Number(dropped) : sum, 0)
+}
+
 test('both classes together stay within a bound per second', async () => {
   const burst = [{ what: 'job taken', count: 2000 }, { what: 'target lost', count: 2000 }]
   const seconds = 5
@@ -62,6 +67,13 @@
   expect(countOf(lines, 'lines dropped')).toEqual(2)
 })
 
+test('lines dropped since the last warning are reported when the log is flushed at the end, within the bound', async () => {
+  const burst = [{ what: 'job taken', count: 2000 }, { what: 'target lost', count: 2000 }]
+  const lines = await linesOf([...burst, { pause: 600 }, ...burst])
+  expect(reportedDrops(lines)).toEqual(8000 - countOf(lines, 'job taken') - countOf(lines, 'target lost'))
+  expect(lines.length <= 600).toEqual(true)
+})
+
 // With many callers, most of the starts that fail do so because the target is full. Counted as changes, they would use up the budget of the others.
 test('starts that fail because the target is full are routine, those that fail for another reason are not', async () => {
   const again = 'task to be placed again'
