A warning about dropped lines that the buffer has no room for is repeated with its numbers

Operators saw: with a reader that stops reading for a while, the numbers of the `lines dropped` lines don't add up to `amaranthmast_log_lines_dropped_total`: when the warning itself is dropped, its numbers are in no later one. Cause: the numbers counted as reported before it was known whether the output took the line. Evidence: a new test fills the buffer three times and compares what the warnings report with the lines that are missing. Ruled out: a reserved part of the buffer for the warning: characters are compared with bytes there, so that the warning could still be dropped. Change: a warning that the output drops reports nothing; its numbers stay for the next. It isn't counted as a dropped line, since what it says isn't lost: the metric counts the lines that are missing. Conclusion: no dropped line vanishes unreported from a log that was flushed at the end.

--- a/packages/daemon/src/decisionlog.ts
+++ b/packages/daemon/src/decisionlog.ts
@@ -81,17 +81,21 @@
 }
 
 /**
- * Returns a function that logs how many lines were dropped since they were last logged, if any.
+ * Returns a function that logs how many lines were dropped since they were last logged, if any. Numbers that could not be
+ * logged, because the budget or the buffer is used up, are logged by a later call.
  *
- * @param allowed whether the budget allows a line now that leaves the reserved ones; if not, the numbers are logged by a later call
+ * @param allowed whether the budget allows a line now that leaves the reserved ones
  */
-function dropReporter (log: Logger, dropped: DroppedLines, allowed: (reserved: number) => boolean): (reserved: number) => void {
+function dropReporter (log: Logger, dropped: Record<LineClass, number>, allowed: (reserved: number) => boolean): (reserved: number) => void {
   let reported = { ...dropped }
   return reserved => {
     const routine = dropped.routine - reported.routine
     const change = dropped.change - reported.change
     if (routine + change === 0 || !allowed(reserved)) return
-    reported = { ...dropped }
+    const before = { ...dropped }
     log.warn({ dropped: routine + change, routine, change }, 'lines dropped')
+    // The output counts the warning itself as dropped when the buffer has no room for it.
+    if (dropped.change > before.change) dropped.change = before.change
+    else reported = before
   }
 }
--- a/packages/daemon/test/decisionlog.test.ts
+++ b/packages/daemon/test/decisionlog.test.ts
@@ -98,3 +98,11 @@
   expect(countOf(lines, 'target lost')).toEqual(20)
   expect(countOf(lines, 'job taken') < seconds * 200).toEqual(true)
 })
+
+test('lines dropped while the buffer had no room for the warning are reported later', async () => {
+  const long = { what: 'target lost', fields: { reason: 'r'.repeat(200) }, count: 300, clock: 2000 }
+  const full = [long, long, long, long, { what: 'target lost', count: 300, clock: 2000 }, { pause: 600 }]
+  const lines = await linesOf([...full, ...full, ...full], false)
+  expect(countOf(lines, 'target lost') < 4500).toEqual(true)
+  expect(reportedDrops(lines)).toEqual(4500 - countOf(lines, 'target lost'))
+})
