The comment of known-red.mjs names the columns of KNOWN-RED.txt and how a test is recognised

Seen: the comment has `test | cause | issue`, the list and DEVELOPERS.md `test | what was seen | issue | command and seed`. Change: the comment alone. It also says that a test is recognised by its name only, whatever its file. No test: there is none for scripts yet.

--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -1,6 +1,7 @@
 /**
  * Decides whether a failed test run may pass: only when every failed test is listed in
- * KNOWN-RED.txt, whose lines are `test | cause | issue`, three at the most.
+ * KNOWN-RED.txt, whose lines are `test | what was seen | issue | command and seed`, three at
+ * the most. A test is recognised by its name alone, whatever its file.
  */
 import { existsSync, readFileSync } from 'node:fs'
 
