--- a/packages/daemon/src/decisionlog.ts
+++ b/packages/daemon/src/decisionlog.ts
@@ -18,6 +18,12 @@
 /** Maximum burst of lines that report changes: the loss of a rack or of the store causes several for each agent and task at once. */
 const MAX_CHANGE_LINE_BURST = 300
 
+/** Lines of each budget that are reserved for the warnings about dropped lines: without them, no warning is written as long as an overload lasts. */
+const RESERVED_LINES: Readonly<Record<LineClass, number>> = { [LineClass.Routine]: 0, [LineClass.Change]: 2 }
+
+/** Number of the reserved lines that are left for the warning at the end, which has no later one to wait for. */
+const RESERVED_FOR_END = 1
+
 /** Maximum number of characters buffered for the reader. */
 const BUFFER_CHARACTERS = 256 * 1024
 
@@ -38,7 +44,7 @@
   decision: (what: string, fields: Record<string, unknown>) => void
   /** Returns the number of lines dropped so far. */
   dropped: () => DroppedLines
-  /** Writes all buffered lines. */
+  /** Writes all buffered lines, and the number of lines dropped since the last warning. To be called at the end. */
   flush: () => void
 }
 
@@ -52,9 +58,9 @@
     [LineClass.Change]: new LineBudget(CHANGE_LINES_PER_SECOND, MAX_CHANGE_LINE_BURST, now())
   }
   const limits: Readonly<Record<LineClass, number>> = { [LineClass.Routine]: ROUTINE_BUFFER_CHARACTERS, [LineClass.Change]: BUFFER_CHARACTERS }
-  const warn = dropReporter(log, dropped)
+  const warn = dropReporter(log, dropped, reserved => budgets[LineClass.Change].take(now(), reserved))
   const timer = setInterval(() => {
-    warn()
+    warn(RESERVED_FOR_END)
     out.flush()
   }, FLUSH_MILLISECONDS)
   timer.unref()
@@ -62,21 +68,34 @@
     log,
     decision: (what, fields) => {
       const lineClass = lineClassOf(what, fields)
-      if (out.waiting < limits[lineClass] && budgets[lineClass].take(now())) log.info(fields, what)
+      if (out.waiting < limits[lineClass] && budgets[lineClass].take(now(), RESERVED_LINES[lineClass])) log.info(fields, what)
       else dropped[lineClass] += 1
     },
     dropped: () => dropped,
-    flush: () => { out.flushSync() }
+    flush: () => {
+      out.flushSync()
+      warn(0)
+      out.flushSync()
+    }
   }
 }
 
-/** Returns a function that logs how many lines were dropped since its last call, if any. */
-function dropReporter (log: Logger, dropped: DroppedLines): () => void {
+/**
+ * Returns a function that logs how many lines were dropped since they were last logged, if any. Numbers that could not be
+ * logged, because the budget or the buffer is used up, are logged by a later call.
+ *
+ * @param allowed whether the budget allows a line now that leaves the reserved ones
+ */
+function dropReporter (log: Logger, dropped: Record<LineClass, number>, allowed: (reserved: number) => boolean): (reserved: number) => void {
   let reported = { ...dropped }
-  return () => {
+  return reserved => {
     const routine = dropped.routine - reported.routine
     const change = dropped.change - reported.change
-    reported = { ...dropped }
-    if (routine + change > 0) log.warn({ dropped: routine + change, routine, change }, 'lines dropped')
+    if (routine + change === 0 || !allowed(reserved)) return
+    const before = { ...dropped }
+    log.warn({ dropped: routine + change, routine, change }, 'lines dropped')
+    // The output counts the warning itself as dropped when the buffer has no room for it.
+    if (dropped.change > before.change) dropped.change = before.change
+    else reported = before
   }
 }
