A task is blocked after three crashes of its targets, not two

Callers saw: jobs ended for crashes that no task caused.

Cause: two losses with hardly anything beside the task at one of them convicted it. A suspect is started alone, so the isolation itself makes the second half of the proof, and any target lost under it completes it.

Change: two losses have a task started alone, which costs a target at most and no other task; three crashes outside mass losses block it, as do five losses of any kind. Two-loss withholding goes.

--- a/packages/dispatch/src/crashdefaults.ts
+++ b/packages/dispatch/src/crashdefaults.ts
@@ -11,12 +11,14 @@
 export const MAX_SUSPECTS = 5000
 
 /**
- * Crashes that confirm a task as the cause, if at most `MAX_TASKS_BESIDE` others ran beside it at one of the targets;
- * and crashes after which a task is blocked in any case.
+ * Losses of targets after which a task counts as their cause and is started no more: those that are not part of a mass
+ * loss, and all of them.
  */
-export const CRASHES_TO_CONFIRM = 2
 export const CRASHES_TO_BLOCK = 3
-export const MAX_TASKS_BESIDE = 1
+export const LOSSES_TO_BLOCK = 5
+
+/** Crashes of its own target after which an agent refuses the task that ran there. */
+export const CRASHES_TO_REFUSE = 2
 
 /** Cost of placing a suspect on the fullest rather than the emptiest target: above any cost of distance or speed. */
 export const SUSPECT_LOAD_COST_MILLISECONDS = 10_000
--- a/packages/dispatch/src/crashreports.ts
+++ b/packages/dispatch/src/crashreports.ts
@@ -4,7 +4,7 @@
 import type { AgentMessage, CrashRecord } from './messages.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { CrashMemory } from './crashmemory.ts'
-import { CRASHES_TO_CONFIRM } from './crashdefaults.ts'
+import { CRASHES_TO_REFUSE } from './crashdefaults.ts'
 import { Cause } from './messages.ts'
 import { IncarnationEnd } from './taskruns.ts'
 
@@ -32,7 +32,7 @@
 
   /** Whether the task is blocked because it has crashed this target too often. */
   blocks (task: string, now: number): boolean {
-    return this.#crashes.crashesOf(task, now) >= CRASHES_TO_CONFIRM
+    return this.#crashes.crashesOf(task, now) >= CRASHES_TO_REFUSE
   }
 
   /** Handles the loss of the current incarnation. Returns the cause with which its tasks end. A crash is reported to entries before these ends. */
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -2,13 +2,14 @@
  * Tracks which tasks an entry suspects of crashing their targets, from the reports of the agents.
  *
  * When a target crashes, every task on it becomes a suspect. Suspects are started apart from each other, so that the
- * next crash points to one of them. Two crashed targets confirm a task as the cause only if almost nothing else ran on
- * one of them, and neither crashed together with many others.
+ * next crash points to one of them, and after that alone, so that a further crash takes no other task along. Two crashes
+ * prove nothing, even if the task was alone at the second: it was placed there alone. Crashes of many targets at once
+ * don't count either.
  */
 import type { CrashRecord } from './messages.ts'
 import {
-  MAX_TASKS_BESIDE, CRASH_RETENTION_MILLISECONDS, MASS_LOSS_MIN_TARGETS, MASS_LOSS_WINDOW_MILLISECONDS, MASS_LOSS_FRACTION,
-  CRASHES_TO_CONFIRM, CRASHES_TO_BLOCK, MAX_SUSPECTS
+  CRASH_RETENTION_MILLISECONDS, MASS_LOSS_MIN_TARGETS, MASS_LOSS_WINDOW_MILLISECONDS, MASS_LOSS_FRACTION, CRASHES_TO_BLOCK,
+  LOSSES_TO_BLOCK, MAX_SUSPECTS
 } from './crashdefaults.ts'
 import { CrashEvidence } from './messages.ts'
 
@@ -22,7 +23,7 @@
   Alone = 'alone',
   /** Not until more is known about the targets that were lost under it. */
   Withheld = 'withheld',
-  /** Never again: it is confirmed as the cause of crashes, or was on too many crashed targets. */
+  /** Not until its losses no longer count. */
   Blocked = 'givenUp'
 }
 
@@ -83,15 +84,11 @@
   verdict (task: string, now: number): CrashVerdict {
     const losses = [...this.#losses.get(task)?.values() ?? []]
     if (losses.length === 0) return CrashVerdict.Free
-    const confirmedCrashes = losses.filter(({ evidence }) => evidence === CrashEvidence.Crashed)
-    if (confirmedCrashes.length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
-    if (losses.length >= CRASHES_TO_BLOCK) return CrashVerdict.Withheld
-    if (losses.length < CRASHES_TO_CONFIRM) return CrashVerdict.Apart
-    const separateLosses = losses.filter(({ at }) => !this.#isInMassLoss(at))
-    const nearlyAlone = separateLosses.some(({ beside }) => beside <= MAX_TASKS_BESIDE)
-    if (separateLosses.length < CRASHES_TO_CONFIRM || !nearlyAlone) return CrashVerdict.Alone
-    const inconclusive = separateLosses.some(({ evidence, at }) => evidence === CrashEvidence.Unresponsive || now - at < MASS_LOSS_WINDOW_MILLISECONDS)
-    return inconclusive ? CrashVerdict.Withheld : CrashVerdict.Blocked
+    if (losses.length === 1) return CrashVerdict.Apart
+    const separate = losses.filter(({ at }) => !this.#isInMassLoss(at))
+    if (separate.filter(loss => isSettled(loss, now)).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
+    if (separate.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
+    return losses.every(loss => isSettled(loss, now)) ? CrashVerdict.Blocked : CrashVerdict.Withheld
   }
 
   /** Time until the oldest loss no longer counts against a task, in milliseconds. */
@@ -137,3 +134,8 @@
     if (oldest !== undefined) this.#losses.delete(oldest)
   }
 }
+
+/** Whether nothing more is to be learned about a loss: neither an answer of the target nor losses of others at the same time. */
+function isSettled ({ evidence, at }: TargetLoss, now: number): boolean {
+  return evidence === CrashEvidence.Crashed && now - at >= MASS_LOSS_WINDOW_MILLISECONDS
+}
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -66,7 +66,7 @@
   learnsKinds: boolean
   /** Places tasks at a leaving target if they will end before it is gone. @default false */
   usesLeaving: boolean
-  /** Restarts the tasks of a crashed target isolated from each other, and abandons a task after two crashes. @default false */
+  /** Restarts the tasks of a crashed target isolated from each other, and gives up a task after three crashes. @default false */
   isolatesSuspects: boolean
 }
 
--- a/packages/dispatch/src/schedulingsettings.ts
+++ b/packages/dispatch/src/schedulingsettings.ts
@@ -46,7 +46,7 @@
 export enum CrashHandling {
   /** They are restarted like any others. */
   Restart = 'restart',
-  /** They are restarted isolated from each other, and abandoned after two crashes. */
+  /** They are restarted isolated from each other, and given up after three crashes. */
   Isolate = 'isolate'
 }
 
