A crash counts only under tasks whose start the target had confirmed

Callers saw: a job shown as failed 900 ms after it was sent, though its task had run at one target at most.

Cause: an agent counted all that it held when its target was replaced. A start that another incarnation answers has certainly not begun, one without an answer may not have. Two of them made a job fail without a single run.

Change: a start that another incarnation answers ends as not started. A loss under a start that was not confirmed is reported as unconfirmed: it has the task isolated, and counts among the five losses of any kind only, since a task may crash its target before the start is confirmed.

Tests: "an agent refuses a task under which two incarnations of its target crashed" never confirmed the starts; it does now.

--- a/packages/dispatch/src/crashdefaults.ts
+++ b/packages/dispatch/src/crashdefaults.ts
@@ -11,8 +11,8 @@
 export const MAX_SUSPECTS = 5000
 
 /**
- * Losses of targets after which a task counts as their cause and is started no more: those that are not part of a mass
- * loss, and all of them.
+ * Losses of targets after which a task counts as their cause and is started no more: those of targets that had
+ * confirmed its start and that are not part of a mass loss, and all of them.
  */
 export const CRASHES_TO_BLOCK = 3
 export const LOSSES_TO_BLOCK = 5
--- a/packages/dispatch/src/crashmemory.ts
+++ b/packages/dispatch/src/crashmemory.ts
@@ -3,6 +3,13 @@
 import { CRASH_RETENTION_MILLISECONDS, MAX_CRASH_RECORDS } from './crashdefaults.ts'
 import { CrashEvidence } from './messages.ts'
 
+/** A task that its agent holds at a target that is lost. */
+export interface LostTask {
+  task: string
+  /** Whether the target has confirmed that it started the task. */
+  confirmed: boolean
+}
+
 interface RememberedCrash {
   task: string
   instance: string
@@ -18,19 +25,19 @@
    * Records the crash of an incarnation. Returns the records to send to entries, including those of tasks that had expired
    * while the incarnation did not respond.
    */
-  crashed (instance: string, tasks: readonly string[], now: number): CrashRecord[] {
-    const unresponsive = this.#updateUnresponsive(instance, CrashEvidence.Crashed, now)
+  crashed (instance: string, tasks: readonly LostTask[], now: number): CrashRecord[] {
+    const unresponsive = this.#settle(instance, [CrashEvidence.Unresponsive], CrashEvidence.Crashed, now)
     return [...unresponsive, ...this.#note(instance, this.#unknown(instance, tasks), CrashEvidence.Crashed, now)]
   }
 
   /** Records that an incarnation does not respond and its tasks begin to expire. Existing records are not changed. */
-  silent (instance: string, tasks: readonly string[], now: number): CrashRecord[] {
+  silent (instance: string, tasks: readonly LostTask[], now: number): CrashRecord[] {
     return this.#note(instance, this.#unknown(instance, tasks), CrashEvidence.Unresponsive, now)
   }
 
   /** Drops the records of an incarnation that answers again, so that it had not crashed. Returns them for the entries. */
   answered (instance: string, now: number): CrashRecord[] {
-    const records = this.#updateUnresponsive(instance, CrashEvidence.Answered, now)
+    const records = this.#settle(instance, [CrashEvidence.Unresponsive, CrashEvidence.Unconfirmed], CrashEvidence.Answered, now)
     for (const { task } of records) this.#records.delete(keyOf(task, instance))
     return records
   }
@@ -50,24 +57,26 @@
   }
 
   /** Tasks without a record for that incarnation. */
-  #unknown (instance: string, tasks: readonly string[]): string[] {
-    return tasks.filter(task => !this.#records.has(keyOf(task, instance)))
+  #unknown (instance: string, tasks: readonly LostTask[]): LostTask[] {
+    return tasks.filter(({ task }) => !this.#records.has(keyOf(task, instance)))
   }
 
-  #note (instance: string, tasks: readonly string[], evidence: CrashEvidence, now: number): CrashRecord[] {
+  /** @param evidence for the tasks that the target has confirmed */
+  #note (instance: string, tasks: readonly LostTask[], evidence: CrashEvidence, now: number): CrashRecord[] {
     this.#forgetOld(now)
-    return tasks.map(task => {
-      const record = { task, instance, beside: tasks.length - 1, evidence, at: now }
+    return tasks.map(({ task, confirmed }) => {
+      const record = { task, instance, beside: tasks.length - 1, evidence: confirmed ? evidence : CrashEvidence.Unconfirmed, at: now }
       this.#records.set(keyOf(task, instance), record)
       if (this.#records.size > MAX_CRASH_RECORDS) this.#forgetOldest()
       return crashRecordOf(record, now)
     })
   }
 
-  #updateUnresponsive (instance: string, evidence: CrashEvidence, now: number): CrashRecord[] {
+  /** Replaces the evidence of an incarnation's records where it is one of `open`. Returns these records. */
+  #settle (instance: string, open: readonly CrashEvidence[], evidence: CrashEvidence, now: number): CrashRecord[] {
     const settled: CrashRecord[] = []
     for (const record of this.#records.values()) {
-      if (record.instance !== instance || record.evidence !== CrashEvidence.Unresponsive) continue
+      if (record.instance !== instance || !open.includes(record.evidence)) continue
       record.evidence = evidence
       settled.push(crashRecordOf(record, now))
     }
--- a/packages/dispatch/src/crashreports.ts
+++ b/packages/dispatch/src/crashreports.ts
@@ -1,6 +1,7 @@
 /** Reports to entries about incarnations of a target that were lost while tasks ran there. */
 import type { AgentContext } from './agentcontext.ts'
 import type { HeldTasks } from './heldtasks.ts'
+import type { LostTask } from './crashmemory.ts'
 import type { AgentMessage, CrashRecord } from './messages.ts'
 import type { TargetWatch } from './targetwatch.ts'
 import { CrashMemory } from './crashmemory.ts'
@@ -41,7 +42,7 @@
     if (facts === undefined) return Cause.TargetLost
     if (ending === IncarnationEnd.Unknown) this.#unreachable = facts.instance
     if (!policy.isolatesSuspects || facts.leaving || deregistered || ending !== IncarnationEnd.Replaced) return Cause.TargetLost
-    this.#logAndSend('target crashed under tasks', this.#crashes.crashed(facts.instance, this.#heldTaskIds(), now))
+    this.#logAndSend('target crashed under tasks', this.#crashes.crashed(facts.instance, this.#heldTasks(), now))
     return Cause.Crashed
   }
 
@@ -49,7 +50,7 @@
   lapsed (now: number): void {
     const { context: { policy }, target: { facts, lease, deregistered } } = this.#dependencies
     if (!policy.isolatesSuspects || facts === undefined || facts.leaving || deregistered || !lease.silent) return
-    this.#logAndSend('target unresponsive until its tasks expired', this.#crashes.silent(facts.instance, this.#heldTaskIds(), now))
+    this.#logAndSend('target unresponsive until its tasks expired', this.#crashes.silent(facts.instance, this.#heldTasks(), now))
   }
 
   /** Withdraws the reports about an incarnation that answers. */
@@ -70,7 +71,8 @@
     this.#dependencies.sendToAll({ type: 'crashes', records: [...records] })
   }
 
-  #heldTaskIds (): string[] {
-    return this.#dependencies.held.all().map(({ order }) => order.task)
+  #heldTasks (): LostTask[] {
+    const { held, target } = this.#dependencies
+    return held.all().map(task => ({ task: task.order.task, confirmed: target.hasStarted(task) }))
   }
 }
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -4,7 +4,7 @@
  * When a target crashes, every task on it becomes a suspect. Suspects are started apart from each other, so that the
  * next crash points to one of them, and after that alone, so that a further crash takes no other task along. Two crashes
  * prove nothing, even if the task was alone at the second: it was placed there alone. Crashes of many targets at once
- * don't count either.
+ * don't count either, nor do those of targets that never confirmed the start of the task.
  */
 import type { CrashRecord } from './messages.ts'
 import {
@@ -85,7 +85,7 @@
     const losses = [...this.#losses.get(task)?.values() ?? []]
     if (losses.length === 0) return CrashVerdict.Free
     if (losses.length === 1) return CrashVerdict.Apart
-    const separate = losses.filter(({ at }) => !this.#isInMassLoss(at))
+    const separate = losses.filter(({ evidence, at }) => evidence !== CrashEvidence.Unconfirmed && !this.#isInMassLoss(at))
     if (separate.filter(loss => isSettled(loss, now)).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
     if (separate.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
     return losses.every(loss => isSettled(loss, now)) ? CrashVerdict.Blocked : CrashVerdict.Withheld
@@ -137,5 +137,5 @@
 
 /** Whether nothing more is to be learned about a loss: neither an answer of the target nor losses of others at the same time. */
 function isSettled ({ evidence, at }: TargetLoss, now: number): boolean {
-  return evidence === CrashEvidence.Crashed && now - at >= MASS_LOSS_WINDOW_MILLISECONDS
+  return evidence !== CrashEvidence.Unresponsive && now - at >= MASS_LOSS_WINDOW_MILLISECONDS
 }
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -72,13 +72,15 @@
 export enum CrashEvidence {
   /** It did not respond until the tasks had expired. */
   Unresponsive = 'silent',
-  /** It crashed. */
+  /** It crashed while the task ran. */
   Crashed = 'crashed',
+  /** It crashed or did not respond, and never confirmed that it had started the task. */
+  Unconfirmed = 'unconfirmed',
   /** It has answered again, so it had not crashed. */
   Answered = 'answered'
 }
 
-/** A task that was on a target when the target was lost. */
+/** A task that was or may have been on a target when the target was lost. */
 export interface CrashRecord {
   task: string
   /** Incarnation of the target. */
--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -73,7 +73,10 @@
     [StartAnswer.Full]: (held, now) => this.#notStarted(held, Cause.Full, now),
     [StartAnswer.Unhealthy]: (held, now) => this.#notStarted(held, Cause.Unhealthy, now),
     [StartAnswer.Rejected]: (held, now) => this.#notStarted(held, Cause.Rejected, now),
-    [StartAnswer.OtherInstance]: (_held, now) => this.#dependencies.targetLost('another instance answers', IncarnationEnd.Replaced, now),
+    [StartAnswer.OtherInstance]: (held, now) => {
+      this.#notStarted(held, Cause.Unreachable, now)
+      this.#dependencies.targetLost('another instance answers', IncarnationEnd.Replaced, now)
+    },
     [StartAnswer.NoListener]: (held, now) => {
       this.#notStarted(held, Cause.Unreachable, now)
       this.#dependencies.connectionRefused(now)
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -1,9 +1,11 @@
+import type { AgentEffect } from '../src/agenttypes.ts'
 import type { CrashRecord } from '../src/messages.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { PollFailure, StartAnswer } from '../src/agenttypes.ts'
 import { AnswerKind, Reason } from '../src/entrytypes.ts'
 import { CrashEvidence, Isolation } from '../src/messages.ts'
+import { ALL_GUARDS, World } from '../explore/world.ts'
 import { AgentBench, ENTRY, NEW_ID_EACH_INCARNATION, order, TARGET, TIMINGS } from './agentbench.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 import { Cause, Outcome } from '../src/messages.ts'
@@ -33,9 +35,9 @@
 }
 
 /** The target of a task crashes, with others running beside it. */
-function crash (bench: EntryBench, task: string, beside: string[] = []): string {
+function crash (bench: EntryBench, task: string, beside: string[] = [], changes: Partial<CrashRecord> = {}): string {
   const { agent, attempt } = lastStart(bench, task)
-  lost(bench, agent, [task, ...beside])
+  lost(bench, agent, [task, ...beside], changes)
   loseTarget(bench, agent)
   bench.end(agent, task, Outcome.Gone, Cause.Crashed, attempt)
   return agent
@@ -148,6 +150,30 @@
   expect(bench.answers()).toEqual([[request, 'timedOut taskCrashes']])
 })
 
+// Guards against blocking a task for crashes of targets at which it may never have begun.
+test('a task is not blocked for three crashes of targets that had not confirmed its start', () => {
+  const bench = entry()
+  bench.submit('one')
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(bench, 'one.0.0', [], { evidence: CrashEvidence.Unconfirmed })
+    bench.advance(400, AGENTS)
+  }
+  expect(bench.answers()).toEqual([])
+  expect(isolations(bench)).toEqual([Isolation.None, Isolation.Apart, Isolation.Alone, Isolation.Alone])
+})
+
+// Guards against a task that crashes each target before the target can confirm its start.
+test('a task is started at most five times when none of its crashed targets had confirmed the start', () => {
+  const bench = entry()
+  const request = bench.submit('one')
+  for (let crashes = 0; crashes < 5; crashes += 1) {
+    crash(bench, 'one.0.0', [], { evidence: CrashEvidence.Unconfirmed })
+    bench.advance(400, AGENTS)
+  }
+  expect(bench.starts().length).toEqual(5)
+  expect(bench.answers()).toEqual([[request, 'timedOut taskCrashes']])
+})
+
 // Guards against a task that crashes its targets while many others crash, too.
 test('a task is started at most twice after three crashes, even if they are part of a mass loss', () => {
   const bench = entry()
@@ -243,6 +269,19 @@
   expect(isolations(bench)).toEqual(Array.from({ length: 5 }, () => Isolation.None))
 })
 
+// Guards against counting the second target against a task that was started there after both had crashed.
+test('no task is blocked and no job fails when two targets crash at the same time', () => {
+  for (const seed of [10, 12, 16, 22, 24]) {
+    const lines: string[] = []
+    const world = new World(seed, ALL_GUARDS, { entries: 1, agents: 6, dataCentres: 1, longTasks: false, isolatesSuspects: true, changingTargets: false, partitions: false, late: false, keepNames: false }, line => lines.push(line))
+    world.callers.submitUntil(6000)
+    world.timeline.after(3000, () => { for (const target of world.targets.slice(0, 2)) target.crash(3000, false, true) })
+    world.timeline.runUntil(8000)
+    expect(lines.filter(line => line.includes('task blocked'))).toEqual([])
+    expect([world.callers.answers.get('failed'), lines.some(line => line.includes('task suspected'))]).toEqual([undefined, true])
+  }
+})
+
 // Agents
 
 /** Reported crashes and the causes of ends, in the order of the messages. */
@@ -285,6 +324,36 @@
   expect(reported(bench)).toEqual(['one ended unreachable'])
 })
 
+// Guards against blocking a task for crashes of targets at which it never began.
+test('a start that another incarnation answers does not count as a crash under its task', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.run('one')
+  bench.polled([{ task: 'one', run: 1, percent: 5 }])
+  bench.start([order('two')])
+  bench.startAnswered('two', StartAnswer.OtherInstance)
+  expect(reported(bench)).toEqual(['two ended unreachable', 'one crashed 0', 'one ended crashed'])
+})
+
+// The same, where nobody knows whether the start has arrived.
+test('a crash is reported as unconfirmed for a task whose start was not answered', () => {
+  for (const facts of [NEW_ID_EACH_INCARNATION, {}]) {
+    const bench = AgentBench.ready({ policy: ISOLATES }, facts)
+    bench.start([order('one')])
+    bench.startAnswered('one', StartAnswer.NoResponse)
+    bench.pollFailed(PollFailure.OtherInstance)
+    expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed 0'])
+  }
+})
+
+test('a target that was silent until an unanswered start expired, and then crashed, is reported as unconfirmed', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.start([order('one')])
+  bench.pollFailed(PollFailure.NoResponse)
+  bench.advance(800)
+  bench.pollFailed(PollFailure.OtherInstance)
+  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed 0'])
+})
+
 test('a target that refused connections until its tasks expired, and answers again, has not crashed', () => {
   const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
   bench.run('one')
@@ -336,13 +405,15 @@
 // The target returns under the same id, and entries may not have this agent's crash records.
 test('an agent refuses a task under which two incarnations of its target crashed', () => {
   const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
-  for (const instance of ['life-2', 'life-3']) {
+  for (const next of ['life-2', 'life-3']) {
     bench.echo()
     bench.start([order('one')])
-    bench.do({ type: 'pollFailed', instance: bench.effectsOfType('start').at(-1)?.instance ?? '', sent: bench.now, failure: PollFailure.NoListener })
+    const { instance, run } = bench.effectsOfType('start').at(-1) as Extract<AgentEffect, { type: 'start' }>
+    bench.do({ type: 'startAnswered', instance, task: 'one', run, answer: StartAnswer.Started })
+    bench.do({ type: 'pollFailed', instance, sent: bench.now, failure: PollFailure.NoListener })
     bench.advance(TIMINGS.expiry)
-    bench.seen({ instance })
-    bench.polled([], [], instance)
+    bench.seen({ instance: next })
+    bench.polled([], [], next)
   }
   bench.take()
   bench.echo()
