A blocked task is counted and logged once, and named as the cause of its job's loss

Operators saw, since a blocked job is given up and may be submitted again: amaranthmast_crashes counted each submission as another conviction, each wrote the line of the verdict again, and `losses` named such a job "failed crashed" after the last of its starts.

Change: a task is counted and its verdict written once while its losses count; `losses` names the reason taskCrashes.

--- a/packages/cli/test/logs.test.ts
+++ b/packages/cli/test/logs.test.ts
@@ -65,6 +65,18 @@
   ])
 })
 
+test('losses names the reason of a job that was given up for crashes under its task', async context => {
+  const { tool } = await startTool(context)
+  tool.files['entry'] = [
+    line(0, 'entry-1', 'job taken', { job: 'aa', queue: 'checks', tasks: 1 }),
+    line(30, 'entry-1', 'task to be placed again', { job: 'aa', task: 'aa.0.0', agent: 'agent-1', outcome: 'gone', cause: 'crashed' }),
+    line(90, 'entry-1', 'job ended', { job: 'aa', queue: 'checks', kind: 'timedOut', reason: 'taskCrashes', age: 90, waited: 0, objective: 200 })
+  ].join('\n')
+  const outcome = await tool.run('losses', { logs: ['entry'] })
+  const json = outcome instanceof ToolError ? undefined : outcome.json as { byCause: unknown }
+  expect(JSON.stringify(json?.byCause).includes('taskCrashes')).toEqual(true)
+})
+
 test('a missing log file is an error', async context => {
   const { tool } = await startTool(context)
   const outcome = await tool.run('losses', { logs: ['nothing'] })
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -50,6 +50,8 @@
   /** Recently lost incarnations: when each was lost, and the evidence. */
   readonly #lostIncarnations = new Map<string, { at: number, evidence: CrashEvidence }>()
   readonly #targets: () => number
+  /** Tasks that are blocked and have losses that still count. */
+  readonly #blocked = new Set<string>()
   #blockedTasks = 0
 
   /** @param targets returns the number of targets that this entry has links to */
@@ -102,15 +104,19 @@
     return [...this.#losses.get(task) ?? []].map(([life, loss]) => ({ life, ...loss }))
   }
 
-  noteBlocked (): void {
+  /** Counts a task as blocked. Returns false if it was counted before, as for a job that is submitted again. */
+  noteBlocked (task: string): boolean {
+    if (this.#blocked.has(task)) return false
+    this.#blocked.add(task)
     this.#blockedTasks += 1
+    return true
   }
 
   tick (now: number): void {
     for (const [incarnation, { at }] of this.#lostIncarnations) if (now - at >= CRASH_RETENTION_MILLISECONDS) this.#lostIncarnations.delete(incarnation)
     for (const [task, losses] of this.#losses) {
       for (const [incarnation, { at }] of losses) if (now - at >= CRASH_RETENTION_MILLISECONDS) losses.delete(incarnation)
-      if (losses.size === 0) this.#losses.delete(task)
+      if (losses.size === 0) this.#forget(task)
     }
   }
 
@@ -126,12 +132,17 @@
     const losses = this.#losses.get(task)
     if (losses === undefined) return
     losses.delete(incarnation)
-    if (losses.size === 0) this.#losses.delete(task)
+    if (losses.size === 0) this.#forget(task)
   }
 
   #removeOldest (): void {
     const oldest = this.#losses.keys().next().value
-    if (oldest !== undefined) this.#losses.delete(oldest)
+    if (oldest !== undefined) this.#forget(oldest)
+  }
+
+  #forget (task: string): void {
+    this.#losses.delete(task)
+    this.#blocked.delete(task)
   }
 }
 
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -118,8 +118,8 @@
     const { suspects, note } = this.#dependencies
     const fields = (): Record<string, unknown> => ({ job: task.job.request.id, task: task.name, verdict, losses: suspects.evidenceOf(task.name) })
     if (verdict === CrashVerdict.Blocked) {
-      suspects.noteBlocked()
-      return note('task blocked for crashing targets', fields())
+      if (suspects.noteBlocked(task.name)) note('task blocked for crashing targets', fields())
+      return
     }
     const known = verdict === CrashVerdict.Withheld ? task.state === TaskState.Withheld : task.isolation === ISOLATION_BY_VERDICT[verdict]
     if (!known) note('task suspected of crashing targets', fields())
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -110,6 +110,7 @@
   bench.submit('one')
   const [refusal] = bench.take().flatMap(effect => effect.type === 'answer' ? [effect.answer] : [])
   expect([refusal?.kind, refusal?.reason]).toEqual([AnswerKind.Refused, Reason.TaskCrashes])
+  expect(bench.entry.status().convictions).toEqual(1)
   bench.advance(refusal?.retryAfter ?? 0, AGENTS)
   bench.submit('one')
   expect([starts > 1, bench.starts().length]).toEqual([true, 1])
--- a/packages/logs/src/losses.ts
+++ b/packages/logs/src/losses.ts
@@ -2,6 +2,9 @@
 import type { LogLine } from './logline.ts'
 import { jobOf, processOf } from './logline.ts'
 
+/** Reason of a job that an entry gives up for crashes under one of its tasks. It says more than how these starts ended. */
+const BLOCKED_REASON = 'taskCrashes'
+
 /** How a job was lost for its caller. */
 export enum Loss {
   Late = 'late',
@@ -110,7 +113,7 @@
     const open = this.#open.get(job)
     this.#open.delete(job)
     if (kind === 'refused') return this.#report(line, job, open, Loss.Refused, String(reason))
-    if (kind === 'failed' || kind === 'timedOut') return this.#report(line, job, open, Loss.Failed, mostFrequentFailure(open) ?? String(reason))
+    if (kind === 'failed' || kind === 'timedOut') return this.#report(line, job, open, Loss.Failed, reason === BLOCKED_REASON ? reason : mostFrequentFailure(open) ?? String(reason))
     if (kind !== 'completed') return
     if (typeof age !== 'number' || typeof objective !== 'number' || age <= objective) {
       this.inTime += 1
