--- a/packages/emulator/src/emulatedtarget.ts
+++ b/packages/emulator/src/emulatedtarget.ts
@@ -1,7 +1,7 @@
 /** A target next to an agent, under virtual time. Calls to it can be delayed, lost or left without an answer, and it can crash, hang and slow down. */
 import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
 import type { Resources } from '@amaranthmast/dispatch/resources'
-import type { RunPlan, WorkerRun } from '@amaranthmast/standins/leasedworker'
+import type { RunEnd as WorkerRunEnd, RunPlan, WorkerRun } from '@amaranthmast/standins/leasedworker'
 import type { SeededRandom } from '@amaranthmast/standins/random'
 import type { Timeline } from './timeline.ts'
 import { PollFailure, RunEnd, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
@@ -41,6 +41,8 @@
   caller?: Caller
   plan: (task: string) => RunPlan
   cpuOf: (task: string) => number
+  /** Called once for each run whose end it lists as failed in the answer to a poll. */
+  failureListed?: (task: string) => void
 }
 
 /** Minimum time to the next end of a run, in milliseconds. If rounding made it 0, the wake-up would repeat at the same instant forever. */
@@ -90,6 +92,8 @@
   #name = ''
   #instance = ''
   #incarnation = 0
+  /** Number of the last end that its current incarnation has listed. */
+  #lastListed = 0
   /** When its clock was at 0, on the timeline. */
   #clockStart = 0
   #sequence = 0
@@ -273,6 +277,7 @@
         grantedDeadline = undefined
         if (!isCurrent) return failed(PollFailure.OtherInstance)
         if (fenced) return failed(PollFailure.Fenced)
+        this.#recordListed(ended)
         return { type: 'polled', instance, sent, clock: this.#clock, running, ended: ended.map(end => ({ ...end, end: end.how as RunEnd })) }
       }
     }
@@ -287,6 +292,14 @@
     return answer
   }
 
+  #recordListed (ends: readonly WorkerRunEnd[]): void {
+    for (const { number, task, how } of ends) {
+      if (number <= this.#lastListed) continue
+      this.#lastListed = number
+      if (how === 'failed') this.#options.failureListed?.(task)
+    }
+  }
+
   get #capacity (): Resources {
     const { capacity } = this.#options
     return { ...capacity, cpu: Math.floor(capacity.cpu * this.#capacityFraction) }
@@ -302,6 +315,7 @@
     else this.#name = `life-${this.#incarnation}`
     this.#instance = `${this.#name}/${this.#incarnation}`
     this.#sequence = 0
+    this.#lastListed = 0
     this.#wakeAt = Infinity
     const { longestLease, rejectsOverload = true, plan } = this.#options
     const worker = new LeasedWorker({ cpu: this.#capacity.cpu, longestLease, rejectsOverload, plan })
--- a/packages/emulator/test/emulatedtarget.test.ts
+++ b/packages/emulator/test/emulatedtarget.test.ts
@@ -1,4 +1,5 @@
 import type { AgentEvent } from '@amaranthmast/dispatch/agenttypes'
+import type { TargetOptions } from '../src/emulatedtarget.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { PollFailure, StartAnswer } from '@amaranthmast/dispatch/agenttypes'
@@ -17,7 +18,7 @@
   instance: string
 }
 
-function targetWithTask (): Fixture {
+function targetWithTask (changes: Partial<TargetOptions> = {}): Fixture {
   const timeline = new Timeline()
   const events: AgentEvent[] = []
   const options = {
@@ -31,7 +32,8 @@
     capacityGrace: 4000,
     pollsWait: true,
     plan: () => ({ duration: 5000, fails: false }),
-    cpuOf: () => 1000
+    cpuOf: () => 1000,
+    ...changes
   }
   const target = new EmulatedTarget(timeline, new SeededRandom(1), options, event => { events.push(event) })
   const instance = events.flatMap(event => event.type === 'targetSeen' ? [event.facts.instance] : [])[0] ?? ''
@@ -114,3 +116,15 @@
   expect(events.at(-1)).toEqual({ type: 'pollFailed', instance, sent: 150, failure: PollFailure.NoListener })
   expect(tasksOf(fixture)).toEqual(['a'])
 })
+
+test('a failure counts as listed from the first poll that lists it, and only once', () => {
+  const failures: string[] = []
+  const { timeline, target, instance } = targetWithTask({ plan: () => ({ duration: 50, fails: true }), failureListed: task => failures.push(task) })
+  timeline.runUntil(100)
+  expect(failures).toEqual([])
+  for (let poll = 1; poll <= 2; poll += 1) {
+    target.poll({ type: 'poll', instance, token: TOKEN, sent: timeline.now, deadline: undefined, acknowledged: 0, wait: 0, timeout: TIMEOUT })
+    timeline.runUntil(100 + 50 * poll)
+  }
+  expect(failures).toEqual(['a'])
+})
