--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -29,6 +29,8 @@
   credit: number
   /** From the last submission to the answer, in milliseconds. */
   responseTime: number
+  /** Whether it was answered as failed though no task had as many listed failures as its queue allows. */
+  failedUnlisted: boolean
 }
 
 /** A late answer, up to three times the objective, earns a fifth of the credit (the users' rule). */
@@ -53,6 +55,8 @@
   readonly #fleet: () => EmulatedFleet
   readonly #waiting = new Map<number, Caller>()
   readonly #settled = new Set<string>()
+  /** Jobs answered as failed without enough listed failures. */
+  readonly #failedUnlisted = new Set<string>()
   #requests = 0
 
   constructor (plan: DayPlan, timeline: Timeline, random: SeededRandom, fleet: () => EmulatedFleet) {
@@ -76,6 +80,8 @@
     const caller = this.#waiting.get(request)
     if (caller === undefined) return
     this.#waiting.delete(request)
+    const { id, queue } = caller.job
+    if (kind === AnswerKind.Failed && this.#fleet().failureCheck.violationOfFailed(id, queue.attempts) !== undefined) this.#failedUnlisted.add(id)
     this.#timeline.after(this.#plan.delays.callers, () => {
       if (kind === AnswerKind.TimedOut) return this.#resubmit(caller.job)
       if (kind === AnswerKind.Refused && caller.job.returns) return this.#resubmit(caller.job, roundUpToSeconds(retryAfter))
@@ -147,7 +153,7 @@
     // A job that crashes every target cannot be completed, so it does not count.
     const outcome = job.crashing === undefined ? earned : Outcome.Left
     const creditFraction = outcome === Outcome.InTime ? 1 : outcome === Outcome.Late ? LATE_CREDIT : 0
-    this.results.push({ job, outcome, elapsed: this.#timeline.now - job.at, credit: creditFraction * job.worth, responseTime: this.#timeline.now - submittedAt })
+    this.results.push({ job, outcome, elapsed: this.#timeline.now - job.at, credit: creditFraction * job.worth, responseTime: this.#timeline.now - submittedAt, failedUnlisted: this.#failedUnlisted.has(job.id) })
   }
 }
 
--- a/packages/emulator/src/figures.ts
+++ b/packages/emulator/src/figures.ts
@@ -45,6 +45,8 @@
   crashes: number
   startsAfterCrashes: number
   failedSound: number
+  /** Jobs answered as failed though no task had as many listed failures as its queue allows. */
+  failedUnlisted: number
   /** Starts over the capacity of a target, tasks started at leaving targets, and those of them that the end of the target cut off. */
   startsOver: number
   begunLeaving: number
@@ -99,6 +101,7 @@
     crashes,
     startsAfterCrashes,
     failedSound: counted.filter(({ outcome, job }) => outcome === Outcome.Failed && !job.poisoned).length,
+    failedUnlisted: all.filter(({ failedUnlisted }) => failedUnlisted).length,
     coresInTime: workInTime / THOUSANDTHS_PER_CORE / (seconds * MILLISECONDS_PER_SECOND),
     usefulPart: workInTime / Math.max(1, sum([...work.values()])),
     soonRefusals: refusals.filter(({ responseTime }) => responseTime - 2 * callerDelay <= PROMPT_MILLISECONDS).length / Math.max(1, refusals.length),
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -14,6 +14,7 @@
 import { timingsFor } from '@amaranthmast/dispatch/timings'
 import { Connections } from './connections.ts'
 import { EmulatedTarget } from './emulatedtarget.ts'
+import { FailureCheck } from './failurecheck.ts'
 import { linkEnds, numberOf, pairOf } from './linkends.ts'
 import { PeerLinks } from './peerlinks.ts'
 import { TroubleKind } from './troubletypes.ts'
@@ -71,6 +72,8 @@
   /** Target crashes caused by tasks, and starts of tasks that had already crashed three targets. */
   crashes = 0
   startsAfterCrashes = 0
+  /** Failures that the targets have listed. */
+  readonly failureCheck = new FailureCheck()
   readonly #crashCounts = new Map<string, number>()
   /** Work reported by agents, by job, in thousandths of a core times milliseconds. */
   readonly work = new Map<string, number>()
@@ -197,7 +200,8 @@
       capacityGrace: CAPACITY_GRACE,
       pollsWait: true,
       plan: task => this.#runPlan(index, task, speed),
-      cpuOf: task => this.#jobOf(task).cpu
+      cpuOf: task => this.#jobOf(task).cpu,
+      failureListed: task => this.failureCheck.recordFailure(task)
     }, event => agent.post(event)))
   }
 
--- a/packages/emulator/src/report.ts
+++ b/packages/emulator/src/report.ts
@@ -4,13 +4,13 @@
 import { drawPlot, pageOf } from '@amaranthmast/bench/reportpage'
 import { mean } from 'simple-statistics'
 
-const COLUMNS = ['credit', 'worstKind', 'worstWindows', 'largestTenth', 'inTimePart', 'coresInTime', 'usefulPart', 'soonRefusals', 'worstKindPart', 'largestTenthPart', 'late', 'refused', 'failed', 'failedSound', 'crashes', 'startsAfterCrashes', 'startsFullPart', 'messagesPerTask', 'startsOver', 'begunLeaving', 'cutOff'] as const
+const COLUMNS = ['credit', 'worstKind', 'worstWindows', 'largestTenth', 'inTimePart', 'coresInTime', 'usefulPart', 'soonRefusals', 'worstKindPart', 'largestTenthPart', 'late', 'refused', 'failed', 'failedSound', 'failedUnlisted', 'crashes', 'startsAfterCrashes', 'startsFullPart', 'messagesPerTask', 'startsOver', 'begunLeaving', 'cutOff'] as const
 
 /** Decimal places of fractions and of counts. */
 const FRACTION_DIGITS = 3
 const COUNT_DIGITS = 1
 
-const COUNT_COLUMNS: ReadonlySet<string> = new Set(['coresInTime', 'late', 'refused', 'failed', 'failedSound', 'crashes', 'startsAfterCrashes', 'startsOver', 'begunLeaving', 'cutOff'])
+const COUNT_COLUMNS: ReadonlySet<string> = new Set(['coresInTime', 'late', 'refused', 'failed', 'failedSound', 'failedUnlisted', 'crashes', 'startsAfterCrashes', 'startsOver', 'begunLeaving', 'cutOff'])
 
 /** Formats one line per variant: means, and differences from the first variant with their standard errors. */
 export function tableOf (summaries: readonly VariantSummary[]): string {
