Explorer: a job answered as failed must have as many listed failures as its queue allows

What was missing: the explorer judged no answer "failed", and its tasks fail too seldom for one. Change: the world checks each such answer against the failures that its targets have listed; the theme "failures" has targets that fail all or some of what they start beside crashes, lost answers and late orders, and isolates suspects in odd seeds. How it was shown to fail: with entries that fail a job after two failures the world reports it, with the check taken out it does not; without failing targets no job fails.

--- a/packages/dispatch/explore/callers.ts
+++ b/packages/dispatch/explore/callers.ts
@@ -35,6 +35,7 @@
   /** Answers so far, by kind. */
   readonly answers = new Map<string, number>()
   readonly #submissions = new Map<number, Submission>()
+  readonly #jobOfRequest = new Map<number, string>()
   #requests = 0
   #jobs = 0
 
@@ -47,6 +48,11 @@
     return [...this.#submissions.values()].map(({ id }) => id)
   }
 
+  /** Job of a submission, also after its caller has disconnected; undefined for other requests. */
+  jobOf (request: number): string | undefined {
+    return this.#jobOfRequest.get(request)
+  }
+
   /** Submits jobs at random intervals until the given time. */
   submitUntil (end: number): void {
     const { timeline, random } = this.#dependencies
@@ -93,6 +99,7 @@
     this.#requests += 1
     const request = this.#requests
     this.#submissions.set(request, { id, entry: index, answered: false })
+    this.#jobOfRequest.set(request, id)
     const step = { count: 1 + Number(id.length % 2), needs: { cpu, memory: 1, accelerators: 0 }, estimated: 800, after: [], label: '', rack: '', perTarget: 0 }
     entry.post({ type: 'submitted', request, job: { id, queue, payload: '', steps: [step], remaining: deadline } })
     timeline.after(deadline, () => this.#abandon(request))
--- a/packages/dispatch/explore/explore.ts
+++ b/packages/dispatch/explore/explore.ts
@@ -1,6 +1,7 @@
 /**
  * Explores random fault sequences for violated invariants: concurrent runs of one task, starts in evacuated data centres,
- * runs of cancelled jobs, and starts beyond a target's capacity or its drain time. Exits with 1 if a seed violates one.
+ * runs of cancelled jobs, starts beyond a target's capacity or its drain time, and jobs that are answered as failed without
+ * enough listed failures. Exits with 1 if a seed violates one.
  *
  *     npm run explore:leases -- --seed 1 --runs 1000 [--theme processes] [--break contact]
  *     npm run explore:leases -- --seed 1 --runs 200 --theme lateness --all [--only refuse]
--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -18,7 +18,9 @@
   /** The faults of `Processes` while entries grant capacity in partitions, and several entries that grant the capacity of the same targets. */
   Partitions = 'partitions',
   /** Delayed processes, targets that refuse connections, lose stops, answer slowly or run on after they deregistered, and callers that disconnect early. */
-  Lateness = 'lateness'
+  Lateness = 'lateness',
+  /** The faults of `Processes`, targets that fail all or some of what they start, and targets that crash shortly after each other. */
+  Failures = 'failures'
 }
 
 /** Duration of one simulation, in milliseconds: faults until `FAULTS_END`, then none. */
@@ -186,6 +188,34 @@
   deregisterAndRefuse: world => deregister(world, true)
 }
 
+const FAILURE_FAULTS: Readonly<Record<string, Fault>> = {
+  ...BASE_FAULTS,
+  failAll: world => failTasks(world, randomAgentIndex(world), 1),
+  failAllEach: world => { for (const agent of world.agents.keys()) failTasks(world, agent, 1) },
+  failSomeEach: world => { for (const agent of world.agents.keys()) failTasks(world, agent, 0.3 + world.random.next() * 0.6) },
+  failAllAndCrash: world => {
+    const agent = randomAgentIndex(world)
+    failTasks(world, agent, 1)
+    world.timeline.after(world.random.next() * 1000, () => world.targets[agent]?.crash(100 + world.random.next() * 1000))
+  },
+  failAllEachAndLoseAnswers: world => {
+    for (const [agent, target] of world.targets.entries()) {
+      failTasks(world, agent, 1)
+      target.loseAnswers(300 + world.random.next() * 1500, 0.5)
+    }
+  },
+  crashInTurn: world => {
+    for (const target of world.targets) {
+      if (world.random.next() < 0.7) world.timeline.after(world.random.next() * 2000, () => target.crash(100 + world.random.next() * 1000))
+    }
+  }
+}
+
+/** A target fails a fraction of the tasks that start there, for a random time. */
+function failTasks (world: World, agent: number, fraction: number): void {
+  world.failTasks(agent, fraction, randomFaultDuration(world))
+}
+
 /** Faults that are injected only when requested by name. */
 const ON_REQUEST_FAULTS: Readonly<Record<string, Fault>> = {
   // Orders and lease renewals of a delayed agent reach the new incarnation of its target, which keeps the name and receives no stops. The entry of its tasks restarts.
@@ -230,7 +260,8 @@
   [Theme.Cancels]: CANCEL_FAULTS,
   [Theme.Capacity]: CAPACITY_FAULTS,
   [Theme.Partitions]: PARTITION_FAULTS,
-  [Theme.Lateness]: LATENESS_FAULTS
+  [Theme.Lateness]: LATENESS_FAULTS,
+  [Theme.Failures]: FAILURE_FAULTS
 }
 
 /** Faults that become more likely when the guard against them is disabled. */
@@ -258,6 +289,9 @@
 /** Themes in which targets may restart under their names. */
 const THEMES_WITH_KEPT_NAMES: ReadonlySet<Theme> = new Set([Theme.Operators, Theme.Cancels, Theme.Lateness])
 
+/** Themes in which odd seeds isolate the tasks of crashed targets. */
+const THEMES_WITH_ISOLATION: ReadonlySet<Theme> = new Set([Theme.Cancels, Theme.Failures])
+
 function randomEntryIndex (world: World): number {
   return world.random.integer(0, FLEET_SIZE.entries - 1)
 }
@@ -285,21 +319,24 @@
   broken?: string | undefined
   /** The only fault to inject; all faults of the theme by default. */
   only?: string | undefined
+  /** Failures of a task after which entries fail its job; those that its queue allows by default. */
+  attempts?: number | undefined
   trace?: (line: string) => void
 }
 
 /** Simulates one seed. */
-export function runSeed (seed: number, theme: Theme, { broken, only, trace }: RunOptions = {}): RunResult {
+export function runSeed (seed: number, theme: Theme, { broken, only, attempts, trace }: RunOptions = {}): RunResult {
   const guards = broken === undefined ? ALL_GUARDS : guardsWithout(broken)
   const world = new World(seed, guards, {
     ...FLEET_SIZE,
     dataCentres: theme === Theme.Operators ? 2 : 1,
     longTasks: theme === Theme.Cancels,
-    isolatesSuspects: theme === Theme.Cancels && seed % 2 === 1,
+    isolatesSuspects: THEMES_WITH_ISOLATION.has(theme) && seed % 2 === 1,
     changingTargets: theme === Theme.Capacity,
     partitions: theme === Theme.Partitions,
     late: theme === Theme.Lateness,
-    keepNames: THEMES_WITH_KEPT_NAMES.has(theme)
+    keepNames: THEMES_WITH_KEPT_NAMES.has(theme),
+    attempts
   }, trace)
   world.callers.submitUntil(FAULTS_END)
   scheduleFaults(world, faultsOf(theme, only), FOCUSED_FAULTS[broken ?? ''] ?? [], trace)
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -1,11 +1,13 @@
 /**
  * Simulates a small fleet and its callers in virtual time and checks the invariants: no task has two concurrent runs, no task
- * starts in an evacuated data centre, beyond a target's capacity or after its drain time, and no task of a cancelled job keeps running.
+ * starts in an evacuated data centre, beyond a target's capacity or after its drain time, no task of a cancelled job keeps running,
+ * and no job is answered as failed unless targets have listed as many failures of one of its tasks as its queue allows.
  */
 import type { AgentEffect, AgentEvent } from '../src/agenttypes.ts'
 import type { AgentGuards } from '../src/agentcontext.ts'
-import type { AnswerKind, EntryEffect, EntryEvent } from '../src/entrytypes.ts'
+import type { EntryEffect, EntryEvent } from '../src/entrytypes.ts'
 import type { FleetGuards } from '../src/fleetguards.ts'
+import type { Queue } from '../src/queues.ts'
 import type { TargetOptions } from '@amaranthmast/emulator/emulatedtarget'
 import type { AgentProcess, EntryProcess } from '@amaranthmast/emulator/linkends'
 import { SeededRandom } from '@amaranthmast/standins/random'
@@ -15,11 +17,13 @@
 import { Agent } from '../src/agent.ts'
 import { ALL_AGENT_GUARDS } from '../src/agentcontext.ts'
 import { Entry } from '../src/entry.ts'
+import { AnswerKind } from '../src/entrytypes.ts'
 import { ALL_FLEET_GUARDS } from '../src/fleetguards.ts'
 import { DEFAULT_POLICY } from '../src/policy.ts'
 import { timingsFor } from '../src/timings.ts'
 import { Connections } from '@amaranthmast/emulator/connections'
 import { EmulatedTarget } from '@amaranthmast/emulator/emulatedtarget'
+import { FailureCheck } from '@amaranthmast/emulator/failurecheck'
 import { linkEnds, numberOf, pairOf } from '@amaranthmast/emulator/linkends'
 import { PeerLinks } from '@amaranthmast/emulator/peerlinks'
 import { Process } from '@amaranthmast/emulator/process'
@@ -77,6 +81,9 @@
 /** Highest fraction by which a target's monotonic clock runs slow. */
 const MAX_CLOCK_SLOWNESS = 0.02
 
+/** Fraction of the tasks that fail at a sound target. */
+const FAILURE_RATE = 0.02
+
 const QUEUE = { name: 'queue', host: 'host', prefix: '/', service: 'service', priority: 0, attempts: 3, slackFactor: 3, latency: 500, timeout: 0 }
 
 const DATA_CENTRES = ['one', 'two']
@@ -97,6 +104,8 @@
   keepNames: boolean
   /** Processes handle events in delayed batches, disconnects of callers reach entries after a delay, and calls end with the process that made them. */
   late: boolean
+  /** Failures of a task after which entries fail its job. The check requires those that the queue allows. @default those */
+  attempts?: number | undefined
 }
 
 export interface Violation {
@@ -124,6 +133,10 @@
   readonly #partitions: boolean
   readonly #late: boolean
   readonly #keepNames: boolean
+  readonly #queue: Queue
+  readonly #failureCheck = new FailureCheck()
+  /** Fraction of the tasks that fail at a target that is not sound. */
+  readonly #failureRates = new Map<number, number>()
   readonly #connections: Connections
   readonly #quietPing: number
   readonly #peers: PeerLinks
@@ -141,12 +154,13 @@
     this.#partitions = options.partitions
     this.#late = options.late
     this.#keepNames = options.keepNames
+    this.#queue = { ...QUEUE, attempts: options.attempts ?? QUEUE.attempts }
     this.random = new SeededRandom(seed)
     this.#quietPing = seed % 2 === 0 ? LONG_QUIET_PING : DEFAULT_POLICY.quietPing
     const messageDelay = (): number => MIN_MESSAGE_DELAY + this.random.next() * MESSAGE_DELAY_SPREAD
     this.#connections = new Connections(this.timeline, messageDelay)
     this.#peers = new PeerLinks(this.timeline, this.entries, messageDelay)
-    this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: QUEUE, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined })
+    this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: this.#queue, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined })
     // Operators and cancellations have their own random sequences, so that a seed yields the same process faults with and without them.
     this.operators = new Operators({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, agents: this.agents, dataCentreOf: agent => this.dataCentreOf(agent) })
     this.cancels = new Cancellations({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => this.callers.waiting(), stop: PLATFORM_BOUNDS.stop })
@@ -243,6 +257,12 @@
     this.timeline.after(milliseconds, () => this.agents[index]?.post(heartbeat))
   }
 
+  /** For a time a target fails a fraction of the tasks that start there. */
+  failTasks (index: number, fraction: number, milliseconds: number): void {
+    this.#failureRates.set(index, fraction)
+    this.timeline.after(milliseconds, () => this.#failureRates.delete(index))
+  }
+
   resetConnection (entry: number, agent: number): void {
     this.#connections.closeByEntry(pairOf(entry, agent))
   }
@@ -257,16 +277,16 @@
     const createAgent = (): Agent => new Agent({ timings, stop: PLATFORM_BOUNDS.stop, drain: PLATFORM_BOUNDS.drain, wallClock: () => 1_000_000 + this.timeline.now + this.random.integer(-400, 400), guards: guards.agent, policy: { quietPing: this.#quietPing, isolatesSuspects: this.#isolatesSuspects, usesLeaving: this.#changingTargets, partitions: this.#partitions } })
     const agent: AgentProcess = new Process<AgentEvent, AgentEffect>(`agent${index}`, this.timeline, createAgent, { type: 'tick' }, effect => this.#carryOutAgent(index, effect))
     this.agents.push(agent)
-    this.targets.push(new EmulatedTarget(this.timeline, this.random, this.#traits(this.dataCentreOf(index), agent), event => {
+    this.targets.push(new EmulatedTarget(this.timeline, this.random, this.#traits(index, agent), event => {
       if (event.type === 'targetSeen') this.#recordNotice(index, event.facts.leaving)
       agent.post(event)
     }))
   }
 
-  #traits (dataCentre: string, agent: AgentProcess): TargetOptions {
+  #traits (index: number, agent: AgentProcess): TargetOptions {
     return {
       service: 'service',
-      dataCentre,
+      dataCentre: this.dataCentreOf(index),
       labels: [],
       capacity: { cpu: this.#capacity, memory: 65_536, accelerators: 0 },
       clockRate: 1 - MAX_CLOCK_SLOWNESS * this.random.next(),
@@ -277,8 +297,9 @@
       refusesOtherLives: !this.#keepNames,
       pollsWait: this.#dataCentres > 1 || this.#late,
       ...(this.#late ? { caller: agent } : {}),
-      plan: () => ({ duration: 50 + this.random.next() * this.#maxTaskDuration, fails: this.random.next() < 0.02 }),
-      cpuOf: () => TASK_CPU
+      plan: () => ({ duration: 50 + this.random.next() * this.#maxTaskDuration, fails: this.random.next() < (this.#failureRates.get(index) ?? FAILURE_RATE) }),
+      cpuOf: () => TASK_CPU,
+      failureListed: task => this.#failureCheck.recordFailure(task)
     }
   }
 
@@ -293,14 +314,13 @@
   }
 
   #configure (entry: EntryProcess): void {
-    entry.post({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+    entry.post({ type: 'configured', configuration: { version: 1, queues: [this.#queue], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
 
   #carryOutAgent (index: number, effect: AgentEffect): void {
     const target = this.targets[index] as EmulatedTarget
     if (effect.type === 'start') {
-      const violation = this.operators.violationOfStart(index) ?? this.#violationOfLateStart(index)
-      if (violation !== undefined) this.violation ??= { at: this.timeline.now, detail: violation, overlapDuration: 0 }
+      this.#report(this.operators.violationOfStart(index) ?? this.#violationOfLateStart(index))
       target.start(effect)
     }
     if (effect.type === 'readEvacuations') this.operators.readForAgent(index)
@@ -333,6 +353,8 @@
   }
 
   #answered (request: number, kind: AnswerKind): void {
+    const job = this.callers.jobOf(request)
+    if (kind === AnswerKind.Failed && job !== undefined) this.#report(this.#failureCheck.violationOfFailed(job, QUEUE.attempts))
     this.cancels.answered(request)
     this.callers.answered(request, kind)
   }
@@ -363,10 +385,14 @@
   // Invariants
 
   #check (): void {
-    for (const violation of this.#findViolations()) this.violation ??= { at: this.timeline.now, detail: violation, overlapDuration: 0 }
+    for (const violation of this.#findViolations()) this.#report(violation)
     if (this.violation === undefined) this.timeline.after(CHECK_INTERVAL, () => this.#check())
   }
 
+  #report (detail: string | undefined): void {
+    if (detail !== undefined) this.violation ??= { at: this.timeline.now, detail, overlapDuration: 0 }
+  }
+
   #findViolations (): string[] {
     const violations: string[] = []
     const targetOfTask = new Map<string, number>()
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -56,6 +56,20 @@
   expect(findFirst(5000, 60, Theme.Lateness)).toEqual(undefined)
 })
 
+test('targets that fail, crash and lose answers let no job fail without as many listed failures as its queue allows', () => {
+  expect(findFirst(5000, 60, Theme.Failures)).toEqual(undefined)
+})
+
+test('jobs are answered as failed while all targets fail everything', () => {
+  const { violation, answers } = runSeed(2, Theme.Failures, { only: 'failAllEach' })
+  expect([violation, (answers.get('failed') ?? 0) > 0]).toEqual([undefined, true])
+})
+
+test('a job that is answered as failed after too few listed failures violates an invariant', () => {
+  const { violation } = runSeed(2, Theme.Failures, { only: 'failAllEach', attempts: 2 })
+  expect(violation?.detail ?? '').toMatchRegex(/ answered as failed after at most 2 listed failures of one task, 3 are required$/)
+})
+
 for (const seed of FAILED_SEEDS) {
   test(`seed ${seed}, which found a fault, violates no invariant`, () => {
     expect(runSeed(seed, Theme.Processes).violation).toEqual(undefined)
