Scheduler: targets out for a refusal are neither missing to admission nor out when the last other one leaves

What callers saw: while three entries and three agents are replaced one after the other under load, a job is refused "no target takes this work now", seldom, or "expected to need 22673 ms" though it would end 7 s later.

Cause: an entry ejects a target for 250 ms for one refusal while another one takes work. That was checked at the moment of the refusal only. Agents refuse for 0.1 to 0.3 s after each change of the view ("cut off from the view"), so an entry that joins has the others eject two of three targets; the third is the agent that is stopped next. From its report until the first probe no target takes work, though two agents are up. When one target is left instead, admission counts the slots of that one alone: a third of 4 in place of a third of 12.

Ruled out: that an entry without targets needs a missing link, a settling time or flapping.

Change: the fleet probes the ejected target whose probe is due first as soon as no target is usable. Slots of a target that is ejected for one refusal count in admission and in the order of jobs until it refuses its probe.

--- a/packages/coordination/src/fleet.ts
+++ b/packages/coordination/src/fleet.ts
@@ -20,7 +20,8 @@
   readonly available = new IndexedHeap<Target>()
   /** Number of targets that accept new work, now or as soon as they have free capacity. */
   usable = 0
-  usableSlots = 0
+  /** Slots of its targets that are usable, or paused for a moment. */
+  expectedSlots = 0
 
   constructor (description: TargetDescription) {
     this.provider = description.provider
@@ -57,6 +58,14 @@
   }
 }
 
+/** Adds the target to the set or deletes it; returns by how much the size of the set changes. */
+function include (targets: Set<Target>, target: Target, isIncluded: boolean): number {
+  const before = targets.size
+  if (isIncluded) targets.add(target)
+  else targets.delete(target)
+  return targets.size - before
+}
+
 /** All targets with their pools, their health and their timers. */
 export class Fleet {
   readonly #policy: Policy
@@ -67,6 +76,9 @@
   readonly #pools = new Map<string, Pool>()
   readonly #timers = new IndexedHeap<Target>()
   readonly #usable = new Set<Target>()
+  readonly #expected = new Set<Target>()
+  /** Ejected targets that are connected and neither leaving nor drained. */
+  readonly #ejected = new Set<Target>()
   readonly #fleetHealth = new FleetHealth()
   #draining: DrainConfiguration = { targets: [], racks: [], dataCentres: [], providers: [] }
   #entries = 1
@@ -180,9 +192,10 @@
     const limit = this.#policy.limit(target, this.#entries, now)
     if (target.hasCapacity(limit, now)) pool.available.set(target, this.#policy.rank(target, now))
     else pool.available.delete(target)
-    const change = target.nextChange(now)
-    if (change === undefined) this.#timers.delete(target)
-    else this.#timers.set(target, change)
+    const nextChange = target.nextChange(now)
+    if (nextChange === undefined) this.#timers.delete(target)
+    else this.#timers.set(target, nextChange)
+    if (this.#usable.size === 0) this.#probeEarliest(now)
   }
 
   /** Processes timers that are due: probes ejected targets, ejects unresponsive ones and updates ranks. */
@@ -229,6 +242,20 @@
     this.#fleetHealth.add(target.health)
   }
 
+  /**
+   * Probes the ejected target whose probe is due first, before it is due. A target is ejected while others take work,
+   * and these may leave, disconnect or be drained before its ejection ends.
+   */
+  #probeEarliest (now: number): void {
+    let earliest: Target | undefined
+    for (const target of this.#ejected) {
+      if (earliest === undefined || target.health.probeAt < earliest.health.probeAt) earliest = target
+    }
+    if (earliest === undefined) return
+    this.#probe(earliest)
+    this.refresh(earliest, now)
+  }
+
   #create (agent: Instance, description: TargetDescription, report: TargetReport, now: number): Target {
     let health = this.#health.get(description.target)
     if (health === undefined) {
@@ -255,13 +282,9 @@
   }
 
   #count (target: Target, pool: Pool): void {
-    const counted = this.#usable.has(target)
-    if (counted === target.usable) return
-    const sign = counted ? -1 : 1
-    pool.usable += sign
-    pool.usableSlots += sign * target.description.slots
-    if (counted) this.#usable.delete(target)
-    else this.#usable.add(target)
+    pool.usable += include(this.#usable, target, target.usable)
+    pool.expectedSlots += include(this.#expected, target, target.expected) * target.description.slots
+    include(this.#ejected, target, target.accepting && !target.usable)
   }
 
   #pool (description: TargetDescription): Pool {
--- a/packages/coordination/src/health.ts
+++ b/packages/coordination/src/health.ts
@@ -36,6 +36,8 @@
   #measuredAt = 0
   #ejections = 0
   #refusalEjections = 0
+  /** Whether the latest ejection followed a single refusal. */
+  #ejectedForOneRefusal = false
   #unresponsive = false
   #consecutiveSuccesses = 0
   #flaps = 0
@@ -90,6 +92,7 @@
   eject (now: number): void {
     const duration = EJECTION_MILLISECONDS * 2 ** this.#ejections
     this.#ejections += 1
+    this.#ejectedForOneRefusal = false
     this.trust = Trust.Ejected
     this.probeAt = now + Math.min(MAX_EJECTION_MILLISECONDS, duration)
   }
@@ -102,10 +105,19 @@
   close (now: number): void {
     const duration = REFUSAL_EJECTION_MILLISECONDS * 2 ** this.#refusalEjections
     this.#refusalEjections += 1
+    this.#ejectedForOneRefusal = this.#refusalEjections === 1
     this.trust = Trust.Ejected
     this.probeAt = now + Math.min(MAX_EJECTION_MILLISECONDS, duration)
   }
 
+  /**
+   * Whether it is ejected for a single refusal. An agent refuses tasks for a moment after every change of its view,
+   * so its slots are not lost yet; a refused probe shows that they are.
+   */
+  get paused (): boolean {
+    return this.trust === Trust.Ejected && this.#ejectedForOneRefusal
+  }
+
   /** Ejects a busy target that has not responded for long, until it responds or its next probe is due. */
   ejectUnresponsive (now: number): void {
     this.eject(now)
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -94,13 +94,13 @@
     })
   }
 
-  /** Slots of all usable targets, or of those that serve `service` when it is given. */
-  usableSlots (service?: string): number {
+  /** Slots of all targets that are usable or paused for a moment, or of those that serve `service` when it is given. */
+  expectedSlots (service?: string): number {
     const providers = service === undefined ? undefined : this.#providers(service)
     let slots = 0
     for (const pool of this.#fleet.pools()) {
       if (service !== undefined && !pool.services.has(service)) continue
-      if (providers?.includes(pool.provider) !== false) slots += pool.usableSlots
+      if (providers?.includes(pool.provider) !== false) slots += pool.expectedSlots
     }
     return slots
   }
--- a/packages/coordination/src/scheduler.ts
+++ b/packages/coordination/src/scheduler.ts
@@ -195,7 +195,7 @@
     this.#tenantActivity.note((tasks[0] as SchedulableTask).tenant, now)
     const { tenant } = tasks[0] as SchedulableTask
     const fairShare = this.#tenantActivity.part(tenant, this.#quotas, now)
-    const slots = this.#placement.usableSlots()
+    const slots = this.#placement.expectedSlots()
     this.#queue.add(tasks, {
       estimate: task => this.#estimates.predict(task.tenant, task.service, task.runMilliseconds),
       slots,
@@ -320,7 +320,7 @@
     const estimates = tasks.map(task => this.#estimates.predict(tenant, service, task.runMilliseconds))
     const work = estimates.reduce((sum, estimate) => sum + estimate, 0)
     const longest = Math.max(...estimates)
-    const usable = this.#placement.usableSlots(service)
+    const usable = this.#placement.expectedSlots(service)
     const slots = this.#slots(usable, now)
     const mean = this.#estimates.mean(tenant, service)
     const fairShare = this.#tenantActivity.part(tenant, this.#quotas, now)
--- a/packages/coordination/src/target.ts
+++ b/packages/coordination/src/target.ts
@@ -87,9 +87,19 @@
     return others * 2 ** (-(now - this.#reportedAt) / REPORT_HALF_LIFE_MILLISECONDS)
   }
 
+  /** Whether the target is connected and is to get new work, whatever its health. */
+  get accepting (): boolean {
+    return this.up && !this.drained && !this.report.leaving
+  }
+
   /** Whether the target accepts new work, now or as soon as it has free capacity. */
   get usable (): boolean {
-    return this.up && !this.drained && !this.report.leaving && this.health.trust !== Trust.Ejected
+    return this.accepting && this.health.trust !== Trust.Ejected
+  }
+
+  /** Whether its slots count for the work that is to be done soon: it is usable, or paused for a moment. */
+  get expected (): boolean {
+    return this.usable || (this.accepting && this.health.paused)
   }
 
   /**
--- a/packages/coordination/test/scheduler.test.ts
+++ b/packages/coordination/test/scheduler.test.ts
@@ -70,6 +70,20 @@
   for (const assignment of assignments) scheduler.settled(assignment, TaskOutcome.Succeeded, 100, now)
 }
 
+/** Has two targets refuse a task, and the others run theirs. Returns the agents of the two. */
+function refuseAtTwoTargets (scheduler: TaskScheduler, now: number): Set<string> {
+  const refusing = new Set<string>()
+  for (let round = 0; round < 20; round += 1) {
+    scheduler.enqueue(tasks(`refused-${round}`, 1), now)
+    for (const assignment of scheduler.decide(now)) {
+      const refuses = refusing.size < 2
+      if (refuses) refusing.add(assignment.agent)
+      scheduler.settled(assignment, refuses ? TaskOutcome.NotStarted : TaskOutcome.Succeeded, 100, now)
+    }
+  }
+  return refusing
+}
+
 /** Runs tasks until every target has reached full trust. */
 function warmUp (scheduler: TaskScheduler): void {
   for (let round = 0; round < 40; round += 1) {
@@ -418,3 +432,51 @@
   scheduler.enqueue(tasks('job', 4), 2)
   expect(scheduler.decide(2).some(({ agent }) => agent === assignment?.agent)).toEqual(false)
 })
+
+const ends = [
+  { name: 'leaves', end: (scheduler: TaskScheduler, agent: string) => scheduler.targetReport(agent, { ...report(), leaving: true }, 2) },
+  { name: 'disconnects', end: (scheduler: TaskScheduler, agent: string) => scheduler.targetDown(agent, 2) },
+  { name: 'is drained', end: (scheduler: TaskScheduler, agent: string) => scheduler.configure({ ...configuration, draining: { ...configuration.draining, targets: [agent.split('#')[0] as string] } }, 2) }
+]
+for (const { name, end } of ends) {
+  // Jobs would be refused for lack of targets: two are ejected while a third takes work, which then takes none any more.
+  test(`an ejected target gets tasks again once the last one that accepts work ${name}`, () => {
+    const agents = ['a1#1', 'a2#1', 'b1#1']
+    const scheduler = schedulerWith(['a1', 'a2', 'b1'].map(target => describe(target)))
+    warmUp(scheduler)
+    const refusing = refuseAtTwoTargets(scheduler, 1)
+    end(scheduler, agents.find(agent => !refusing.has(agent)) as string)
+    expect(scheduler.admit(tasks('job', 1), 3)).toEqual({ admitted: true })
+    scheduler.enqueue(tasks('job', 1), 3)
+    expect(scheduler.decide(3).map(({ agent }) => refusing.has(agent))).toEqual([true])
+  })
+}
+
+// A wide job would be refused for its expected duration: the slots of targets that refused once would not be counted.
+test('a job is expected to get the slots of targets that are ejected for one refusal', () => {
+  const scheduler = schedulerWith(['a1', 'a2', 'b1'].map(target => describe(target)))
+  warmUp(scheduler)
+  scheduler.setEntryCount(3, 0)
+  refuseAtTwoTargets(scheduler, 20_000)
+  scheduler.enqueue(tasks('ahead', 12, { deadline: 30_000 }), 20_001)
+  scheduler.decide(20_001)
+  expect(scheduler.admit(tasks('job', 200, { deadline: 30_000 }), 20_002)).toEqual({ admitted: true })
+})
+
+test('a job is not expected to get the slots of a target that has refused its probe', () => {
+  const scheduler = schedulerWith(['a1', 'b1'].map(target => describe(target)))
+  warmUp(scheduler)
+  const refuse = (now: number): void => {
+    scheduler.enqueue(tasks(`probe-${now}`, 8, { deadline: now + 1e6 }), now)
+    for (const assignment of scheduler.decide(now)) {
+      scheduler.settled(assignment, assignment.agent === 'b1#1' ? TaskOutcome.NotStarted : TaskOutcome.Succeeded, 100, now)
+    }
+  }
+  refuse(20_000)
+  scheduler.enqueue(tasks('ahead', 12, { deadline: 30_000 }), 20_001)
+  scheduler.decide(20_001)
+  const wide = tasks('job', 600, { deadline: 30_000 })
+  expect(scheduler.admit(wide, 20_002).admitted).toEqual(true)
+  refuse(20_300)
+  expect(scheduler.admit(wide, 20_301).admitted).toEqual(false)
+})
