A job is refused at once when a task of a later step is blocked

Callers saw: a job whose later step has a task that is blocked for crashes of its targets was taken when it was submitted again, ran its earlier steps once more and was answered 504 only then. It could not be finished, which the entry knew on arrival, and the 504 invites the next submission.

Cause: only tasks that may start now were checked, so those that wait for an earlier step were not found blocked before their step was reached.

Evidence: crashes.test.ts, "a job is refused at once when a task of a later step is blocked", fails without the change: no answer, and a start of the first step.

Change: the tasks of all unfinished steps are checked before any is queued.

--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -85,14 +85,18 @@
   }
 
   /**
-   * Queues the ready tasks of an open job. The job is given up if one of its tasks is blocked for crashing targets. It is not
-   * answered as failed, since that the task is the cause is an inference.
+   * Queues the ready tasks of an open job. The job is given up if one of its unfinished tasks is blocked for crashing
+   * targets, even one of a later step. It is not answered as failed, since that the task is the cause is an inference.
    */
   place (job: Job, now: number): void {
-    for (const task of job.tasks) {
-      if (task.state !== TaskState.Queued && task.state !== TaskState.Withheld) continue
-      if (this.#updateVerdict(task, now) === CrashVerdict.Blocked) return this.#dependencies.giveUp(job, Reason.TaskCrashes, now, this.#dependencies.suspects.blockedFor(task.name, now))
+    const { suspects, giveUp } = this.#dependencies
+    const waiting = job.tasks.filter(({ state }) => state !== TaskState.Placed && state !== TaskState.Done)
+    const blocked = waiting.find(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
+    if (blocked !== undefined) {
+      this.#logVerdict(blocked, CrashVerdict.Blocked)
+      return giveUp(job, Reason.TaskCrashes, now, suspects.blockedFor(blocked.name, now))
     }
+    for (const task of waiting) if (task.state !== TaskState.Blocked) this.#updateVerdict(task, now)
     if (job.tasks.some(({ state }) => state === TaskState.Withheld)) this.#withheld.add(job)
     if (job.tasks.some(({ state }) => state === TaskState.Queued)) this.#dependencies.enqueue(job)
   }
@@ -105,12 +109,11 @@
     }
   }
 
-  #updateVerdict (task: Task, now: number): CrashVerdict {
+  #updateVerdict (task: Task, now: number): void {
     const verdict = this.#dependencies.suspects.verdict(task.name, now)
     if (verdict !== CrashVerdict.Free) this.#logVerdict(task, verdict)
     task.isolation = ISOLATION_BY_VERDICT[verdict]
     task.state = verdict === CrashVerdict.Withheld ? TaskState.Withheld : TaskState.Queued
-    return verdict
   }
 
   /** Logs each change of a task's verdict once. */
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -115,6 +115,14 @@
   expect([starts > 1, bench.starts().length]).toEqual([true, 1])
 })
 
+// Guards against running the earlier steps once more for a job that can't be finished.
+test('a job is refused at once when a task of a later step is blocked', () => {
+  const bench = entry()
+  for (const [index, agent] of ['a', 'b', 'c'].entries()) lost(bench, agent, ['one.1.0'], { ago: 4000 - 1000 * index })
+  const request = bench.submit('one', [step(1), step(1, { after: [0] })])
+  expect([bench.answers(), bench.starts()]).toEqual([[[request, 'refused taskCrashes']], []])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
