A refused caller is told to come back when none of its tasks is blocked any more

Callers saw: 503 with a Retry-After at which the same job was refused again, for a task with more losses than are needed to block it (one that was unconfirmed or in a mass loss, and three crashes after it), or for a job with two blocked tasks.

Cause: the Retry-After was the time until the oldest loss of the first blocked task no longer counts, whether the other losses still block that task, or another one, or not.

Evidence: crashes.test.ts, "a refused caller is told to come back when no task of its job is blocked any more", fails without the change: the submission at that time is refused.

Change: the Retry-After is the time at which the losses that are left do not block the task; of several blocked tasks the latest counts.

--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -82,7 +82,10 @@
   }
 
   verdict (task: string, now: number): CrashVerdict {
-    const losses = [...this.#losses.get(task)?.values() ?? []]
+    return this.#verdictOn([...this.#losses.get(task)?.values() ?? []], now)
+  }
+
+  #verdictOn (losses: readonly TargetLoss[], now: number): CrashVerdict {
     if (losses.length === 0) return CrashVerdict.Free
     if (losses.length === 1) return CrashVerdict.Apart
     const separate = losses.filter(({ evidence, at }) => evidence !== CrashEvidence.Unconfirmed && !this.#isInMassLoss(at))
@@ -91,10 +94,11 @@
     return losses.every(loss => isSettled(loss, now)) ? CrashVerdict.Blocked : CrashVerdict.Withheld
   }
 
-  /** Time until the oldest loss no longer counts against a task, in milliseconds. */
+  /** Time until enough losses are too old to count for the task to be blocked no more, in milliseconds. */
   blockedFor (task: string, now: number): number {
-    const oldest = Math.min(...[...this.#losses.get(task)?.values() ?? []].map(({ at }) => at))
-    return Math.max(0, oldest + CRASH_RETENTION_MILLISECONDS - now)
+    const losses = [...this.#losses.get(task)?.values() ?? []].sort((one, other) => one.at - other.at)
+    const expired = losses.find(({ at }, index) => this.#verdictOn(losses.slice(index + 1), at + CRASH_RETENTION_MILLISECONDS) !== CrashVerdict.Blocked)
+    return Math.max(0, (expired?.at ?? now) + CRASH_RETENTION_MILLISECONDS - now)
   }
 
   /** Losses recorded against a task, for the log. */
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -91,10 +91,10 @@
   place (job: Job, now: number): void {
     const { suspects, giveUp } = this.#dependencies
     const waiting = job.tasks.filter(({ state }) => state !== TaskState.Placed && state !== TaskState.Done)
-    const blocked = waiting.find(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
-    if (blocked !== undefined) {
-      this.#logVerdict(blocked, CrashVerdict.Blocked)
-      return giveUp(job, Reason.TaskCrashes, now, suspects.blockedFor(blocked.name, now))
+    const blocked = waiting.filter(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
+    if (blocked.length > 0) {
+      for (const task of blocked) this.#logVerdict(task, CrashVerdict.Blocked)
+      return giveUp(job, Reason.TaskCrashes, now, Math.max(...blocked.map(({ name }) => suspects.blockedFor(name, now))))
     }
     for (const task of waiting) if (task.state !== TaskState.Blocked) this.#updateVerdict(task, now)
     if (job.tasks.some(({ state }) => state === TaskState.Withheld)) this.#withheld.add(job)
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -123,6 +123,20 @@
   expect([bench.answers(), bench.starts()]).toEqual([[[request, 'refused taskCrashes']], []])
 })
 
+// Guards against callers who are told to come back at a time when they are refused once more.
+test('a refused caller is told to come back when no task of its job is blocked any more', () => {
+  const bench = entry()
+  lost(bench, 'a', ['one.0.0'], { ago: 9000, evidence: CrashEvidence.Unconfirmed })
+  for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.0'], { ago: 8000 - 1000 * index })
+  for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.1'], { ago: 7600 - 1000 * index, instance: `${agent}-next` })
+  bench.submit('one', [step(2)])
+  const [refusal] = bench.take().flatMap(effect => effect.type === 'answer' ? [effect.answer] : [])
+  expect(refusal?.reason).toEqual(Reason.TaskCrashes)
+  bench.advance(refusal?.retryAfter ?? 0, AGENTS)
+  bench.submit('one', [step(2)])
+  expect([bench.answers(), bench.starts().length]).toEqual([[], 2])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
