A submission that waits for earlier tasks to stop is answered by its deadline and at the end

Callers saw: no answer to a job that they had submitted again, when its earlier tasks were still stopping at the time at which they stopped waiting, or at which the entry was about to end. With an agent that is silent the stops take over a second.

Cause: deadlines and the end of the entry were applied to the jobs of the entry's record, in which such a submission stands behind the earlier one until that has ended.

Evidence: entry.test.ts, "a submission that waits for earlier tasks to stop is answered when its caller stops waiting, and when the entry ends", fails without the change in both cases: no answer.

Change: both include such submissions. One that was answered in this way is no longer reported as cancelled to a later cancellation.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -233,6 +233,7 @@
       for (const request of known.successor.waiting) this.#attach(request, job)
     }
     known.successor = job
+    this.#deadlines.opened(job)
   }
 
   #open (job: Job, now: number): void {
@@ -269,7 +270,7 @@
       this.#close(job, CANCELLED, now)
       return true
     }
-    if (job === undefined || successor === undefined) return false
+    if (job === undefined || successor?.state !== JobState.Open) return false
     job.successor = undefined
     for (const request of successor.waiting) this.#answer(request, CANCELLED)
     this.#note('further submission cancelled', { job: id })
@@ -354,7 +355,7 @@
   }
 
   #expire (now: number): void {
-    for (const job of this.#deadlines.due(this.#jobs.values(), now)) this.#abandon(job, Reason.Deadline, now)
+    for (const job of this.#deadlines.due(this.#unanswered(), now)) this.#abandon(job, Reason.Deadline, now)
   }
 
   /** Refuses queued jobs that cannot be served in time as soon as this is known, so that callers can still react. */
@@ -376,7 +377,15 @@
   }
 
   #answerAllOpenJobs (now: number): void {
-    for (const job of [...this.#jobs.values()]) if (job.state === JobState.Open) this.#abandon(job, Reason.Stopping, now)
+    for (const job of [...this.#unanswered()]) this.#abandon(job, Reason.Stopping, now)
+  }
+
+  /** Open jobs, and repeated submissions that wait for earlier tasks to stop. */
+  * #unanswered (): IterableIterator<Job> {
+    for (const job of this.#jobs.values()) {
+      const latest = job.successor ?? job
+      if (latest.state === JobState.Open) yield latest
+    }
   }
 
   /**
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -391,3 +391,16 @@
   bench.do({ type: 'configured', configuration: { version: 5, queues: [], limits } })
   expect(bench.entry.status().configuration).toEqual(7)
 })
+
+// The agent is silent, so that the stop of the earlier submission is confirmed by nobody for more than a second.
+test('a submission that waits for earlier tasks to stop is answered when its caller stops waiting, and when the entry ends', () => {
+  for (const ends of [true, false]) {
+    const bench = EntryBench.withAgents('one')
+    const first = bench.submit('job')
+    bench.do({ type: 'requestGone', request: first })
+    const again = bench.submit('job', [step(1)], { remaining: ends ? 4000 : 400 })
+    if (ends) bench.do({ type: 'ending' })
+    else bench.advance(400)
+    expect([bench.answers(), bench.starts().length]).toEqual([[[again, ends ? 'refused stopping' : 'refused deadline']], 1])
+  }
+})
