The state of a job that was submitted again is pending while its earlier tasks are stopping

Callers saw: 410, no such job, for the state of a job that this very entry had taken and would start as soon as the tasks of the earlier submission had stopped. 410 is to rest on the entry's own record.

Cause: the state was that of the earlier submission, which is over; the one that waits behind it was not looked at.

Evidence: entry.test.ts, "the state of a job that is submitted again is pending while its earlier tasks are stopping", fails without the change with unknown.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -278,7 +278,8 @@
   }
 
   #stateOf (id: string): Answer {
-    const job = this.#jobs.get(id)
+    const known = this.#jobs.get(id)
+    const job = known?.successor ?? known
     if (job?.state !== JobState.Open) return this.#answers.get(id) ?? unknown()
     return { kind: job.started ? AnswerKind.Running : AnswerKind.Pending, reason: Reason.None, retryAfter: 0 }
   }
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -404,3 +404,12 @@
     expect([bench.answers(), bench.starts().length]).toEqual([[[again, ends ? 'refused stopping' : 'refused deadline']], 1])
   }
 })
+
+test('the state of a job that is submitted again is pending while its earlier tasks are stopping', () => {
+  const bench = EntryBench.withAgents('one')
+  const first = bench.submit('job')
+  bench.do({ type: 'requestGone', request: first })
+  bench.submit('job')
+  bench.do({ type: 'stateAsked', request: 90, id: 'job' })
+  expect(bench.answers()).toEqual([[90, 'pending']])
+})
