A submission that waits for earlier tasks to stop is refused at once when a task is blocked

Callers saw: the 503 for a job with a blocked task, whose 504 they had just got, only after the other tasks of the earlier submission had stopped: up to 1.3 s later with an agent that is silent, though the entry knew on arrival that nothing would be started.

Cause: such a submission was looked at only when the earlier one had ended.

Evidence: entry.test.ts, "a submission that waits for earlier tasks to stop is refused at once when one of them is blocked", fails without the change: no answer.

Change: it is given up on arrival by the same check as any other job.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -217,7 +217,7 @@
     const job = new Job(submitted, now, this.#attempts.of(submitted.id))
     this.#attach(request, job)
     if (known === undefined) this.#open(job, now)
-    else this.#supersede(known, job)
+    else this.#supersede(known, job, now)
   }
 
   #refuse (request: number, { id, queue }: JobRequest, refusal: Answer, figures: Record<string, number> = {}): void {
@@ -227,13 +227,17 @@
     this.#answer(request, refusal)
   }
 
-  /** Handles a job that is submitted again while tasks of its earlier submission are stopping: it starts once they have ended. */
-  #supersede (known: Job, job: Job): void {
+  /**
+   * Handles a job that is submitted again while tasks of its earlier submission are stopping: it starts once they have
+   * ended, and is refused at once if one of its tasks is blocked.
+   */
+  #supersede (known: Job, job: Job, now: number): void {
     if (known.successor !== undefined) {
       for (const request of known.successor.waiting) this.#attach(request, job)
     }
     known.successor = job
     this.#deadlines.opened(job)
+    this.#ends.giveUpIfBlocked(job, now)
   }
 
   #open (job: Job, now: number): void {
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -84,23 +84,27 @@
     this.#dependencies.fleet.stop(agent, [placement])
   }
 
-  /**
-   * Queues the ready tasks of an open job. The job is given up if one of its unfinished tasks is blocked for crashing
-   * targets, even one of a later step. It is not answered as failed, since that the task is the cause is an inference.
-   */
+  /** Queues the ready tasks of an open job, unless it has to be given up. */
   place (job: Job, now: number): void {
-    const { suspects, giveUp } = this.#dependencies
-    const waiting = job.tasks.filter(({ state }) => state !== TaskState.Placed && state !== TaskState.Done)
-    const blocked = waiting.filter(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
-    if (blocked.length > 0) {
-      for (const task of blocked) this.#logVerdict(task, CrashVerdict.Blocked)
-      return giveUp(job, Reason.TaskCrashes, now, Math.max(...blocked.map(({ name }) => suspects.blockedFor(name, now))))
-    }
-    for (const task of waiting) if (task.state !== TaskState.Blocked) this.#updateVerdict(task, now)
+    if (this.giveUpIfBlocked(job, now)) return
+    for (const task of unplaced(job)) if (task.state !== TaskState.Blocked) this.#updateVerdict(task, now)
     if (job.tasks.some(({ state }) => state === TaskState.Withheld)) this.#withheld.add(job)
     if (job.tasks.some(({ state }) => state === TaskState.Queued)) this.#dependencies.enqueue(job)
   }
 
+  /**
+   * Gives up a job if one of its unfinished tasks is blocked for crashing targets, even one of a later step. It is not
+   * answered as failed, since that the task is the cause is an inference. Returns whether it was given up.
+   */
+  giveUpIfBlocked (job: Job, now: number): boolean {
+    const { suspects, giveUp } = this.#dependencies
+    const blocked = unplaced(job).filter(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
+    if (blocked.length === 0) return false
+    for (const task of blocked) this.#logVerdict(task, CrashVerdict.Blocked)
+    giveUp(job, Reason.TaskCrashes, now, Math.max(...blocked.map(({ name }) => suspects.blockedFor(name, now))))
+    return true
+  }
+
   tick (now: number): void {
     this.#dependencies.suspects.tick(now)
     for (const job of [...this.#withheld]) {
@@ -139,3 +143,8 @@
     this.place(job, now)
   }
 }
+
+/** Tasks of a job that are not placed and not done. */
+function unplaced (job: Job): Task[] {
+  return job.tasks.filter(({ state }) => state !== TaskState.Placed && state !== TaskState.Done)
+}
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { Cause, Outcome } from '../src/messages.ts'
+import { Cause, CrashEvidence, Outcome } from '../src/messages.ts'
 import { TIMINGS } from './agentbench.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 
@@ -413,3 +413,14 @@
   bench.do({ type: 'stateAsked', request: 90, id: 'job' })
   expect(bench.answers()).toEqual([[90, 'pending']])
 })
+
+// Guards against callers who are held until stops are confirmed, although nothing will be started for them.
+test('a submission that waits for earlier tasks to stop is refused at once when one of them is blocked', () => {
+  const bench = EntryBench.withPolicy({ isolatesSuspects: true }, 'one')
+  const first = bench.submit('job', [step(2)])
+  bench.do({ type: 'requestGone', request: first })
+  const records = ['a', 'b', 'c'].map((instance, index) => ({ task: 'job.0.0', instance, beside: 0, evidence: CrashEvidence.Crashed, ago: 3000 - 1000 * index }))
+  bench.do({ type: 'agentMessage', agent: 'one', message: { type: 'crashes', records } })
+  const again = bench.submit('job', [step(2)])
+  expect(bench.answers()).toEqual([[again, 'refused taskCrashes']])
+})
