Each start that another incarnation answers ends as not started, not only the first

Callers saw: tasks of a job that was sent to a target which had just been replaced wait for up to the length of the lease, though the target had said of each that it had not begun.

Cause: the first of these answers ends the incarnation, and answers of an incarnation that is over were ignored. The other starts were held as possibly begun until a stop was confirmed or the lease lapsed.

Evidence: crashes.test.ts, "each start that another incarnation answers ends as not started", fails without the change: the second task has no end. The loss that is reported under these tasks as unconfirmed is not withdrawn by this.

--- a/packages/dispatch/src/taskruns.ts
+++ b/packages/dispatch/src/taskruns.ts
@@ -105,7 +105,12 @@
 
   startAnswered ({ instance, task, run, answer }: Extract<AgentEvent, { type: 'startAnswered' }>, now: number): void {
     const held = this.#held.get(task)
-    if (held === undefined || held.run !== run || !this.#target.isCurrent(instance)) return
+    if (held === undefined || held.run !== run) return
+    if (!this.#target.isCurrent(instance)) {
+      // The first such answer has ended the incarnation for all starts that were in flight.
+      if (answer === StartAnswer.OtherInstance) this.#notStarted(held, Cause.Unreachable, now)
+      return
+    }
     if (answer !== StartAnswer.Started) this.#context.note('start refused', { task, run, answer, instance })
     if (answer === StartAnswer.NoResponse) this.#target.noteLoss(now)
     else if (held.stage === Stage.Starting) this.#target.noteStartAnswered(now - held.startedAt)
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -476,3 +476,13 @@
   const rest = Array.from({ length: 12 }, (_none, number) => asked(`next${number}`))
   expect([suspects.includes(alone), rest.includes(alone)]).toEqual([false, false])
 })
+
+// The starts of a job arrive together, and the first answer ends the incarnation.
+test('each start that another incarnation answers ends as not started', () => {
+  for (const facts of [NEW_ID_EACH_INCARNATION, {}]) {
+    const bench = AgentBench.ready({ policy: ISOLATES }, facts)
+    bench.start([order('one'), order('two')])
+    for (const task of ['one', 'two']) bench.startAnswered(task, StartAnswer.OtherInstance)
+    expect(bench.ends()).toEqual(['one notStarted unreachable', 'two notStarted unreachable'])
+  }
+})
