A task that five settled losses block is not withheld for a sixth that is not settled

Callers saw: a job held until its deadline for a task of which nothing would be started, whatever became of the target that was only silent: five other losses block it by themselves.

Cause: five losses blocked a task only if none of all its losses was open. More than five come about when an entry starts a task before it has heard of all losses, or when an incarnation and the one before it are both lost under one start.

Evidence: crashes.test.ts, "a task that enough settled losses block is not withheld for a further one that is not settled", fails without the change: no answer.

Change: five settled losses block; with fewer the task is withheld as before.

--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -91,7 +91,7 @@
     const separate = losses.filter(({ evidence, at }) => evidence !== CrashEvidence.Unconfirmed && !this.#isInMassLoss(at))
     if (separate.filter(loss => isSettled(loss, now)).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
     if (separate.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
-    return losses.every(loss => isSettled(loss, now)) ? CrashVerdict.Blocked : CrashVerdict.Withheld
+    return losses.filter(loss => isSettled(loss, now)).length >= LOSSES_TO_BLOCK ? CrashVerdict.Blocked : CrashVerdict.Withheld
   }
 
   /** Time until enough losses are too old to count for the task to be blocked no more, in milliseconds. */
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -137,6 +137,15 @@
   expect([bench.answers(), bench.starts().length]).toEqual([[], 2])
 })
 
+// Guards against a job that waits for its deadline although no answer of a target could make it start again.
+test('a task that enough settled losses block is not withheld for a further one that is not settled', () => {
+  const bench = entry()
+  for (const [index, agent] of AGENTS.slice(0, 5).entries()) lost(bench, agent, ['one.0.0'], { evidence: CrashEvidence.Unconfirmed, ago: 9000 - 1000 * index })
+  lost(bench, 'f', ['one.0.0'], { evidence: CrashEvidence.Unresponsive, ago: 1000 })
+  const request = bench.submit('one')
+  expect(bench.answers()).toEqual([[request, 'refused taskCrashes']])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
