Tests of which starts count as confirmed, and of unconfirmed losses that are withdrawn

Two changes of the code left all tests of crashes green: to take any confirmed start of a target that keeps its id for one of the incarnation that crashed, and not to withdraw an unconfirmed loss when the target answers again. Each of the two tests fails under one of them.

--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -495,3 +495,24 @@
     expect(bench.ends()).toEqual(['one notStarted unreachable', 'two notStarted unreachable'])
   }
 })
+
+// A next incarnation under the same id may have confirmed the start in place of the one that crashed.
+test('a crash is reported as unconfirmed where a target that keeps its id has confirmed the start since the last poll', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES })
+  bench.run('one')
+  bench.pollFailed(PollFailure.OtherInstance)
+  expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed 0'])
+})
+
+test('a target that was silent until an unanswered start expired, and answers again, has not crashed', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.start([order('one')])
+  bench.pollFailed(PollFailure.NoResponse)
+  bench.advance(800)
+  bench.take()
+  bench.polled()
+  expect(reported(bench)).toEqual(['one answered 0'])
+  bench.take()
+  bench.link('entry-2#a')
+  expect(reported(bench)).toEqual([])
+})
