--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -217,7 +217,7 @@
     const job = new Job(submitted, now, this.#attempts.of(submitted.id))
     this.#attach(request, job)
     if (known === undefined) this.#open(job, now)
-    else this.#supersede(known, job)
+    else this.#supersede(known, job, now)
   }
 
   #refuse (request: number, { id, queue }: JobRequest, refusal: Answer, figures: Record<string, number> = {}): void {
@@ -227,12 +227,17 @@
     this.#answer(request, refusal)
   }
 
-  /** Handles a job that is submitted again while tasks of its earlier submission are stopping: it starts once they have ended. */
-  #supersede (known: Job, job: Job): void {
+  /**
+   * Handles a job that is submitted again while tasks of its earlier submission are stopping: it starts once they have
+   * ended, and is refused at once if one of its tasks is blocked.
+   */
+  #supersede (known: Job, job: Job, now: number): void {
     if (known.successor !== undefined) {
       for (const request of known.successor.waiting) this.#attach(request, job)
     }
     known.successor = job
+    this.#deadlines.opened(job)
+    this.#ends.giveUpIfBlocked(job, now)
   }
 
   #open (job: Job, now: number): void {
@@ -269,7 +274,7 @@
       this.#close(job, CANCELLED, now)
       return true
     }
-    if (job === undefined || successor === undefined) return false
+    if (job === undefined || successor?.state !== JobState.Open) return false
     job.successor = undefined
     for (const request of successor.waiting) this.#answer(request, CANCELLED)
     this.#note('further submission cancelled', { job: id })
@@ -277,7 +282,8 @@
   }
 
   #stateOf (id: string): Answer {
-    const job = this.#jobs.get(id)
+    const known = this.#jobs.get(id)
+    const job = known?.successor ?? known
     if (job?.state !== JobState.Open) return this.#answers.get(id) ?? unknown()
     return { kind: job.started ? AnswerKind.Running : AnswerKind.Pending, reason: Reason.None, retryAfter: 0 }
   }
@@ -354,7 +360,7 @@
   }
 
   #expire (now: number): void {
-    for (const job of this.#deadlines.due(this.#jobs.values(), now)) this.#abandon(job, Reason.Deadline, now)
+    for (const job of this.#deadlines.due(this.#unanswered(), now)) this.#abandon(job, Reason.Deadline, now)
   }
 
   /** Refuses queued jobs that cannot be served in time as soon as this is known, so that callers can still react. */
@@ -376,7 +382,15 @@
   }
 
   #answerAllOpenJobs (now: number): void {
-    for (const job of [...this.#jobs.values()]) if (job.state === JobState.Open) this.#abandon(job, Reason.Stopping, now)
+    for (const job of [...this.#unanswered()]) this.#abandon(job, Reason.Stopping, now)
+  }
+
+  /** Open jobs, and repeated submissions that wait for earlier tasks to stop. */
+  * #unanswered (): IterableIterator<Job> {
+    for (const job of this.#jobs.values()) {
+      const latest = job.successor ?? job
+      if (latest.state === JobState.Open) yield latest
+    }
   }
 
   /**
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -116,6 +116,37 @@
   expect([starts > 1, bench.starts().length]).toEqual([true, 1])
 })
 
+// Guards against running the earlier steps once more for a job that can't be finished.
+test('a job is refused at once when a task of a later step is blocked', () => {
+  const bench = entry()
+  for (const [index, agent] of ['a', 'b', 'c'].entries()) lost(bench, agent, ['one.1.0'], { ago: 4000 - 1000 * index })
+  const request = bench.submit('one', [step(1), step(1, { after: [0] })])
+  expect([bench.answers(), bench.starts()]).toEqual([[[request, 'refused taskCrashes']], []])
+})
+
+// Guards against callers who are told to come back at a time when they are refused once more.
+test('a refused caller is told to come back when no task of its job is blocked any more', () => {
+  const bench = entry()
+  lost(bench, 'a', ['one.0.0'], { ago: 9000, evidence: CrashEvidence.Unconfirmed })
+  for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.0'], { ago: 8000 - 1000 * index })
+  for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.1'], { ago: 7600 - 1000 * index, instance: `${agent}-next` })
+  bench.submit('one', [step(2)])
+  const [refusal] = bench.take().flatMap(effect => effect.type === 'answer' ? [effect.answer] : [])
+  expect(refusal?.reason).toEqual(Reason.TaskCrashes)
+  bench.advance(refusal?.retryAfter ?? 0, AGENTS)
+  bench.submit('one', [step(2)])
+  expect([bench.answers(), bench.starts().length]).toEqual([[], 2])
+})
+
+// Guards against a job that waits for its deadline although no answer of a target could make it start again.
+test('a task that enough settled losses block is not withheld for a further one that is not settled', () => {
+  const bench = entry()
+  for (const [index, agent] of AGENTS.slice(0, 5).entries()) lost(bench, agent, ['one.0.0'], { evidence: CrashEvidence.Unconfirmed, ago: 9000 - 1000 * index })
+  lost(bench, 'f', ['one.0.0'], { evidence: CrashEvidence.Unresponsive, ago: 1000 })
+  const request = bench.submit('one')
+  expect(bench.answers()).toEqual([[request, 'refused taskCrashes']])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
@@ -455,3 +486,34 @@
   const rest = Array.from({ length: 12 }, (_none, number) => asked(`next${number}`))
   expect([suspects.includes(alone), rest.includes(alone)]).toEqual([false, false])
 })
+
+// The starts of a job arrive together, and the first answer ends the incarnation.
+test('each start that another incarnation answers ends as not started', () => {
+  for (const facts of [NEW_ID_EACH_INCARNATION, {}]) {
+    const bench = AgentBench.ready({ policy: ISOLATES }, facts)
+    bench.start([order('one'), order('two')])
+    for (const task of ['one', 'two']) bench.startAnswered(task, StartAnswer.OtherInstance)
+    expect(bench.ends()).toEqual(['one notStarted unreachable', 'two notStarted unreachable'])
+  }
+})
+
+// A next incarnation under the same id may have confirmed the start in place of the one that crashed.
+test('a crash is reported as unconfirmed where a target that keeps its id has confirmed the start since the last poll', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES })
+  bench.run('one')
+  bench.pollFailed(PollFailure.OtherInstance)
+  expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed 0'])
+})
+
+test('a target that was silent until an unanswered start expired, and answers again, has not crashed', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.start([order('one')])
+  bench.pollFailed(PollFailure.NoResponse)
+  bench.advance(800)
+  bench.take()
+  bench.polled()
+  expect(reported(bench)).toEqual(['one answered 0'])
+  bench.take()
+  bench.link('entry-2#a')
+  expect(reported(bench)).toEqual([])
+})
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { Cause, Outcome } from '../src/messages.ts'
+import { Cause, CrashEvidence, Outcome } from '../src/messages.ts'
 import { TIMINGS } from './agentbench.ts'
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 
@@ -391,3 +391,36 @@
   bench.do({ type: 'configured', configuration: { version: 5, queues: [], limits } })
   expect(bench.entry.status().configuration).toEqual(7)
 })
+
+// The agent is silent, so that the stop of the earlier submission is confirmed by nobody for more than a second.
+test('a submission that waits for earlier tasks to stop is answered when its caller stops waiting, and when the entry ends', () => {
+  for (const ends of [true, false]) {
+    const bench = EntryBench.withAgents('one')
+    const first = bench.submit('job')
+    bench.do({ type: 'requestGone', request: first })
+    const again = bench.submit('job', [step(1)], { remaining: ends ? 4000 : 400 })
+    if (ends) bench.do({ type: 'ending' })
+    else bench.advance(400)
+    expect([bench.answers(), bench.starts().length]).toEqual([[[again, ends ? 'refused stopping' : 'refused deadline']], 1])
+  }
+})
+
+test('the state of a job that is submitted again is pending while its earlier tasks are stopping', () => {
+  const bench = EntryBench.withAgents('one')
+  const first = bench.submit('job')
+  bench.do({ type: 'requestGone', request: first })
+  bench.submit('job')
+  bench.do({ type: 'stateAsked', request: 90, id: 'job' })
+  expect(bench.answers()).toEqual([[90, 'pending']])
+})
+
+// Guards against callers who are held until stops are confirmed, although nothing will be started for them.
+test('a submission that waits for earlier tasks to stop is refused at once when one of them is blocked', () => {
+  const bench = EntryBench.withPolicy({ isolatesSuspects: true }, 'one')
+  const first = bench.submit('job', [step(2)])
+  bench.do({ type: 'requestGone', request: first })
+  const records = ['a', 'b', 'c'].map((instance, index) => ({ task: 'job.0.0', instance, beside: 0, evidence: CrashEvidence.Crashed, ago: 3000 - 1000 * index }))
+  bench.do({ type: 'agentMessage', agent: 'one', message: { type: 'crashes', records } })
+  const again = bench.submit('job', [step(2)])
+  expect(bench.answers()).toEqual([[again, 'refused taskCrashes']])
+})
