Unconfirmed losses are told to earlier builds as silence, and count as open while a target is silent

Callers saw, while entries of the build before run beside agents of this one: a job answered failed for two losses under starts that were never confirmed. And on this build five targets that were only cut off blocked a task, since unconfirmed losses counted as settled.

Change: the evidence stays what earlier builds know, silent, and an optional field carries what is known for a start that was not confirmed.

Evidence: "a loss under a task whose start was not confirmed is no crash to entries of earlier builds" and "a task is withheld, not blocked, when targets that had not confirmed its start are only unresponsive", both failing before.

--- a/packages/dispatch/src/crashmemory.ts
+++ b/packages/dispatch/src/crashmemory.ts
@@ -10,8 +10,7 @@
   confirmed: boolean
 }
 
-interface RememberedCrash {
-  task: string
+interface RememberedCrash extends LostTask {
   instance: string
   beside: number
   evidence: CrashEvidence
@@ -26,7 +25,7 @@
    * while the incarnation did not respond.
    */
   crashed (instance: string, tasks: readonly LostTask[], now: number): CrashRecord[] {
-    const unresponsive = this.#settle(instance, [CrashEvidence.Unresponsive], CrashEvidence.Crashed, now)
+    const unresponsive = this.#settle(instance, CrashEvidence.Crashed, now)
     return [...unresponsive, ...this.#note(instance, this.#unknown(instance, tasks), CrashEvidence.Crashed, now)]
   }
 
@@ -37,7 +36,7 @@
 
   /** Drops the records of an incarnation that answers again, so that it had not crashed. Returns them for the entries. */
   answered (instance: string, now: number): CrashRecord[] {
-    const records = this.#settle(instance, [CrashEvidence.Unresponsive, CrashEvidence.Unconfirmed], CrashEvidence.Answered, now)
+    const records = this.#settle(instance, CrashEvidence.Answered, now)
     for (const { task } of records) this.#records.delete(keyOf(task, instance))
     return records
   }
@@ -46,7 +45,7 @@
   crashesOf (task: string, now: number): number {
     this.#forgetOld(now)
     let crashes = 0
-    for (const record of this.#records.values()) if (record.task === task && record.evidence === CrashEvidence.Crashed) crashes += 1
+    for (const record of this.#records.values()) if (record.task === task && record.confirmed && record.evidence === CrashEvidence.Crashed) crashes += 1
     return crashes
   }
 
@@ -61,22 +60,21 @@
     return tasks.filter(({ task }) => !this.#records.has(keyOf(task, instance)))
   }
 
-  /** @param evidence for the tasks that the target has confirmed */
   #note (instance: string, tasks: readonly LostTask[], evidence: CrashEvidence, now: number): CrashRecord[] {
     this.#forgetOld(now)
     return tasks.map(({ task, confirmed }) => {
-      const record = { task, instance, beside: tasks.length - 1, evidence: confirmed ? evidence : CrashEvidence.Unconfirmed, at: now }
+      const record = { task, instance, beside: tasks.length - 1, confirmed, evidence, at: now }
       this.#records.set(keyOf(task, instance), record)
       if (this.#records.size > MAX_CRASH_RECORDS) this.#forgetOldest()
       return crashRecordOf(record, now)
     })
   }
 
-  /** Replaces the evidence of an incarnation's records where it is one of `open`. Returns these records. */
-  #settle (instance: string, open: readonly CrashEvidence[], evidence: CrashEvidence, now: number): CrashRecord[] {
+  /** Replaces the evidence of an incarnation's records where it did not respond. Returns these records. */
+  #settle (instance: string, evidence: CrashEvidence, now: number): CrashRecord[] {
     const settled: CrashRecord[] = []
     for (const record of this.#records.values()) {
-      if (record.instance !== instance || !open.includes(record.evidence)) continue
+      if (record.instance !== instance || record.evidence !== CrashEvidence.Unresponsive) continue
       record.evidence = evidence
       settled.push(crashRecordOf(record, now))
     }
@@ -101,6 +99,7 @@
   return `${task}@${instance}`
 }
 
-function crashRecordOf ({ task, instance, beside, evidence, at }: RememberedCrash, now: number): CrashRecord {
-  return { task, instance, beside, evidence, ago: Math.max(0, Math.round(now - at)) }
+function crashRecordOf ({ task, instance, beside, confirmed, evidence, at }: RememberedCrash, now: number): CrashRecord {
+  const known = confirmed || evidence === CrashEvidence.Answered ? { evidence } : { evidence: CrashEvidence.Unresponsive, unconfirmed: evidence }
+  return { task, instance, beside, ...known, ago: Math.max(0, Math.round(now - at)) }
 }
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -30,6 +30,8 @@
 /** One incarnation of a target that was lost while a task was on it. Logged as evidence. */
 interface TargetLoss {
   beside: number
+  /** Whether the target had confirmed the start of the task. */
+  confirmed: boolean
   evidence: CrashEvidence
   at: number
 }
@@ -66,7 +68,8 @@
 
   /** Records an agent's reports on its target; a later report on the same incarnation replaces the earlier one. */
   note (agent: string, records: readonly CrashRecord[], now: number): void {
-    for (const { task, instance, beside, evidence, ago } of records) {
+    for (const { task, instance, beside, unconfirmed, evidence: stated, ago } of records) {
+      const evidence = unconfirmed ?? stated
       const at = now - ago
       const incarnation = `${agent}/${instance}`
       if (evidence === CrashEvidence.Answered) {
@@ -77,7 +80,7 @@
       this.#lostIncarnations.set(incarnation, { at: this.#lostIncarnations.get(incarnation)?.at ?? at, evidence })
       const losses = this.#losses.get(task) ?? new Map<string, TargetLoss>()
       const known = losses.get(incarnation)
-      losses.set(incarnation, { beside, evidence, at: known?.at ?? at })
+      losses.set(incarnation, { beside, confirmed: unconfirmed === undefined, evidence, at: known?.at ?? at })
       this.#losses.set(task, losses)
       if (this.#losses.size > MAX_SUSPECTS) this.#removeOldest()
     }
@@ -90,7 +93,7 @@
   #verdictOn (losses: readonly TargetLoss[], now: number): CrashVerdict {
     if (losses.length === 0) return CrashVerdict.Free
     if (losses.length === 1) return CrashVerdict.Apart
-    const separate = losses.filter(({ evidence, at }) => evidence !== CrashEvidence.Unconfirmed && !this.#isInMassLoss(at))
+    const separate = losses.filter(({ confirmed, at }) => confirmed && !this.#isInMassLoss(at))
     if (separate.filter(loss => isSettled(loss, now)).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
     if (separate.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
     return losses.filter(loss => isSettled(loss, now)).length >= LOSSES_TO_BLOCK ? CrashVerdict.Blocked : CrashVerdict.Withheld
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -72,10 +72,8 @@
 export enum CrashEvidence {
   /** It did not respond until the tasks had expired. */
   Unresponsive = 'silent',
-  /** It crashed while the task ran. */
+  /** It crashed. */
   Crashed = 'crashed',
-  /** It crashed or did not respond, and never confirmed that it had started the task. */
-  Unconfirmed = 'unconfirmed',
   /** It has answered again, so it had not crashed. */
   Answered = 'answered'
 }
@@ -87,7 +85,10 @@
   instance: string
   /** Number of other tasks on the target at that time. */
   beside: number
+  /** `Unresponsive` where the target never confirmed that it had started the task: earlier builds take all but that for proof. */
   evidence: CrashEvidence
+  /** The evidence where the target never confirmed that it had started the task. */
+  unconfirmed?: CrashEvidence
   /** Time since the loss, in milliseconds. */
   ago: number
 }
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -13,6 +13,9 @@
 const ISOLATES = { isolatesSuspects: true }
 const AGENTS = ['a', 'b', 'c', 'd', 'e', 'f']
 
+/** A crash of a target that had not confirmed the start of the task. */
+const UNCONFIRMED = { evidence: CrashEvidence.Unresponsive, unconfirmed: CrashEvidence.Crashed }
+
 function entry (): EntryBench {
   return EntryBench.withPolicy(ISOLATES, ...AGENTS)
 }
@@ -127,7 +130,7 @@
 // Guards against callers who are told to come back at a time when they are refused once more.
 test('a refused caller is told to come back when no task of its job is blocked any more', () => {
   const bench = entry()
-  lost(bench, 'a', ['one.0.0'], { ago: 9000, evidence: CrashEvidence.Unconfirmed })
+  lost(bench, 'a', ['one.0.0'], { ...UNCONFIRMED, ago: 9000 })
   for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.0'], { ago: 8000 - 1000 * index })
   for (const [index, agent] of ['b', 'c', 'd'].entries()) lost(bench, agent, ['one.0.1'], { ago: 7600 - 1000 * index, instance: `${agent}-next` })
   bench.submit('one', [step(2)])
@@ -141,12 +144,27 @@
 // Guards against a job that waits for its deadline although no answer of a target could make it start again.
 test('a task that enough settled losses block is not withheld for a further one that is not settled', () => {
   const bench = entry()
-  for (const [index, agent] of AGENTS.slice(0, 5).entries()) lost(bench, agent, ['one.0.0'], { evidence: CrashEvidence.Unconfirmed, ago: 9000 - 1000 * index })
+  for (const [index, agent] of AGENTS.slice(0, 5).entries()) lost(bench, agent, ['one.0.0'], { ...UNCONFIRMED, ago: 9000 - 1000 * index })
   lost(bench, 'f', ['one.0.0'], { evidence: CrashEvidence.Unresponsive, ago: 1000 })
   const request = bench.submit('one')
   expect(bench.answers()).toEqual([[request, 'refused taskCrashes']])
 })
 
+// Guards against blocking a task for targets that are only cut off and may answer again.
+test('a task is withheld, not blocked, when targets that had not confirmed its start are only unresponsive', () => {
+  const agent = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  agent.start([order('one.0.0')])
+  agent.pollFailed(PollFailure.NoResponse)
+  agent.advance(800)
+  const [record] = agent.effectsOfType('send').flatMap(({ message }) => message.type === 'crashes' ? message.records : [])
+  expect(record?.task).toEqual('one.0.0')
+  const bench = entry()
+  for (const [index, name] of AGENTS.slice(0, 5).entries()) lost(bench, name, ['one.0.0'], { ...record, instance: `${name}-target`, ago: 5000 - 800 * index })
+  bench.submit('one')
+  bench.advance(300, AGENTS)
+  expect([bench.answers(), bench.starts()]).toEqual([[], []])
+})
+
 // A crashed target may be back at once under the same id, and empty. As the emptiest one it must not be chosen for the
 // suspect that crashed it.
 test('a suspect is started at another target than the one that was lost under it', () => {
@@ -187,7 +205,7 @@
   const bench = entry()
   bench.submit('one')
   for (let crashes = 0; crashes < 3; crashes += 1) {
-    crash(bench, 'one.0.0', [], { evidence: CrashEvidence.Unconfirmed })
+    crash(bench, 'one.0.0', [], UNCONFIRMED)
     bench.advance(400, AGENTS)
   }
   expect(bench.answers()).toEqual([])
@@ -199,7 +217,7 @@
   const bench = entry()
   const request = bench.submit('one')
   for (let crashes = 0; crashes < 5; crashes += 1) {
-    crash(bench, 'one.0.0', [], { evidence: CrashEvidence.Unconfirmed })
+    crash(bench, 'one.0.0', [], UNCONFIRMED)
     bench.advance(400, AGENTS)
   }
   expect(bench.starts().length).toEqual(5)
@@ -319,7 +337,7 @@
 /** Reported crashes and the causes of ends, in the order of the messages. */
 function reported (bench: AgentBench): string[] {
   return bench.effectsOfType('send').flatMap(({ message }) => {
-    if (message.type === 'crashes') return message.records.map(({ task, beside, evidence }) => `${task} ${evidence} ${beside}`)
+    if (message.type === 'crashes') return message.records.map(({ task, beside, evidence, unconfirmed }) => `${task} ${unconfirmed === undefined ? evidence : `unconfirmed ${unconfirmed}`} ${beside}`)
     return message.type === 'ends' ? message.ends.map(({ task, cause }) => `${task} ended ${cause}`) : []
   })
 }
@@ -373,7 +391,7 @@
     bench.start([order('one')])
     bench.startAnswered('one', StartAnswer.NoResponse)
     bench.pollFailed(PollFailure.OtherInstance)
-    expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed 0'])
+    expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed crashed 0'])
   }
 })
 
@@ -383,7 +401,7 @@
   bench.pollFailed(PollFailure.NoResponse)
   bench.advance(800)
   bench.pollFailed(PollFailure.OtherInstance)
-  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed 0'])
+  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed silent 0', 'one unconfirmed crashed 0'])
 })
 
 test('a target that refused connections until its tasks expired, and answers again, has not crashed', () => {
@@ -502,7 +520,7 @@
   const bench = AgentBench.ready({ policy: ISOLATES })
   bench.run('one')
   bench.pollFailed(PollFailure.OtherInstance)
-  expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed 0'])
+  expect(reported(bench).slice(0, 1)).toEqual(['one unconfirmed crashed 0'])
 })
 
 test('a target that was silent until an unanswered start expired, and answers again, has not crashed', () => {
--- a/packages/dispatch/test/mixedbuilds.test.ts
+++ b/packages/dispatch/test/mixedbuilds.test.ts
@@ -2,8 +2,9 @@
 import type { PeerMessage } from '../src/peermessages.ts'
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { PollFailure } from '../src/agenttypes.ts'
 import { SETTLING_MILLISECONDS } from '../src/defaults.ts'
-import { AgentBench, ENTRY } from './agentbench.ts'
+import { AgentBench, ENTRY, NEW_ID_EACH_INCARNATION, order } from './agentbench.ts'
 import { EntryBench, step } from './entrybench.ts'
 
 const UNKNOWN = { type: 'of a later build' }
@@ -37,3 +38,15 @@
   bench.run('task')
   expect(bench.effectsOfType('start').length).toEqual(1)
 })
+
+// Entries of earlier builds take any evidence that they don't know for a crash, and answer the job as failed.
+test('a loss under a task whose start was not confirmed is no crash to entries of earlier builds', () => {
+  for (const failure of [PollFailure.NoResponse, PollFailure.OtherInstance]) {
+    const bench = AgentBench.ready({ policy: { isolatesSuspects: true } }, NEW_ID_EACH_INCARNATION)
+    bench.start([order('one')])
+    bench.pollFailed(failure)
+    bench.advance(800)
+    const records = bench.effectsOfType('send').flatMap(({ message }) => message.type === 'crashes' ? message.records : [])
+    expect(records.map(({ evidence }) => evidence as string)).toEqual(['silent'])
+  }
+})
