Three crashes block a task whatever else crashes, and a confirmed start counts at once

Change: mass losses count again, with the code for them gone, since two crashes block nobody any more; a start counts as confirmed once the target has answered it. The next incarnation under the same id may have been the one that answered; then a loss too much is counted, which blocks a task at worst and answers nobody falsely.

--- a/packages/dispatch/src/crashdefaults.ts
+++ b/packages/dispatch/src/crashdefaults.ts
@@ -12,7 +12,7 @@
 
 /**
  * Losses of targets after which a task counts as their cause and is started no more: those of targets that had
- * confirmed its start and that are not part of a mass loss, and all of them.
+ * confirmed its start, and all of them.
  */
 export const CRASHES_TO_BLOCK = 3
 export const LOSSES_TO_BLOCK = 5
@@ -23,14 +23,6 @@
 /** Cost of placing a suspect on the fullest rather than the emptiest target: above any cost of distance or speed. */
 export const SUSPECT_LOAD_COST_MILLISECONDS = 10_000
 
-/**
- * Targets that crash within this window have a common cause, such as a rack without power, if they are at least this
- * fraction of the known targets and at least this many. Agents detect a crash within one poll and its slack, 200 ms.
- */
-export const MASS_LOSS_WINDOW_MILLISECONDS = 250
-export const MASS_LOSS_FRACTION = 0.1
-export const MASS_LOSS_MIN_TARGETS = 3
-
 // Cancellations
 
 /** How long a cancellation is remembered: a caller or a delayed submission may arrive for as long as callers wait, 30 s. */
--- a/packages/dispatch/src/crashreports.ts
+++ b/packages/dispatch/src/crashreports.ts
@@ -71,8 +71,8 @@
     this.#dependencies.sendToAll({ type: 'crashes', records: [...records] })
   }
 
+  /** Where incarnations share an id, a start may have been confirmed by the next one. */
   #heldTasks (): LostTask[] {
-    const { held, target } = this.#dependencies
-    return held.all().map(task => ({ task: task.order.task, confirmed: target.hasStarted(task) }))
+    return this.#dependencies.held.all().map(({ order, listed, confirmedAt }) => ({ task: order.task, confirmed: listed || confirmedAt !== undefined }))
   }
 }
--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -3,14 +3,11 @@
  *
  * When a target crashes, every task on it becomes a suspect. Suspects are started apart from each other, so that the
  * next crash points to one of them, and after that alone, so that a further crash takes no other task along. Two crashes
- * prove nothing, even if the task was alone at the second: it was placed there alone. Crashes of many targets at once
- * don't count either, nor do those of targets that never confirmed the start of the task.
+ * prove nothing, even if the task was alone at the second: it was placed there alone. Losses of targets that never
+ * confirmed the start of the task count for less, since it may not have run there.
  */
 import type { CrashRecord } from './messages.ts'
-import {
-  CRASH_RETENTION_MILLISECONDS, MASS_LOSS_MIN_TARGETS, MASS_LOSS_WINDOW_MILLISECONDS, MASS_LOSS_FRACTION, CRASHES_TO_BLOCK,
-  LOSSES_TO_BLOCK, MAX_SUSPECTS
-} from './crashdefaults.ts'
+import { CRASH_RETENTION_MILLISECONDS, CRASHES_TO_BLOCK, LOSSES_TO_BLOCK, MAX_SUSPECTS } from './crashdefaults.ts'
 import { CrashEvidence } from './messages.ts'
 
 /** How a task may be started. */
@@ -51,16 +48,10 @@
   readonly #losses = new Map<string, Map<string, TargetLoss>>()
   /** Recently lost incarnations: when each was lost, and the evidence. */
   readonly #lostIncarnations = new Map<string, { at: number, evidence: CrashEvidence }>()
-  readonly #targets: () => number
   /** Tasks that are blocked and have losses that still count. */
   readonly #blocked = new Set<string>()
   #blockedTasks = 0
 
-  /** @param targets returns the number of targets that this entry has links to */
-  constructor (targets: () => number) {
-    this.#targets = targets
-  }
-
   status (): CrashStatus {
     const crashes = [...this.#lostIncarnations.values()].filter(({ evidence }) => evidence === CrashEvidence.Crashed).length
     return { suspects: this.#losses.size, convictions: this.#blockedTasks, crashes }
@@ -86,23 +77,23 @@
     }
   }
 
-  verdict (task: string, now: number): CrashVerdict {
-    return this.#verdictOn([...this.#losses.get(task)?.values() ?? []], now)
+  verdict (task: string): CrashVerdict {
+    return this.#verdictOn([...this.#losses.get(task)?.values() ?? []])
   }
 
-  #verdictOn (losses: readonly TargetLoss[], now: number): CrashVerdict {
+  #verdictOn (losses: readonly TargetLoss[]): CrashVerdict {
     if (losses.length === 0) return CrashVerdict.Free
     if (losses.length === 1) return CrashVerdict.Apart
-    const separate = losses.filter(({ confirmed, at }) => confirmed && !this.#isInMassLoss(at))
-    if (separate.filter(loss => isSettled(loss, now)).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
-    if (separate.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
-    return losses.filter(loss => isSettled(loss, now)).length >= LOSSES_TO_BLOCK ? CrashVerdict.Blocked : CrashVerdict.Withheld
+    const confirmed = losses.filter(loss => loss.confirmed)
+    if (confirmed.filter(isSettled).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
+    if (confirmed.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
+    return losses.filter(isSettled).length >= LOSSES_TO_BLOCK ? CrashVerdict.Blocked : CrashVerdict.Withheld
   }
 
   /** Time until enough losses are too old to count for the task to be blocked no more, in milliseconds. */
   blockedFor (task: string, now: number): number {
     const losses = [...this.#losses.get(task)?.values() ?? []].sort((one, other) => one.at - other.at)
-    const expired = losses.find(({ at }, index) => this.#verdictOn(losses.slice(index + 1), at + CRASH_RETENTION_MILLISECONDS) !== CrashVerdict.Blocked)
+    const expired = losses.find((_loss, index) => this.#verdictOn(losses.slice(index + 1)) !== CrashVerdict.Blocked)
     return Math.max(0, (expired?.at ?? now) + CRASH_RETENTION_MILLISECONDS - now)
   }
 
@@ -127,14 +118,6 @@
     }
   }
 
-  /** Whether so many targets crashed or stopped responding at about that time that a task is not the likely cause. */
-  #isInMassLoss (at: number): boolean {
-    const minTargets = Math.max(MASS_LOSS_MIN_TARGETS, MASS_LOSS_FRACTION * this.#targets())
-    let lostTargets = 0
-    for (const other of this.#lostIncarnations.values()) if (Math.abs(other.at - at) < MASS_LOSS_WINDOW_MILLISECONDS) lostTargets += 1
-    return lostTargets >= minTargets
-  }
-
   #removeLoss (task: string, incarnation: string): void {
     const losses = this.#losses.get(task)
     if (losses === undefined) return
@@ -153,7 +136,7 @@
   }
 }
 
-/** Whether nothing more is to be learned about a loss: neither an answer of the target nor losses of others at the same time. */
-function isSettled ({ evidence, at }: TargetLoss, now: number): boolean {
-  return evidence !== CrashEvidence.Unresponsive && now - at >= MASS_LOSS_WINDOW_MILLISECONDS
+/** Whether the target can't answer any more. */
+function isSettled ({ evidence }: TargetLoss): boolean {
+  return evidence === CrashEvidence.Crashed
 }
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -120,7 +120,7 @@
     })
     const { cancelMemory: remembers, cancelNews: sendsToPeers } = options.guards ?? ALL_FLEET_GUARDS
     this.#cancellations = new Cancellations({ remembers, sendsToPeers, tell: (peer, message) => this.#effects.push({ type: 'tell', peer, message }) })
-    this.#suspects = new CrashSuspects(() => this.#fleet.linked)
+    this.#suspects = new CrashSuspects()
     this.#ends = new TaskEnds({
       policy: this.#policy,
       fleet: this.#fleet,
--- a/packages/dispatch/src/targetwatch.ts
+++ b/packages/dispatch/src/targetwatch.ts
@@ -221,11 +221,6 @@
     return listed || (confirmedAt !== undefined && confirmedAt < this.#lastAnsweredPollAt)
   }
 
-  /** Whether the current incarnation is known to have started the task. */
-  hasStarted (task: HeldTask): boolean {
-    return this.isOfCurrentIncarnation(task) || (this.#facts?.refusesOtherLives === true && task.confirmedAt !== undefined)
-  }
-
   beginIncarnation (announcement: Announcement, now: number): void {
     const { facts, sequence, clock } = announcement
     // From the first poll of the new incarnation on, it refuses calls meant for the previous one that are still in flight.
--- a/packages/dispatch/src/taskends.ts
+++ b/packages/dispatch/src/taskends.ts
@@ -98,7 +98,7 @@
    */
   giveUpIfBlocked (job: Job, now: number): boolean {
     const { suspects, giveUp } = this.#dependencies
-    const blocked = unplaced(job).filter(task => suspects.verdict(task.name, now) === CrashVerdict.Blocked)
+    const blocked = unplaced(job).filter(task => suspects.verdict(task.name) === CrashVerdict.Blocked)
     if (blocked.length === 0) return false
     for (const task of blocked) this.#logVerdict(task, CrashVerdict.Blocked)
     giveUp(job, Reason.TaskCrashes, now, Math.max(...blocked.map(({ name }) => suspects.blockedFor(name, now))))
@@ -114,7 +114,7 @@
   }
 
   #updateVerdict (task: Task, now: number): void {
-    const verdict = this.#dependencies.suspects.verdict(task.name, now)
+    const verdict = this.#dependencies.suspects.verdict(task.name)
     if (verdict !== CrashVerdict.Free) this.#logVerdict(task, verdict)
     task.isolation = ISOLATION_BY_VERDICT[verdict]
     task.state = verdict === CrashVerdict.Withheld ? TaskState.Withheld : TaskState.Queued
