--- a/packages/daemon/test/decisionlog.test.ts
+++ b/packages/daemon/test/decisionlog.test.ts
@@ -46,6 +46,11 @@
   expect(countOf(lines, 'job taken')).toEqual(100)
 })
 
+/** Returns how many lines the warnings report as dropped. */
+function reportedDrops (lines: Line[]): number {
+  return lines.reduce((sum, { msg, dropped }) => msg === 'lines dropped' ? sum + Number(dropped) : sum, 0)
+}
+
 test('both classes together stay within a bound per second', async () => {
   const burst = [{ what: 'job taken', count: 2000 }, { what: 'target lost', count: 2000 }]
   const seconds = 5
@@ -54,6 +59,21 @@
   expect(countOf(lines, 'target lost') >= seconds * 100).toEqual(true)
 })
 
+// A warning outside the budgets exceeds the bound; without a reserved line, it never gets through as long as the overload lasts.
+test('the warnings about dropped lines are within the bound, and get through during a continuous overload', async () => {
+  const burst = [{ what: 'job taken', count: 2000 }, { what: 'target lost', count: 2000 }]
+  const lines = await linesOf([...burst, { clock: 500, pause: 600 }, ...burst, { pause: 600 }])
+  expect(lines.length <= 600 + 225).toEqual(true)
+  expect(countOf(lines, 'lines dropped')).toEqual(2)
+})
+
+test('lines dropped since the last warning are reported when the log is flushed at the end, within the bound', async () => {
+  const burst = [{ what: 'job taken', count: 2000 }, { what: 'target lost', count: 2000 }]
+  const lines = await linesOf([...burst, { pause: 600 }, ...burst])
+  expect(reportedDrops(lines)).toEqual(8000 - countOf(lines, 'job taken') - countOf(lines, 'target lost'))
+  expect(lines.length <= 600).toEqual(true)
+})
+
 // With many callers, most of the starts that fail do so because the target is full. Counted as changes, they would use up the budget of the others.
 test('starts that fail because the target is full are routine, those that fail for another reason are not', async () => {
   const again = 'task to be placed again'
@@ -78,3 +98,11 @@
   expect(countOf(lines, 'target lost')).toEqual(20)
   expect(countOf(lines, 'job taken') < seconds * 200).toEqual(true)
 })
+
+test('lines dropped while the buffer had no room for the warning are reported later', async () => {
+  const long = { what: 'target lost', fields: { reason: 'r'.repeat(200) }, count: 300, clock: 2000 }
+  const full = [long, long, long, long, { what: 'target lost', count: 300, clock: 2000 }, { pause: 600 }]
+  const lines = await linesOf([...full, ...full, ...full], false)
+  expect(countOf(lines, 'target lost') < 4500).toEqual(true)
+  expect(reportedDrops(lines)).toEqual(4500 - countOf(lines, 'target lost'))
+})
