A task whose targets crashed twice is started apart, not alone

Cause: a task that is started alone holds a whole target of eleven, and since two losses no longer block a task, dozens are started alone at one time.

Tests: "a task beside which others ran at both crashes is not blocked but started alone" held the isolation that this changes; it holds the new one as strictly (each start and its isolation). Alone is kept for three and four losses of which fewer than three are confirmed.

--- a/packages/dispatch/src/crashsuspects.ts
+++ b/packages/dispatch/src/crashsuspects.ts
@@ -2,9 +2,8 @@
  * Tracks which tasks an entry suspects of crashing their targets, from the reports of the agents.
  *
  * When a target crashes, every task on it becomes a suspect. Suspects are started apart from each other, so that the
- * next crash points to one of them, and after that alone, so that a further crash takes no other task along. Two crashes
- * prove nothing, even if the task was alone at the second: it was placed there alone. Losses of targets that never
- * confirmed the start of the task count for less, since it may not have run there.
+ * next crash points to one of them. Two crashes prove nothing: a sound task that is started apart can lose its target as
+ * well. Losses of targets that never confirmed the start of the task count for less, since it may not have run there.
  */
 import type { CrashRecord } from './messages.ts'
 import { CRASH_RETENTION_MILLISECONDS, CRASHES_TO_BLOCK, LOSSES_TO_BLOCK, MAX_SUSPECTS } from './crashdefaults.ts'
@@ -83,7 +82,7 @@
 
   #verdictOn (losses: readonly TargetLoss[]): CrashVerdict {
     if (losses.length === 0) return CrashVerdict.Free
-    if (losses.length === 1) return CrashVerdict.Apart
+    if (losses.length < CRASHES_TO_BLOCK) return CrashVerdict.Apart
     const confirmed = losses.filter(loss => loss.confirmed)
     if (confirmed.filter(isSettled).length >= CRASHES_TO_BLOCK) return CrashVerdict.Blocked
     if (confirmed.length < CRASHES_TO_BLOCK && losses.length < LOSSES_TO_BLOCK) return CrashVerdict.Alone
