--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -327,6 +327,27 @@
   })
 }
 
+// The first answer ends the incarnation, and the other start is reported as lost with it until its own answer arrives.
+test('a loss that is reported under a start in flight is withdrawn when another incarnation answers the start', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.start([order('one'), order('two')])
+  for (const task of ['one', 'two']) bench.startAnswered(task, StartAnswer.OtherInstance)
+  bench.take()
+  bench.link('entry-2#a')
+  expect(reported(bench)).toEqual([])
+})
+
+// The task is held until its stop is confirmed in the next incarnation, which can't have started it.
+test('one start counts as lost with one incarnation only', () => {
+  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
+  bench.start([order('one')])
+  bench.startAnswered('one', StartAnswer.NoResponse)
+  bench.pollFailed(PollFailure.OtherInstance)
+  bench.seen({ instance: 'target-2' })
+  bench.do({ type: 'pollFailed', instance: 'target-2', sent: bench.now, failure: PollFailure.OtherInstance })
+  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed 0'])
+})
+
 test('a crash is reported to entries before the ends of the tasks lost in it', () => {
   const bench = AgentBench.ready({ policy: ISOLATES })
   bench.run('one')
@@ -520,24 +541,3 @@
   bench.link('entry-2#a')
   expect(reported(bench)).toEqual([])
 })
-
-// The first answer ends the incarnation, and the other start is reported as lost with it until its own answer arrives.
-test('a loss that is reported under a start in flight is withdrawn when another incarnation answers the start', () => {
-  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
-  bench.start([order('one'), order('two')])
-  for (const task of ['one', 'two']) bench.startAnswered(task, StartAnswer.OtherInstance)
-  bench.take()
-  bench.link('entry-2#a')
-  expect(reported(bench)).toEqual([])
-})
-
-// The task is held until its stop is confirmed in the next incarnation, which can't have started it.
-test('one start counts as lost with one incarnation only', () => {
-  const bench = AgentBench.ready({ policy: ISOLATES }, NEW_ID_EACH_INCARNATION)
-  bench.start([order('one')])
-  bench.startAnswered('one', StartAnswer.NoResponse)
-  bench.pollFailed(PollFailure.OtherInstance)
-  bench.seen({ instance: 'target-2' })
-  bench.do({ type: 'pollFailed', instance: 'target-2', sent: bench.now, failure: PollFailure.OtherInstance })
-  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed 0'])
-})
