--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -345,7 +345,7 @@
   bench.pollFailed(PollFailure.OtherInstance)
   bench.seen({ instance: 'target-2' })
   bench.do({ type: 'pollFailed', instance: 'target-2', sent: bench.now, failure: PollFailure.OtherInstance })
-  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed 0'])
+  expect(reported(bench).filter(line => !line.includes('ended'))).toEqual(['one unconfirmed crashed 0'])
 })
 
 test('a crash is reported to entries before the ends of the tasks lost in it', () => {
