The results of the tests of crashes are not lost at a forced exit

Quick tests at the end of a file queue results that the forced exit of its process drops. Where a file has listed failures, a lost further one would go unseen. This file waits 100 ms before it ends; other files are as before: a failure lost there still fails the run, since the file itself counts as failed. No check is changed.

--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -1,6 +1,6 @@
 import type { AgentEffect } from '../src/agenttypes.ts'
 import type { CrashRecord } from '../src/messages.ts'
-import { test } from 'node:test'
+import { after, test } from 'node:test'
 import { expect } from 'earl'
 import { PollFailure, StartAnswer } from '../src/agenttypes.ts'
 import { AnswerKind, Reason } from '../src/entrytypes.ts'
@@ -10,6 +10,9 @@
 import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 import { Cause, Outcome } from '../src/messages.ts'
 
+// Results that are still queued when the runner forces the exit are lost; a lost failure here would pass for a listed one.
+after(() => new Promise(resolve => { setTimeout(resolve, 100) }))
+
 const ISOLATES = { isolatesSuspects: true }
 const AGENTS = ['a', 'b', 'c', 'd', 'e', 'f']
 
