--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -21,6 +21,8 @@
   #startedAt = performance.now()
   #timers = []
   #dark = false
+  /** Share of the tasks that fail, each when it would be done. */
+  failShare = 0
   /** Number of the incarnation; each has an id of its own. */
   #incarnation = 1
 
@@ -150,7 +152,7 @@
 
   #advance () {
     const now = performance.now()
-    for (const running of [...this.#running.values()]) if (now - running.from >= running.milliseconds) this.#finish(running, 'done')
+    for (const running of [...this.#running.values()]) if (now - running.from >= running.milliseconds) this.#finish(running, Math.random() < this.failShare ? 'failed' : 'done')
     if (this.#clock >= this.#leaseUntil) for (const running of [...this.#running.values()]) this.#finish(running, 'lapsed')
   }
 
