--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -20,6 +20,9 @@
 /** The first two bytes of the loopback addresses that the machines have. */
 const NETWORK = `127.${16 + process.pid % 200}`
 
+/** Time limit for the deployment to come up. */
+const START_TIMEOUT_MILLISECONDS = 30_000
+
 const BOUND_SETTINGS = { grace_s: 6, drain_ms: 2000, stop_ms: 50, hold_max_ms: 1000, resend_ms: 1300, config_ms: 2000 }
 
 export const sleep = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
@@ -72,6 +75,14 @@
     return `${NETWORK}.${kind}.${number}`
   }
 
+  get storePort () {
+    return this.#ports.store
+  }
+
+  get storeAddress () {
+    return `${this.address(0, 1)}:${this.#ports.store}`
+  }
+
   get linkPort () {
     return this.#ports.link
   }
@@ -88,9 +99,9 @@
   }
 
   /** Starts an entry. `linkAddress`: address of a relay before its listener for links. */
-  startEntry (number, zone, { linkAddress, seeds = [] } = {}) {
+  startEntry (number, zone, { linkAddress, seeds = [], store = this.storeAddress } = {}) {
     const ip = this.address(1, number)
-    const fields = this.#fields(`edge-${number}`, 'entry', ip, zone, { listen: { front: `${ip}:${this.#ports.front}`, ready_addr: `${ip}:${this.#ports.ready}` }, limits: { memory_mb: 350 }, seeds })
+    const fields = this.#fields(`edge-${number}`, 'entry', ip, zone, { listen: { front: `${ip}:${this.#ports.front}`, ready_addr: `${ip}:${this.#ports.ready}` }, limits: { memory_mb: 350 }, seeds }, store)
     return this.#start(`edge-${number}`, 'entry', fields, linkAddress === undefined ? {} : { linkAddress })
   }
 
@@ -104,8 +115,8 @@
     return worker
   }
 
-  #fields (node, role, ip, zone, more) {
-    return { node, role, ip, zone, internal_ports: [this.#ports.link, this.#ports.link + 1], heartbeat_ms: 1500, bounds: BOUND_SETTINGS, platform: { address: `${this.address(0, 1)}:${this.#ports.store}`, ttl_min_ms: 1000, value_bytes: 1_048_576 }, ...more }
+  #fields (node, role, ip, zone, more, store = this.storeAddress) {
+    return { node, role, ip, zone, internal_ports: [this.#ports.link, this.#ports.link + 1], heartbeat_ms: 1500, bounds: BOUND_SETTINGS, platform: { address: store, ttl_min_ms: 1000, value_bytes: 1_048_576 }, ...more }
   }
 
   #start (name, role, fields, extra = {}) {
@@ -131,7 +142,7 @@
 
   /** Waits until the entries report ready and each has seen all targets. */
   async waitUntilReady (entries, sides) {
-    const until = performance.now() + 15_000
+    const until = performance.now() + START_TIMEOUT_MILLISECONDS
     for (let number = 1; number <= entries; number += 1) {
       while (!await this.#isReady(number, sides)) {
         if (performance.now() > until) throw new CannotRun(`entry ${number} is not ready`)
@@ -180,6 +191,11 @@
     return { ...answer, at: this.at() }
   }
 
+  /** Ends all processes that were started, without waiting for them. */
+  kill () {
+    for (const child of this.#processes.values()) child.kill('SIGKILL')
+  }
+
   /** Ends all processes that were started, by their ids, and closes the stand-ins. */
   async close () {
     const ends = [...this.#processes.values()].filter(child => child.exitCode === null && child.signalCode === null).map(child => new Promise(resolve => {
@@ -201,6 +217,8 @@
   const deployment = new Deployment()
   const trouble = process.env.TROUBLE !== '0'
   deployment.note('case', { trouble })
+  process.on('exit', () => deployment.kill())
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2))
   let code = 2
   try {
     const violations = await play(deployment, trouble)
