--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -9,6 +9,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { parseArgs } from 'node:util'
 import { Store } from './store.mjs'
 import { Worker } from './worker.mjs'
 
@@ -53,8 +54,8 @@
     this.lines.push(`${String(this.at()).padStart(7)} ms  ${what}  ${JSON.stringify(fields)}`)
   }
 
-  saveRecord (folder) {
-    writeFileSync(join(folder, 'record.txt'), `${this.lines.join('\n')}\n`)
+  saveRecord (path) {
+    writeFileSync(path, `${this.lines.join('\n')}\n`)
   }
 
   /** Starts the store and writes the first configuration. */
@@ -209,16 +210,30 @@
 }
 
 /**
- * Runs a case and exits: 1 when the rule was broken, 0 when it held, 2 when the case could not run.
+ * Runs a case and exits: 1 when the rule was broken, 0 when it held, 2 when the case could not run. The arguments of the
+ * process are those that `run.sh` gives: whether the disruption takes place, and the path of the record.
  *
  * @param play resolves to the list of violations
  */
-export async function runCase (folder, play) {
-  const deployment = new Deployment()
-  const trouble = process.env.TROUBLE !== '0'
+export async function runCase (play) {
+  // Node would exit with 1, which says that the rule was broken.
+  process.on('uncaughtException', error => {
+    console.error(error)
+    process.exit(2)
+  })
+  const { values: { trouble: withTrouble, record } } = parseArgs({ options: { trouble: { type: 'string' }, record: { type: 'string' } } })
+  if (withTrouble === undefined || record === undefined) cannotStart('usage: run.mjs --trouble 0|1 --record FILE; run.sh gives both')
+  const deployment = createDeployment()
+  const trouble = withTrouble !== '0'
   deployment.note('case', { trouble })
   process.on('exit', () => deployment.kill())
-  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2))
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.on(signal, () => {
+      deployment.note('ended by a signal', { signal })
+      deployment.saveRecord(record)
+      process.exit(2)
+    })
+  }
   let code = 2
   try {
     const violations = await play(deployment, trouble)
@@ -229,12 +244,25 @@
     deployment.note('the case could not run', { error: error.stack })
   }
   await deployment.close()
-  deployment.saveRecord(folder)
+  deployment.saveRecord(record)
   console.log(deployment.lines.at(-1))
   if (process.env.LOGS !== undefined) for (const [name, log] of deployment.logs) writeFileSync(join(process.env.LOGS, `${name}.log`), `${log.join('\n')}\n`)
   process.exit(code)
 }
 
+function createDeployment () {
+  try {
+    return new Deployment()
+  } catch (error) {
+    return cannotStart(error.stack)
+  }
+}
+
+function cannotStart (reason) {
+  console.error(reason)
+  process.exit(2)
+}
+
 /** Sends one request on a connection of its own. Resolves to the status and body, or to the error of the connection. */
 export function call (method, address, path, body, headers) {
   const [host, port] = address.split(':')
