--- a/review/common-2/fleet.mjs
+++ b/review/common-2/fleet.mjs
@@ -34,6 +34,9 @@
 
 const READY_TIMEOUT = 20_000
 
+/** Time after which a worker that fails its tasks ends them, in milliseconds. */
+const FAILURE_MILLISECONDS = 150
+
 export const sleep = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
 
 /** The case could not run, so that nothing is known about the rule. */
@@ -141,6 +144,7 @@
   #folder = ''
   #storeAddress = ''
   #ending = false
+  #zones = 3
 
   constructor (record) {
     this.#record = record
@@ -148,13 +152,18 @@
 
   /**
    * @param duration run time of each task in milliseconds
+   * @param fails whether a worker fails a task, by the worker's number from 1
+   * @param cpu capacity of a worker, in thousandths of a core
+   * @param services services of the workers, in turn
+   * @param zones whether the machines lie in three zones or in one
    * @param configuration the operators' first configuration
    */
-  async start ({ entries, agents, duration, configuration }) {
+  async start ({ entries, agents, duration, configuration, fails = () => false, cpu = 32_000, services = [SERVICE], zones = 3 }) {
+    this.#zones = zones
     this.#folder = await mkdtemp(join(tmpdir(), 'review-'))
     this.#storeAddress = await this.store.listen(HOST)
     this.store.put('op/config', JSON.stringify(configuration))
-    for (let index = 1; index <= agents; index += 1) await this.#addAgent(index, duration)
+    for (let index = 1; index <= agents; index += 1) await this.#addAgent(index, { cpu, service: services[(index - 1) % services.length], plan: () => fails(index) ? { duration: FAILURE_MILLISECONDS, fails: true } : { duration, fails: false } })
     for (let index = 1; index <= entries; index += 1) await this.#addEntry(index)
     await Promise.all([...this.agents, ...this.entries].map(part => this.launch(part)))
     for (const worker of this.workers) worker.announce()
@@ -213,13 +222,13 @@
     if (this.#folder !== '') await rm(this.#folder, { recursive: true, force: true })
   }
 
-  async #addAgent (index, duration) {
+  async #addAgent (index, { cpu, service, plan }) {
     const control = `${HOST}:${await this.#ports.pick()}`
-    const worker = new FleetWorker({ service: SERVICE, dataCentre: zoneOf(index), cpu: 32_000, agent: control, plan: () => ({ duration, fails: false }), heartbeatMilliseconds: 1500, reportsStartTime: true })
+    const worker = new FleetWorker({ service, dataCentre: this.#zoneOf(index), cpu, agent: control, plan, heartbeatMilliseconds: 1500, reportsStartTime: true })
     const address = await worker.listen(HOST, await this.#ports.pick())
     this.workers.push(worker)
     this.agents.push(await this.#prepare(`side-${index}`, 'agent', index, {
-      target: { address, service: SERVICE },
+      target: { address, service },
       listen: { callers: '', readiness: '', announcements: control }
     }))
   }
@@ -241,6 +250,10 @@
     this.entries.push({ ...entry, callers, readiness, relay })
   }
 
+  #zoneOf (index) {
+    return `hall-${(index - 1) % this.#zones + 1}`
+  }
+
   /** Writes the settings as deploy/settings.json renders them for the site magnolia-pod. */
   async #prepare (id, role, index, own) {
     const linkPort = await this.#ports.pick()
@@ -249,7 +262,7 @@
       id,
       role,
       ip: HOST,
-      dataCentre: zoneOf(index),
+      dataCentre: this.#zoneOf(index),
       linkPorts: [linkPort, linkPort],
       seeds: null,
       targetHeartbeatMilliseconds: 1500,
@@ -264,10 +277,6 @@
   }
 }
 
-function zoneOf (index) {
-  return `hall-${(index - 1) % 3 + 1}`
-}
-
 /** Makes one HTTP call on a connection of its own. Rejects when the connection breaks before the answer is complete. */
 export function call ({ address, method, path, host = HOST, headers = {}, body }) {
   const [name, port] = address.split(':')
@@ -287,8 +296,8 @@
 export function configurationOf (version, routes) {
   return {
     version,
-    routes: routes.map(({ name, prefix }) => ({ name, host: HOST, prefix, kind: 'non_idempotent', timeout_ms: 40_000, target_latency_ms: 60, priority: 0, service: SERVICE, max_attempts: 4, slack_factor: 1.6 })),
-    services: [{ name: SERVICE, health_path: '/health', max_connections: 64, protocol: 'h1', tls: false, rejects_overload: true, spare: false }],
+    routes: routes.map(({ name, prefix, service = SERVICE }) => ({ name, host: HOST, prefix, kind: 'non_idempotent', timeout_ms: 40_000, target_latency_ms: 60, priority: 0, service, max_attempts: 4, slack_factor: 1.6 })),
+    services: [...new Set(routes.map(({ service = SERVICE }) => service))].map(name => ({ name, health_path: '/health', max_connections: 64, protocol: 'h1', tls: false, rejects_overload: true, spare: false })),
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 }
   }
 }
