--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,4 @@
 /** A cancelled job runs after all: the entries that knew of the cancellation have been killed, and a late repetition of the submission arrives. */
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { BROKEN, CANCEL, CONTACT, HELD, NotRun, call, chainOf, configurationOf, runCase, sleep, waitFor } from '../common-2/fleet.mjs'
 
 const PREFIX = '/checks/'
@@ -63,4 +61,4 @@
   return late.length > 0 ? BROKEN : HELD
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), play)
+await runCase(play)
--- a/review/common-2/fleet.mjs
+++ b/review/common-2/fleet.mjs
@@ -311,9 +311,9 @@
   })
 }
 
-/** Runs a case, records its end, and exits with its result. */
-export async function runCase (folder, play) {
-  const record = new Record(join(folder, 'record.txt'))
+/** Runs a case, writes its record to the file that `RECORD` names, and exits with its result. */
+export async function runCase (play) {
+  const record = new Record(process.env.RECORD)
   const trouble = process.env.TROUBLE !== '0'
   const fleet = new Fleet(record)
   let code = NOT_RUN
