Cancellations are stored before they are acknowledged

Cause: the acknowledgement rested on the memory of the entries. amaranthmast_size{kind="cancelled"} of the three entries, in a scratch copy of the case: 1, 1, 1 before the kill; 0, 0, 0 before the second submission, 4.5 s after all were ready; without the kill 1, 1, 1.

Ruled out: that the entry asked did not know (all three did); that something remembered and was heard too late (no agent and no key of the store names a cancellation). Once something does remember, the latter is the next fault, so both ends were changed.

Change: an entry stops the job and tells the other entries as before, writes the cancellation to the platform's store, and answers when the store has confirmed it; after 2 s, or the caller's deadline, it answers 503 with Retry-After. Writes are batched: one at a time, four a second at most for each entry, under a lease that outlasts the retention, so that nothing needs deleting. Entries list the stored cancellations at the start, watch them, and accept no job before they have listed them or learned them from an entry that has. The limit of 5,000 remembered cancellations, beyond which an acknowledged one was forgotten, is 70,000, and beyond it nothing is acknowledged. The explorer has the theme "losses" and the guard cancelStored. Nothing is written for jobs that are not cancelled.

Changed tests: the message on a new link carries "complete"; an entry is ready only with the stored cancellations; the test of the expiry waits for the writes first, since the retention counts from the acknowledgement. Each asks for more than before.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -79,6 +79,7 @@
     send: ({ agent, message }) => this.#agents.send(agent, message),
     tell: ({ peer, message }) => this.#peers.send(peer, message),
     unlink: ({ agent }) => this.#agents.reconnect(agent),
+    storeCancellations: ({ jobs }) => { this.#storeCancellations(jobs) },
     jobEnded: effect => this.#metrics.jobEnded(effect),
     note: ({ what, fields }) => this.#options.decisions.decision(what, fields)
   }
@@ -127,7 +128,7 @@
       limits: () => this.#configuration?.limits,
       // Deferred by one turn: if the caller has already disconnected, the end of its connection is read right after the request.
       submitted: (request, job) => this.#loop.postDeferred({ type: 'submitted', request, job }),
-      cancelAsked: (request, id) => this.#loop.postDeferred({ type: 'cancelAsked', request, id }),
+      cancelAsked: (request, id, remaining) => this.#loop.postDeferred({ type: 'cancelAsked', request, id, remaining }),
       stateAsked: (request, id) => this.#loop.postDeferred({ type: 'stateAsked', request, id }),
       waiting: () => 0,
       gone: request => this.#callerDisconnected(request),
@@ -149,6 +150,7 @@
       doubted: () => this.#gossip.doubted(),
       evacuated: state => this.#loop.post({ type: 'evacuationsRead', state })
     })
+    store.watchCancellations(jobs => this.#loop.post({ type: 'cancellationsRead', jobs }))
     store.watchInstances(records => {
       for (const address of addressesOf(records, PeerRole.Agent)) this.#agents.add(address)
       for (const address of addressesOf(records, PeerRole.Entry)) this.#peers.add(address)
@@ -200,6 +202,10 @@
     else this.#loop.postUrgent({ type: 'requestGone', request })
   }
 
+  async #storeCancellations (jobs: readonly string[]): Promise<void> {
+    if (await this.#options.store.storeCancellations(jobs)) this.#loop.post({ type: 'cancellationsStored' })
+  }
+
   /** Answers all waiting callers and stops their tasks. Both are sent before the next tick, at which the process may exit. */
   #answerWaitingCallers (): void {
     this.#endingPosted = true
@@ -249,7 +255,7 @@
     const exposition = new Exposition()
     const { suspects, convictions, crashes, ...sizes } = this.#entry.status()
     exposition.gauge('amaranthmast_crashes', 'Tasks suspected of crashing targets, tasks given up for it, and targets that crashed lately', Object.entries({ suspects, convictions, crashes }).map(([figure, value]) => ({ labels: { figure }, value })))
-    exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
+    exposition.gauge('amaranthmast_size', 'Open jobs, queued jobs, linked agents, version of the configuration, evacuated data centres, cancellations remembered and not stored yet', Object.entries(sizes).map(([kind, value]) => ({ labels: { kind }, value })))
     exposeConfiguration(exposition, this.#gossip.status, this.#gossip.age)
     exposeStoreCalls(exposition, this.#options.store.calls(), this.#options.store.ends())
     exposeDroppedLines(exposition, this.#options.decisions.dropped())
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -57,6 +57,10 @@
   watchOperators: (events: OperatorEvents) => void
   /** Reads the evacuated data centres; undefined while the store does not answer. */
   readEvacuations: () => Promise<EvacuationState | undefined>
+  /** Reports the stored cancellations: all of them once, even if there are none, and new ones within a second. */
+  watchCancellations: (read: (jobs: readonly string[]) => void) => void
+  /** Stores cancellations. Repeats failed calls; resolves when the store has confirmed them, and to false when it is closed first. */
+  storeCancellations: (jobs: readonly string[]) => Promise<boolean>
   /** Parses a configuration document sent by another entry; undefined when it cannot be read. */
   readConfiguration: (document: string) => DispatchConfiguration | undefined
   /** Stores what an agent has recorded about its target; it is kept for a while after this process has ended. */
@@ -85,7 +89,8 @@
   find: (host: string, path: string) => Queue | QueueLookup
   limits: () => RequestLimits | undefined
   submitted: (request: number, job: JobRequest) => void
-  cancelAsked: (request: number, id: string) => void
+  /** @param remaining how long the caller waits, in milliseconds */
+  cancelAsked: (request: number, id: string, remaining: number) => void
   stateAsked: (request: number, id: string) => void
   /** Number of jobs of the queue that have no started task. */
   waiting: (queue: Queue) => number
--- a/packages/dispatch/explore/callers.ts
+++ b/packages/dispatch/explore/callers.ts
@@ -9,6 +9,11 @@
 /** Mean time between two submissions, in milliseconds. */
 const MEAN_JOB_INTERVAL = 120
 
+/** Fraction of the answered submissions that arrive once more, and how long after the answer, in milliseconds. */
+const REPETITION_FRACTION = 0.5
+const MIN_REPETITION_DELAY = 1000
+const REPETITION_DELAY_SPREAD = 6000
+
 export interface CallerDependencies {
   timeline: Timeline
   random: SeededRandom
@@ -21,6 +26,8 @@
   resubmission: number
   /** Delay until the entry receives the disconnect of a caller, in milliseconds; undefined for none. */
   messageDelay?: (() => number) | undefined
+  /** Some submissions arrive once more, seconds after their answer. */
+  repeats: boolean
 }
 
 /** A submission that awaits its answer. */
@@ -69,6 +76,13 @@
     this.#submissions.delete(request)
     this.answers.set(kind, (this.answers.get(kind) ?? 0) + 1)
     if (kind === AnswerKind.TimedOut) this.#resubmit(submission)
+    else if (this.#dependencies.repeats && kind !== AnswerKind.Refused) this.#repeat(submission)
+  }
+
+  /** Delivers a copy of an answered submission, as a network may. Nobody waits for its answer. */
+  #repeat ({ id }: Submission): void {
+    const { timeline, random } = this.#dependencies
+    if (random.next() < REPETITION_FRACTION) timeline.after(MIN_REPETITION_DELAY + random.next() * REPETITION_DELAY_SPREAD, () => this.#submit(id))
   }
 
   /** Breaks the connections of all callers of an entry whose process ended; they resubmit their jobs. */
--- a/packages/dispatch/explore/cancels.ts
+++ b/packages/dispatch/explore/cancels.ts
@@ -9,6 +9,9 @@
 /** Fraction of the waiting jobs that a wave cancels. */
 const WAVE_FRACTION = 0.5
 
+/** How long a caller waits for the acknowledgement of a cancellation, in milliseconds. */
+const PATIENCE = 4000
+
 /** Numbers of cancel requests start above those of submissions. */
 const FIRST_REQUEST_NUMBER = 1_000_000
 
@@ -45,7 +48,7 @@
     if (alive.length === 0) return
     this.#requests += 1
     this.#jobOfRequest.set(this.#requests, job)
-    random.pick(alive).post({ type: 'cancelAsked', request: this.#requests, id: job })
+    random.pick(alive).post({ type: 'cancelAsked', request: this.#requests, id: job, remaining: PATIENCE })
   }
 
   answered (request: number): void {
--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -20,7 +20,9 @@
   /** Delayed processes, targets that refuse connections, lose stops, answer slowly or run on after they deregistered, and callers that disconnect early. */
   Lateness = 'lateness',
   /** The faults of `Processes`, targets that fail all or some of what they start, and targets that crash shortly after each other. */
-  Failures = 'failures'
+  Failures = 'failures',
+  /** Waves of cancellations, the loss of all entries or all processes at once, also during recovery, outages of the store, and submissions that arrive again seconds after their answer. */
+  Losses = 'losses'
 }
 
 /** Duration of one simulation, in milliseconds: faults until `FAULTS_END`, then none. */
@@ -211,6 +213,37 @@
   }
 }
 
+const LOSS_FAULTS: Readonly<Record<string, Fault>> = {
+  cancelWave: world => world.cancels.wave(),
+  loseEntry: world => world.restartEntry(randomEntryIndex(world), 200 + world.random.next() * 2000),
+  loseEntries: world => world.restartAllEntries(100 + world.random.next() * 2000),
+  loseAll: world => world.restartAll(100 + world.random.next() * 2000),
+  // The acknowledgements, or the writes before them, are in progress.
+  cancelWaveAndLoseEntries: world => {
+    world.cancels.wave()
+    world.timeline.after(world.random.next() * 20, () => world.restartAllEntries(100 + world.random.next() * 1000))
+  },
+  cancelWaveAndLoseAll: world => {
+    world.cancels.wave()
+    world.timeline.after(world.random.next() * 500, () => world.restartAll(100 + world.random.next() * 1000))
+  },
+  loseEntriesTwice: world => {
+    world.cancels.wave()
+    world.timeline.after(50, () => world.restartAllEntries(300))
+    world.timeline.after(350 + world.random.next() * 300, () => world.restartAllEntries(300))
+  },
+  replaceEntries: world => {
+    for (const index of world.entries.keys()) world.timeline.after(index * 400, () => world.restartEntry(index, 300))
+  },
+  storeAway: world => world.store.away(300 + world.random.next() * 3000),
+  storeAwayAndLoseEntries: world => {
+    world.cancels.wave()
+    world.timeline.after(world.random.next() * 20, () => world.store.away(300 + world.random.next() * 2000))
+    world.timeline.after(30, () => world.restartAllEntries(100 + world.random.next() * 1000))
+  },
+  cutPeers: world => world.cutPeers(randomEntryIndex(world), 300 + world.random.next() * 4000)
+}
+
 /** A target fails a fraction of the tasks that start there, for a random time. */
 function failTasks (world: World, agent: number, fraction: number): void {
   world.failTasks(agent, fraction, randomFaultDuration(world))
@@ -261,7 +294,8 @@
   [Theme.Capacity]: CAPACITY_FAULTS,
   [Theme.Partitions]: PARTITION_FAULTS,
   [Theme.Lateness]: LATENESS_FAULTS,
-  [Theme.Failures]: FAILURE_FAULTS
+  [Theme.Failures]: FAILURE_FAULTS,
+  [Theme.Losses]: LOSS_FAULTS
 }
 
 /** Faults that become more likely when the guard against them is disabled. */
@@ -276,6 +310,7 @@
   stopAgain: ['cancelWaveAndResets'],
   cancelMemory: ['cancelWave', 'cancelWaveAndRemovedEntry'],
   cancelNews: ['cancelWave'],
+  cancelStored: ['cancelWaveAndLoseEntries', 'cancelWaveAndLoseAll'],
   capacityNews: ['shrink', 'shrinkAll'],
   drain: ['notice'],
   grantedOnce: ['claimAll', 'claimAllEach', 'cutPeers'],
@@ -289,6 +324,9 @@
 /** Themes in which targets may restart under their names. */
 const THEMES_WITH_KEPT_NAMES: ReadonlySet<Theme> = new Set([Theme.Operators, Theme.Cancels, Theme.Lateness])
 
+/** Themes in which tasks may outlast the cancellation bound. */
+const THEMES_WITH_LONG_TASKS: ReadonlySet<Theme> = new Set([Theme.Cancels, Theme.Losses])
+
 /** Themes in which odd seeds isolate the tasks of crashed targets. */
 const THEMES_WITH_ISOLATION: ReadonlySet<Theme> = new Set([Theme.Cancels, Theme.Failures])
 
@@ -330,17 +368,18 @@
   const world = new World(seed, guards, {
     ...FLEET_SIZE,
     dataCentres: theme === Theme.Operators ? 2 : 1,
-    longTasks: theme === Theme.Cancels,
+    longTasks: THEMES_WITH_LONG_TASKS.has(theme),
     isolatesSuspects: THEMES_WITH_ISOLATION.has(theme) && seed % 2 === 1,
     changingTargets: theme === Theme.Capacity,
     partitions: theme === Theme.Partitions,
     late: theme === Theme.Lateness,
     keepNames: THEMES_WITH_KEPT_NAMES.has(theme),
+    repeats: theme === Theme.Losses,
     attempts
   }, trace)
   world.callers.submitUntil(FAULTS_END)
   scheduleFaults(world, faultsOf(theme, only), FOCUSED_FAULTS[broken ?? ''] ?? [], trace)
-  world.timeline.runUntil(theme === Theme.Cancels ? LONG_RUN_LENGTH : RUN_LENGTH)
+  world.timeline.runUntil(THEMES_WITH_LONG_TASKS.has(theme) ? LONG_RUN_LENGTH : RUN_LENGTH)
   return { violation: world.violation, answers: world.callers.answers }
 }
 
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -21,6 +21,7 @@
 import { ALL_FLEET_GUARDS } from '../src/fleetguards.ts'
 import { DEFAULT_POLICY } from '../src/policy.ts'
 import { timingsFor } from '../src/timings.ts'
+import { CancellationStore } from '@amaranthmast/emulator/cancellationstore'
 import { Connections } from '@amaranthmast/emulator/connections'
 import { EmulatedTarget } from '@amaranthmast/emulator/emulatedtarget'
 import { FailureCheck } from '@amaranthmast/emulator/failurecheck'
@@ -104,6 +105,8 @@
   keepNames: boolean
   /** Processes handle events in delayed batches, disconnects of callers reach entries after a delay, and calls end with the process that made them. */
   late: boolean
+  /** Some submissions arrive once more, seconds after their answer. @default false */
+  repeats?: boolean
   /** Failures of a task after which entries fail its job. The check requires those that the queue allows. @default those */
   attempts?: number | undefined
 }
@@ -124,6 +127,7 @@
   readonly callers: Callers
   readonly operators: Operators
   readonly cancels: Cancellations
+  readonly store: CancellationStore
   readonly #maxTaskDuration: number
   readonly #isolatesSuspects: boolean
   readonly #dataCentres: number
@@ -159,8 +163,9 @@
     this.#quietPing = seed % 2 === 0 ? LONG_QUIET_PING : DEFAULT_POLICY.quietPing
     const messageDelay = (): number => MIN_MESSAGE_DELAY + this.random.next() * MESSAGE_DELAY_SPREAD
     this.#connections = new Connections(this.timeline, messageDelay)
+    this.store = new CancellationStore(this.timeline, this.entries)
     this.#peers = new PeerLinks(this.timeline, this.entries, messageDelay)
-    this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: this.#queue, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined })
+    this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: this.#queue, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined, repeats: options.repeats ?? false })
     // Operators and cancellations have their own random sequences, so that a seed yields the same process faults with and without them.
     this.operators = new Operators({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, agents: this.agents, dataCentreOf: agent => this.dataCentreOf(agent) })
     this.cancels = new Cancellations({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => this.callers.waiting(), stop: PLATFORM_BOUNDS.stop })
@@ -168,7 +173,7 @@
     for (let index = 0; index < options.agents; index += 1) this.#addAgent(index, timings, guards)
     for (let index = 0; index < options.entries; index += 1) this.#addEntry(index, timings, guards)
     for (const process of [...this.agents, ...this.entries]) process.start()
-    for (const entry of this.entries) this.#configure(entry)
+    for (const entry of this.entries) this.#prepare(entry)
     this.#dialAll()
     this.#check()
     if (options.dataCentres > 1) this.operators.start()
@@ -207,7 +212,7 @@
     this.callers.breakConnections(index)
     this.timeline.after(milliseconds, () => {
       entry.start()
-      this.#configure(entry)
+      this.#prepare(entry)
     })
   }
 
@@ -267,6 +272,17 @@
     this.#connections.closeByEntry(pairOf(entry, agent))
   }
 
+  /** Restarts all entries at once. */
+  restartAllEntries (milliseconds: number): void {
+    for (const index of this.entries.keys()) this.restartEntry(index, milliseconds)
+  }
+
+  /** Restarts all entries and agents at once. */
+  restartAll (milliseconds: number): void {
+    this.restartAllEntries(milliseconds)
+    for (const index of this.agents.keys()) this.restartAgent(index, milliseconds)
+  }
+
   /** Breaks every link between entries and agents at the agents' ends. Messages in flight to the agents are lost. */
   breakAllLinks (): void {
     this.agents.forEach((_agent, agent) => this.entries.forEach((_entry, entry) => this.#connections.closeByAgent(pairOf(entry, agent))))
@@ -313,7 +329,9 @@
     this.entries.push(new Process<EntryEvent, EntryEffect>(`entry${index}`, this.timeline, createEntry, { type: 'tick' }, effect => this.#carryOutEntry(index, effect), this.#late ? { arrange: handleEndsFirst } : {}))
   }
 
-  #configure (entry: EntryProcess): void {
+  /** Gives a started entry what it reads from the store. */
+  #prepare (entry: EntryProcess): void {
+    this.store.entryStarted(entry)
     entry.post({ type: 'configured', configuration: { version: 1, queues: [this.#queue], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
 
@@ -348,6 +366,7 @@
     if (effect.type === 'send') this.#connections.toAgent(pairOf(index, numberOf(effect.agent)), effect.message)
     if (effect.type === 'tell') this.#peers.send(index, numberOf(effect.peer), effect.message)
     if (effect.type === 'unlink') this.#connections.closeByEntry(pairOf(index, numberOf(effect.agent)))
+    if (effect.type === 'storeCancellations') this.store.write(this.entries[index] as EntryProcess, effect.jobs)
     if (effect.type === 'answer') this.#answered(effect.request, effect.answer.kind)
     if (effect.type === 'note') this.#trace?.(`${this.timeline.now.toFixed(1)} entry${index} ${effect.what} ${JSON.stringify(effect.fields)}`)
   }
@@ -355,7 +374,7 @@
   #answered (request: number, kind: AnswerKind): void {
     const job = this.callers.jobOf(request)
     if (kind === AnswerKind.Failed && job !== undefined) this.#report(this.#failureCheck.violationOfFailed(job, QUEUE.attempts))
-    this.cancels.answered(request)
+    if (kind !== AnswerKind.Refused) this.cancels.answered(request)
     this.callers.answered(request, kind)
   }
 
--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -5,52 +5,121 @@
  * remembered for as long as a caller may retry, and sent to the other entries: at once, and on each new link.
  * Cancellations received from an entry are sent only to entries that link later, so that they are not forwarded in
  * circles.
+ *
+ * The memory of the entries is lost when all of them are killed. A cancellation is therefore acknowledged once it is
+ * stored, and an entry accepts jobs once it knows the stored cancellations: from the store, or from an entry that does.
  */
-import type { PeerMessage } from './peermessages.ts'
-import { CANCELLATION_RETENTION_MILLISECONDS, MAX_CANCELLATIONS } from './crashdefaults.ts'
+import type { Answer, EntryEffect } from './entrytypes.ts'
+import { refused } from './answers.ts'
+import { CancellationWrites } from './cancellationwrites.ts'
+import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS } from './cancellationdefaults.ts'
+import { Reason } from './entrytypes.ts'
 
 export interface CancellationsDependencies {
   /** Whether cancelled ids are remembered. */
   remembers: boolean
   /** Whether cancellations are sent to the other entries. */
   sendsToPeers: boolean
-  tell: (peer: string, message: PeerMessage) => void
+  /** Whether cancellations are stored before they are acknowledged, and read before jobs are accepted. */
+  stores: boolean
+  emit: (effect: EntryEffect) => void
+}
+
+/** A caller's request to cancel a job. */
+export interface CancelRequest {
+  request: number
+  /** Answer once the cancellation is stored. */
+  answer: Answer
+  /** How long the caller waits for it, in milliseconds. */
+  remaining: number
+}
+
+/** A cancelled job, and how long ago it was cancelled, in milliseconds. */
+export interface CancelledJob {
+  job: string
+  ago: number
 }
 
 export class Cancellations {
   readonly #dependencies: CancellationsDependencies
+  readonly #writes: CancellationWrites
   readonly #peers = new Set<string>()
-  /** When each job was cancelled, oldest first. */
+  /** When each job was cancelled, roughly in that order: those that other entries send may be older than the last. */
   readonly #cancelled = new Map<string, number>()
+  readonly #stored = new Set<string>()
+  #complete: boolean
 
   constructor (dependencies: CancellationsDependencies) {
     this.#dependencies = dependencies
+    this.#complete = !dependencies.stores
+    this.#writes = new CancellationWrites({
+      write: jobs => dependencies.emit({ type: 'storeCancellations', jobs }),
+      answer: (request, answer) => this.#answer(request, answer)
+    })
   }
 
   get size (): number {
     return this.#cancelled.size
   }
 
+  /** Number of cancellations that are not stored yet. */
+  get unstored (): number {
+    return this.#writes.size
+  }
+
+  /** Whether every cancellation that was acknowledged before this entry started is known. */
+  get complete (): boolean {
+    return this.#complete
+  }
+
   has (job: string): boolean {
     return this.#cancelled.has(job)
   }
 
-  /** Records a cancellation by a caller of this entry and sends it to the other entries. */
-  add (job: string, now: number): void {
+  /** Records a cancellation by a caller of this entry, sends it to the other entries, and answers the caller once it is stored. */
+  add (job: string, { request, answer, remaining }: CancelRequest, now: number): void {
+    if (!this.has(job) && this.#cancelled.size >= MAX_CANCELLATIONS) return this.#answer(request, refused(Reason.Overload, CANCELLATION_RETRY_MILLISECONDS))
     this.#remember(job, now)
     for (const peer of this.#peers) this.#send(peer, [job], now)
+    if (!this.#dependencies.stores || this.#stored.has(job)) return this.#answer(request, answer)
+    this.#writes.add(job, { request, answer, until: now + Math.min(remaining, CANCELLATION_PATIENCE_MILLISECONDS) }, now)
   }
 
-  /** Records cancellations sent by another entry, and returns the ids that are new here. */
-  receive (jobs: ReadonlyArray<{ job: string, ago: number }>, now: number): string[] {
+  /**
+   * Records cancellations sent by another entry, and returns the ids that are new here.
+   *
+   * @param complete whether these are all that the other entry knows, and it knows all stored ones
+   */
+  receive (jobs: readonly CancelledJob[], complete: boolean, now: number): string[] {
     const fresh = jobs.filter(({ job, ago }) => !this.#cancelled.has(job) && ago < CANCELLATION_RETENTION_MILLISECONDS)
     for (const { job, ago } of fresh) this.#remember(job, now - ago)
+    if (complete) this.#completed('entry', now)
     return fresh.map(({ job }) => job)
   }
 
+  /** Records cancellations read from the store, and returns the ids that are new here. */
+  read (jobs: readonly string[], now: number): string[] {
+    const fresh = jobs.filter(job => !this.#cancelled.has(job))
+    for (const job of jobs) {
+      this.#remember(job, now)
+      this.#stored.add(job)
+    }
+    this.#completed('store', now)
+    return fresh
+  }
+
+  /** The last write has been stored. The retention starts now, when the callers get their answers. */
+  written (now: number): void {
+    for (const job of this.#writes.written(now)) {
+      this.#cancelled.delete(job)
+      this.#remember(job, now)
+      this.#stored.add(job)
+    }
+  }
+
   peerLinked (peer: string, now: number): void {
     this.#peers.add(peer)
-    this.#send(peer, [...this.#cancelled.keys()], now)
+    this.#sendAll(peer, now)
   }
 
   peerUnlinked (peer: string): void {
@@ -58,19 +127,51 @@
   }
 
   tick (now: number): void {
-    for (const [job, at] of this.#cancelled) if (now - at >= CANCELLATION_RETENTION_MILLISECONDS) this.#cancelled.delete(job)
+    this.#writes.tick(now)
+    for (const [job, at] of this.#cancelled) {
+      if (now - at < CANCELLATION_RETENTION_MILLISECONDS) break
+      this.#forget(job)
+    }
   }
 
   #remember (job: string, at: number): void {
     if (!this.#dependencies.remembers || this.#cancelled.has(job)) return
     this.#cancelled.set(job, at)
     if (this.#cancelled.size <= MAX_CANCELLATIONS) return
-    const oldest = this.#cancelled.keys().next().value
-    if (oldest !== undefined) this.#cancelled.delete(oldest)
+    const [oldest] = this.#cancelled.keys()
+    if (oldest === undefined) return
+    this.#forget(oldest)
+    this.#note('cancellation dropped, too many are remembered', { job: oldest })
+  }
+
+  #forget (job: string): void {
+    this.#cancelled.delete(job)
+    this.#stored.delete(job)
+  }
+
+  #completed (source: string, now: number): void {
+    if (this.#complete) return
+    this.#complete = true
+    this.#note('stored cancellations known', { source, cancelled: this.size })
+    for (const peer of this.#peers) this.#sendAll(peer, now)
+  }
+
+  #sendAll (peer: string, now: number): void {
+    if (this.#dependencies.stores && this.#complete) this.#send(peer, [...this.#cancelled.keys()], now, { complete: true })
+    else if (this.#cancelled.size > 0) this.#send(peer, [...this.#cancelled.keys()], now)
+  }
+
+  #send (peer: string, jobs: readonly string[], now: number, extra: { complete?: true } = {}): void {
+    if (!this.#dependencies.sendsToPeers) return
+    const cancelled = jobs.map(job => ({ job, ago: Math.round(now - (this.#cancelled.get(job) ?? now)) }))
+    this.#dependencies.emit({ type: 'tell', peer, message: { type: 'cancel', jobs: cancelled, ...extra } })
+  }
+
+  #answer (request: number, answer: Answer): void {
+    this.#dependencies.emit({ type: 'answer', request, answer })
   }
 
-  #send (peer: string, jobs: readonly string[], now: number): void {
-    if (!this.#dependencies.sendsToPeers || jobs.length === 0) return
-    this.#dependencies.tell(peer, { type: 'cancel', jobs: jobs.map(job => ({ job, ago: Math.round(now - (this.#cancelled.get(job) ?? now)) })) })
+  #note (what: string, fields: Record<string, unknown>): void {
+    this.#dependencies.emit({ type: 'note', what, fields })
   }
 }
--- a/packages/dispatch/src/crashdefaults.ts
+++ b/packages/dispatch/src/crashdefaults.ts
@@ -1,4 +1,4 @@
-/** Constants for crash suspects and cancellations. Durations in milliseconds unless the name says otherwise. */
+/** Constants for crash suspects and orphaned runs. Durations in milliseconds unless the name says otherwise. */
 
 /**
  * How long a crash counts against the tasks that were on the target: callers retry a job for as long as they wait, up
@@ -23,12 +23,6 @@
 /** Cost of placing a suspect on the fullest rather than the emptiest target: above any cost of distance or speed. */
 export const SUSPECT_LOAD_COST_MILLISECONDS = 10_000
 
-// Cancellations
-
-/** How long a cancellation is remembered: a caller or a delayed submission may arrive for as long as callers wait, 30 s. */
-export const CANCELLATION_RETENTION_MILLISECONDS = 30_000
-export const MAX_CANCELLATIONS = 5000
-
 /**
  * How long an orphaned run may stay listed while each poll orders it to stop: four stops without an answer. After that
  * the lease is allowed to expire, which also ends the tasks that run beside it.
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -15,6 +15,7 @@
 import { Attempts } from './attempts.ts'
 import { refused, unknown } from './answers.ts'
 import { Cancellations } from './cancellations.ts'
+import { RECOVERY_RETRY_MILLISECONDS } from './cancellationdefaults.ts'
 import { CrashSuspects } from './crashsuspects.ts'
 import { REVIEW_INTERVAL_MILLISECONDS } from './defaults.ts'
 import { Pressure } from './pressure.ts'
@@ -67,7 +68,7 @@
   readonly #handlers: Handlers = {
     submitted: ({ request, job }, now) => this.#submitted(request, job, now),
     requestGone: ({ request }, now) => this.#callerGone(request, now),
-    cancelAsked: ({ request, id }, now) => this.#cancelRequested(request, id, now),
+    cancelAsked: ({ request, id, remaining }, now) => this.#cancelRequested(request, id, remaining, now),
     stateAsked: ({ request, id }) => this.#answer(request, this.#stateOf(id)),
     agentLinked: ({ agent, incarnation }, now) => this.#fleet.agentLinked(agent, incarnation, now),
     agentUnlinked: ({ agent }, now) => this.#fleet.agentUnlinked(agent, now),
@@ -86,10 +87,12 @@
     },
     peerMessage: ({ peer, message }, now) => {
       if (message.type === 'evacuations') this.#evacuations.receive(peer, message.state)
-      else if (message.type === 'cancel') for (const id of this.#cancellations.receive(message.jobs, now)) this.#cancel(id, now)
+      else if (message.type === 'cancel') this.#cancelAll(this.#cancellations.receive(message.jobs, message.complete === true, now), now)
       else if (message.type === 'demand') this.#fleetAdmission?.receive(peer, message, now)
       else this.#sharing.received(peer, message, now)
     },
+    cancellationsRead: ({ jobs }, now) => this.#cancelAll(this.#cancellations.read(jobs, now), now),
+    cancellationsStored: (_event, now) => this.#cancellations.written(now),
     evacuationsRead: ({ state }, now) => this.#evacuations.read(state, now),
     configured: ({ configuration }) => this.#configured(configuration),
     tick: (_event, now) => this.#tick(now),
@@ -118,8 +121,8 @@
       opened: agent => this.#evacuations.sendToAgent(agent),
       evacuationsReceived: (agent, state) => this.#evacuations.receiveFromAgent(agent, state)
     })
-    const { cancelMemory: remembers, cancelNews: sendsToPeers } = options.guards ?? ALL_FLEET_GUARDS
-    this.#cancellations = new Cancellations({ remembers, sendsToPeers, tell: (peer, message) => this.#effects.push({ type: 'tell', peer, message }) })
+    const { cancelMemory: remembers, cancelNews: sendsToPeers, cancelStored: stores } = options.guards ?? ALL_FLEET_GUARDS
+    this.#cancellations = new Cancellations({ remembers, sendsToPeers, stores, emit: effect => this.#effects.push(effect) })
     this.#suspects = new CrashSuspects()
     this.#ends = new TaskEnds({
       policy: this.#policy,
@@ -180,7 +183,7 @@
   status (): EntryStatus {
     let queued = 0
     for (const queue of this.#queues.values()) queued += queue.size
-    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, ...this.#suspects.status() }
+    return { configuration: this.#configuration?.version ?? 0, evacuated: this.#evacuations.known.state?.dataCentres.length ?? 0, agents: this.#fleet.linked, open: this.#jobs.size, queued, cancelled: this.#cancellations.size, unstored: this.#cancellations.unstored, ...this.#suspects.status() }
   }
 
   /** Status of this entry's part in sharing the capacity of the fleet. */
@@ -191,7 +194,7 @@
 
   /** Whether the load balancer may send new callers to this entry. */
   get ready (): boolean {
-    return this.#configuration !== undefined && this.#fleet.linked > 0 && this.#endsAt === undefined
+    return this.#configuration !== undefined && this.#fleet.linked > 0 && this.#cancellations.complete && this.#endsAt === undefined
   }
 
   // Callers
@@ -208,7 +211,7 @@
     const answered = this.#answers.get(submitted.id)
     if (answered !== undefined) return this.#answer(request, answered)
     if (this.#cancellations.has(submitted.id)) return this.#answer(request, CANCELLED)
-    const refusal = this.#intake.refusal(submitted, this.#endsAt, now)
+    const refusal = this.#cancellations.complete ? this.#intake.refusal(submitted, this.#endsAt, now) : refused(Reason.Recovering, RECOVERY_RETRY_MILLISECONDS)
     if (refusal !== undefined) return this.#refuse(request, submitted, refusal)
     const exceeded = known === undefined ? this.#fleetAdmission?.refusal(submitted, now) : undefined
     if (exceeded !== undefined) {
@@ -260,10 +263,14 @@
     if (job.state === JobState.Open) this.#close(job, { kind: AnswerKind.Cancelled, reason: Reason.CallerGone, retryAfter: 0 }, now)
   }
 
-  #cancelRequested (request: number, id: string, now: number): void {
-    const known = this.#cancel(id, now)
-    if (this.#answers.get(id) === undefined) this.#cancellations.add(id, now)
-    this.#answer(request, known ? CANCELLED : unknown())
+  #cancelRequested (request: number, id: string, remaining: number, now: number): void {
+    const answer = this.#cancel(id, now) ? CANCELLED : unknown()
+    if (this.#answers.get(id) === undefined) this.#cancellations.add(id, { request, answer, remaining }, now)
+    else this.#answer(request, answer)
+  }
+
+  #cancelAll (ids: readonly string[], now: number): void {
+    for (const id of ids) this.#cancel(id, now)
   }
 
   /** Returns whether there was anything to cancel: an open job, or a repeated submission that waits for earlier tasks to stop. */
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -40,6 +40,10 @@
   /** One of its tasks is taken for the cause of crashes of its targets, and is started no more. */
   TaskCrashes = 'taskCrashes',
   Stopping = 'stopping',
+  /** The stored cancellations are not known yet. */
+  Recovering = 'recovering',
+  /** The store has not confirmed a cancellation in time. */
+  NotStored = 'notStored',
   CallerGone = 'callerGone',
   Cancelled = 'cancelled'
 }
@@ -54,7 +58,8 @@
 export type EntryEvent =
   | { type: 'submitted', request: number, job: JobRequest }
   | { type: 'requestGone', request: number }
-  | { type: 'cancelAsked', request: number, id: string }
+  /** `remaining`: how long the caller waits, in milliseconds. */
+  | { type: 'cancelAsked', request: number, id: string, remaining: number }
   | { type: 'stateAsked', request: number, id: string }
   | { type: 'agentLinked', agent: string, incarnation: string }
   | { type: 'agentUnlinked', agent: string }
@@ -65,6 +70,10 @@
   | { type: 'configured', configuration: DispatchConfiguration }
   /** The evacuated data centres were read from the store. */
   | { type: 'evacuationsRead', state: EvacuationState }
+  /** Cancellations were read from the store: all of them the first time, later at least the new ones. */
+  | { type: 'cancellationsRead', jobs: readonly string[] }
+  /** The last `storeCancellations` has been carried out. */
+  | { type: 'cancellationsStored' }
   | { type: 'tick' }
   | { type: 'stopOrdered' }
   /** The process is about to exit: every waiting caller gets a final answer. */
@@ -77,6 +86,8 @@
   | { type: 'tell', peer: string, message: PeerMessage }
   /** Closes the link, so that it is opened again. */
   | { type: 'unlink', agent: string }
+  /** Stores cancellations, and repeats that until it is confirmed. The next ones are emitted only then. */
+  | { type: 'storeCancellations', jobs: readonly string[] }
   /** A job has ended; figures for histograms. */
   | { type: 'jobEnded', queue: string, kind: AnswerKind, reason: Reason, milliseconds: number, waited: number }
   /** A decision or a change of state, for the log. */
@@ -109,4 +120,6 @@
   queued: number
   /** Number of cancellations remembered. */
   cancelled: number
+  /** Number of cancellations that are not stored yet. */
+  unstored: number
 }
--- a/packages/dispatch/src/fleetguards.ts
+++ b/packages/dispatch/src/fleetguards.ts
@@ -12,8 +12,10 @@
   cancelMemory: boolean
   /** Cancellations are sent to the other entries. */
   cancelNews: boolean
+  /** Cancellations are acknowledged once they are stored, and jobs accepted once the stored ones are known. */
+  cancelStored: boolean
   /** Capacity granted to a task that has been placed elsewhere meanwhile is returned. */
   grantedOnce: boolean
 }
 
-export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, announcedEcho: true, cancelMemory: true, cancelNews: true, grantedOnce: true }
+export const ALL_FLEET_GUARDS: Readonly<FleetGuards> = { silence: true, cleared: true, stopAgain: true, announcedEcho: true, cancelMemory: true, cancelNews: true, cancelStored: true, grantedOnce: true }
--- a/packages/dispatch/src/peermessages.ts
+++ b/packages/dispatch/src/peermessages.ts
@@ -1,4 +1,5 @@
 /** Messages between entries: capacity requests and grants, demand, evacuations and cancellations. */
+import type { CancelledJob } from './cancellations.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { Step } from './job.ts'
 import type { Isolation } from './messages.ts'
@@ -94,5 +95,8 @@
   | { type: 'demand', dataCentre: string, kinds: QueueDemand[], returns?: ReturnNotice[] }
   /** Evacuated data centres, as recorded by the sender. */
   | { type: 'evacuations', state: EvacuationState }
-  /** Jobs cancelled by their callers, and how long ago, in milliseconds. */
-  | { type: 'cancel', jobs: Array<{ job: string, ago: number }> }
+  /**
+   * Jobs cancelled by their callers. `complete`: these are all that the sender knows, among them all stored ones. Earlier
+   * builds omit it.
+   */
+  | { type: 'cancel', jobs: CancelledJob[], complete?: boolean }
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -1,14 +1,15 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { StartAnswer } from '../src/agenttypes.ts'
-import { CANCELLATION_RETENTION_MILLISECONDS, MAX_CANCELLATIONS, ORPHANED_RUN_MILLISECONDS } from '../src/crashdefaults.ts'
+import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_WRITE_INTERVAL_MILLISECONDS, MAX_CANCELLATIONS } from '../src/cancellationdefaults.ts'
+import { ORPHANED_RUN_MILLISECONDS } from '../src/crashdefaults.ts'
 import { AgentBench, BOUNDS, order } from './agentbench.ts'
 import { EntryBench } from './entrybench.ts'
 
 const CANCEL = 90
 
 function cancel (bench: EntryBench, id: string): void {
-  bench.do({ type: 'cancelAsked', request: CANCEL, id })
+  bench.do({ type: 'cancelAsked', request: CANCEL, id, remaining: 4000 })
 }
 
 // A caller submits a job again that it, or another holder of the id, has cancelled meanwhile.
@@ -65,7 +66,7 @@
   bench.do({ type: 'peerLinked', peer: 'second' })
   const cancels = (peer: string): unknown[] => bench.told(peer).filter(({ type }) => type === 'cancel')
   expect(cancels('first')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 0 }] }])
-  expect(cancels('second')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 200 }] }])
+  expect(cancels('second')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 200 }], complete: true }])
 })
 
 test('a received cancellation is not forwarded to linked entries', () => {
@@ -79,11 +80,120 @@
 test('cancellations expire, and their number is bounded', () => {
   const bench = EntryBench.withAgents('one')
   for (let number = 0; number <= MAX_CANCELLATIONS; number += 1) cancel(bench, `job${number}`)
+  while (bench.entry.status().unstored > 0) bench.advance(CANCELLATION_WRITE_INTERVAL_MILLISECONDS)
   expect(bench.entry.status().cancelled).toEqual(MAX_CANCELLATIONS)
   bench.advance(CANCELLATION_RETENTION_MILLISECONDS)
   expect(bench.entry.status().cancelled).toEqual(0)
 })
 
+// An entry that forgets an acknowledged cancellation, because others follow, would run the job when it is submitted again.
+test('no cancellation is acknowledged beyond those that an entry can remember', () => {
+  const bench = EntryBench.withAgents('one')
+  for (let number = 0; number < MAX_CANCELLATIONS; number += 1) cancel(bench, `job${number}`)
+  bench.advance(CANCELLATION_WRITE_INTERVAL_MILLISECONDS)
+  bench.take()
+  cancel(bench, 'further')
+  expect(bench.answers()).toEqual([[CANCEL, 'refused overload']])
+})
+
+// The store
+
+function stored (bench: EntryBench): string[][] {
+  return bench.take().flatMap(effect => effect.type === 'storeCancellations' ? [[...effect.jobs]] : [])
+}
+
+// All entries are killed right after a cancellation was acknowledged, and nobody remembers it.
+test('a cancellation is acknowledged once it is stored', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.submit('job')
+  bench.storeAway = true
+  cancel(bench, 'job')
+  expect([bench.stops(), bench.answers().some(([request]) => request === CANCEL)]).toEqual([['one job.0.0'], false])
+  expect(stored(bench)).toEqual([['job']])
+  bench.do({ type: 'cancellationsStored' })
+  expect(bench.answers()).toEqual([[CANCEL, 'cancelled cancelled']])
+})
+
+// A job that was cancelled before all entries were killed is submitted again after their start.
+test('a job whose cancellation was read from the store is not started', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.do({ type: 'cancellationsRead', jobs: ['job'] })
+  const request = bench.submit('job')
+  expect([bench.starts(), bench.answers()]).toEqual([[], [[request, 'cancelled cancelled']]])
+})
+
+// A repetition reaches an entry that has started and has not read the store yet.
+test('an entry accepts no job, and is not ready, before it knows the stored cancellations', () => {
+  const bench = new EntryBench()
+  bench.configure(false)
+  bench.link('one')
+  bench.take()
+  const request = bench.submit('job')
+  expect([bench.entry.ready, bench.starts(), bench.answers()]).toEqual([false, [], [[request, 'refused recovering']]])
+  bench.do({ type: 'cancellationsRead', jobs: [] })
+  expect(bench.entry.ready).toEqual(true)
+})
+
+// The store is away when an entry starts; the others know all cancellations.
+test('an entry that cannot read the store learns the cancellations from another entry', () => {
+  const bench = new EntryBench()
+  bench.configure(false)
+  bench.link('one')
+  bench.receive('other', { type: 'cancel', jobs: [{ job: 'job', ago: 5 }] })
+  expect(bench.entry.ready).toEqual(false)
+  bench.receive('other', { type: 'cancel', jobs: [], complete: true })
+  expect(bench.entry.ready).toEqual(true)
+})
+
+// The message of another entry is lost on a silent link, and its cancellation is read from the store.
+test('a cancellation read from the store stops the job here', () => {
+  const bench = EntryBench.withAgents('one')
+  const request = bench.submit('job')
+  bench.do({ type: 'cancellationsRead', jobs: ['job'] })
+  expect([bench.stops(), bench.answers()]).toEqual([['one job.0.0'], [[request, 'cancelled cancelled']]])
+})
+
+// A wave of cancellations must not use up the calls that the store grants to all entries.
+test('cancellations are written one batch at a time, at a limited rate', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.storeAway = true
+  for (const id of ['first', 'second', 'third']) cancel(bench, id)
+  bench.advance(2 * CANCELLATION_WRITE_INTERVAL_MILLISECONDS)
+  expect(stored(bench)).toEqual([['first']])
+  bench.do({ type: 'cancellationsStored' })
+  expect(stored(bench)).toEqual([['second', 'third']])
+  bench.do({ type: 'cancellationsStored' })
+  cancel(bench, 'fourth')
+  expect(stored(bench)).toEqual([])
+  bench.advance(CANCELLATION_WRITE_INTERVAL_MILLISECONDS)
+  expect(stored(bench)).toEqual([['fourth']])
+})
+
+// While the store is away a caller would wait until its own time limit.
+test('a cancellation that is not stored in time is refused, and further ones at once', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.storeAway = true
+  cancel(bench, 'job')
+  bench.advance(CANCELLATION_PATIENCE_MILLISECONDS)
+  expect(bench.answers()).toEqual([[CANCEL, 'refused notStored']])
+  bench.take()
+  cancel(bench, 'next')
+  expect(bench.answers()).toEqual([[CANCEL, 'refused notStored']])
+})
+
+test('a refused cancellation is still in force, and acknowledged at once when it was stored later', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.storeAway = true
+  cancel(bench, 'job')
+  bench.advance(CANCELLATION_PATIENCE_MILLISECONDS)
+  bench.submit('job')
+  expect(bench.starts()).toEqual([])
+  bench.do({ type: 'cancellationsStored' })
+  bench.take()
+  cancel(bench, 'job')
+  expect(bench.answers()).toEqual([[CANCEL, 'unknown']])
+})
+
 // The link breaks and loses the stop; without another stop the task runs to its end.
 test('stops are sent again on a new link', () => {
   const bench = EntryBench.withAgents('one')
--- a/packages/dispatch/test/capacityallocation.test.ts
+++ b/packages/dispatch/test/capacityallocation.test.ts
@@ -172,7 +172,7 @@
 /** An entry in data centre `one` among two groups of targets. */
 function withTwoGroups (): EntryBench {
   const bench = new EntryBench()
-  bench.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  bench.configure()
   const names = Array.from({ length: 2 * MIN_GROUP_TARGETS }, (_none, index) => `agent${index}`)
   for (const [index, name] of names.entries()) bench.link(name, { dataCentre: index % 2 === 0 ? 'one' : 'two' })
   bench.peer('far', 1, 'two')
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -260,9 +260,9 @@
 test('a job that was cancelled is stopped, and unknown afterwards', () => {
   const bench = EntryBench.withAgents('one')
   const request = bench.submit('job')
-  bench.do({ type: 'cancelAsked', request: 90, id: 'job' })
+  bench.do({ type: 'cancelAsked', request: 90, id: 'job', remaining: 4000 })
   expect(bench.answers()).toEqual([[request, 'cancelled cancelled'], [90, 'cancelled cancelled']])
-  bench.do({ type: 'cancelAsked', request: 91, id: 'job' })
+  bench.do({ type: 'cancelAsked', request: 91, id: 'job', remaining: 4000 })
   bench.do({ type: 'stateAsked', request: 92, id: 'other' })
   expect(bench.answers().slice(2)).toEqual([[91, 'unknown'], [92, 'unknown']])
 })
@@ -373,12 +373,14 @@
   expect(bench.answers()).toEqual([[running, 'timedOut stopping'], [waiting, 'refused stopping']])
 })
 
-test('an entry is ready when it has a configuration and an agent, and is not stopping', () => {
+test('an entry is ready when it has a configuration, an agent and the stored cancellations, and is not stopping', () => {
   const bench = new EntryBench()
   expect(bench.entry.ready).toEqual(false)
   bench.link('one')
   expect(bench.entry.ready).toEqual(false)
   bench.do({ type: 'configured', configuration: { version: 1, queues: [], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  expect(bench.entry.ready).toEqual(false)
+  bench.do({ type: 'cancellationsRead', jobs: [] })
   expect(bench.entry.ready).toEqual(true)
   bench.do({ type: 'stopOrdered' })
   expect(bench.entry.ready).toEqual(false)
--- a/packages/dispatch/test/entrybench.ts
+++ b/packages/dispatch/test/entrybench.ts
@@ -27,6 +27,8 @@
 
 export class EntryBench {
   now = 1000
+  /** Writes to the store are not confirmed. */
+  storeAway = false
   readonly entry: Entry
   #effects: EntryEffect[] = []
   #request = 0
@@ -43,20 +45,25 @@
     return new EntryBench({ policy }).serving(...names)
   }
 
-  /** Gives the entry a configuration and linked agents, and discards the effects. */
+  /** Gives the entry what it reads from the store and linked agents, and discards the effects. */
   serving (...names: string[]): this {
-    this.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+    this.configure()
     for (const name of names) this.link(name)
     this.take()
     return this
   }
 
-  configure (): void {
+  /** Gives the entry what it reads from the store: no cancellations, unless that is left out, and a configuration. */
+  configure (readsCancellations = true): void {
+    if (readsCancellations) this.do({ type: 'cancellationsRead', jobs: [] })
     this.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
 
+  /** Processes an event, and confirms what is to be stored unless the store is away. */
   do (event: EntryEvent): void {
-    this.#effects.push(...this.entry.handle(event, this.now))
+    const effects = this.entry.handle(event, this.now)
+    this.#effects.push(...effects)
+    if (!this.storeAway && effects.some(({ type }) => type === 'storeCancellations')) this.do({ type: 'cancellationsStored' })
   }
 
   advance (milliseconds: number, alive: string[] = []): void {
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -25,6 +25,7 @@
   stopAgain: { first: 1, runs: 40, theme: Theme.Cancels },
   cancelMemory: { first: 1, runs: 40, theme: Theme.Cancels },
   cancelNews: { first: 1, runs: 40, theme: Theme.Cancels },
+  cancelStored: { first: 1, runs: 40, theme: Theme.Losses },
   capacityNews: { first: 1, runs: 60, theme: Theme.Capacity },
   drain: { first: 1, runs: 60, theme: Theme.Capacity },
   grantedOnce: { first: 1, runs: 60, theme: Theme.Partitions },
@@ -44,6 +45,10 @@
   expect(findFirst(5000, 40, Theme.Cancels)).toEqual(undefined)
 })
 
+test('no task of a cancelled job runs beyond the bound when all entries or all processes are lost at once', () => {
+  expect(findFirst(5000, 40, Theme.Losses)).toEqual(undefined)
+})
+
 test('targets that shrink, grow and leave receive no start beyond their capacity or their drain time', () => {
   expect(findFirst(5000, 60, Theme.Capacity)).toEqual(undefined)
 })
--- a/packages/dispatch/test/partitionsharing.test.ts
+++ b/packages/dispatch/test/partitionsharing.test.ts
@@ -6,7 +6,7 @@
 import { Entry } from '../src/entry.ts'
 import { partition } from '../src/partitions.ts'
 import { TIMINGS } from './agentbench.ts'
-import { EntryBench, NO_LOAD, QUEUE, step } from './entrybench.ts'
+import { EntryBench, NO_LOAD, step } from './entrybench.ts'
 
 type MessageOf<Type extends PeerMessage['type']> = Extract<PeerMessage, { type: Type }>
 
@@ -44,7 +44,7 @@
 
 function bench (...peers: string[]): PartitionBench {
   const made = new PartitionBench()
-  made.do({ type: 'configured', configuration: { version: 1, queues: [QUEUE], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
+  made.configure()
   for (const agent of AGENTS) made.link(agent)
   for (const peer of peers) made.peer(peer)
   made.passWithReports(SETTLING_MILLISECONDS + 300, peers)
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -12,6 +12,7 @@
 import { Entry } from '@amaranthmast/dispatch/entry'
 import { Cause } from '@amaranthmast/dispatch/messages'
 import { timingsFor } from '@amaranthmast/dispatch/timings'
+import { CancellationStore } from './cancellationstore.ts'
 import { Connections } from './connections.ts'
 import { EmulatedTarget } from './emulatedtarget.ts'
 import { FailureCheck } from './failurecheck.ts'
@@ -83,6 +84,7 @@
   readonly #events: FleetEvents
   readonly #connections: Connections
   readonly #peers: PeerLinks
+  readonly #cancellations: CancellationStore
   readonly #jobs: ReadonlyMap<string, JobPlan>
   readonly #evacuatedDataCentres = new Set<string>()
   /** Revision of the operators' store; 0 before the first write. */
@@ -98,6 +100,7 @@
     this.#jobs = new Map(plan.jobs.map(job => [job.id, job]))
     this.#connections = new Connections(timeline, pair => this.#travelTime(pair))
     this.#peers = new PeerLinks(timeline, this.entries, (from, to) => this.#linkDelay(plan.entries[from]?.dataCentre, plan.entries[to]?.dataCentre))
+    this.#cancellations = new CancellationStore(timeline, this.entries)
     const timings = timingsFor(BOUNDS)
     for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + timeline.now, policy }))
     for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy, strength: processorStrength(plan.processor.entries[index]) }))
@@ -213,6 +216,7 @@
   #startEntry (index: number): void {
     const entry = this.entries[index] as EntryProcess
     entry.start()
+    this.#cancellations.entryStarted(entry)
     this.#sendEvacuations(entry)
     entry.post({ type: 'configured', configuration: { version: 1, queues: this.#plan.queues, limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
@@ -259,6 +263,7 @@
       this.#peers.send(index, numberOf(effect.peer), effect.message)
     }
     if (effect.type === 'unlink') this.#connections.closeByEntry(pairOf(index, numberOf(effect.agent)))
+    if (effect.type === 'storeCancellations') this.#cancellations.write(this.entries[index] as EntryProcess, effect.jobs)
     if (effect.type === 'answer') this.#events.answered(effect.request, effect.answer)
     if (effect.type === 'note') this.#events.note?.(`entry${index}`, effect.what, effect.fields)
   }
