A cancellation of an answered job is sent and stored too

What callers saw: a job completed at one entry, its answer was lost with the connection, and it ran again at another entry.

Cause: the entry recorded no cancellation of a job whose answer it remembers. That answer doesn't show that the job has ended elsewhere.

Change: every cancellation is recorded, sent and stored. A submission at the entry that has the answer still gets the answer.

Test: "a cancellation of a job that was answered here is sent to the other entries and stored" fails without the change (1 of 24 tests of its file) and passes with it.

Cost: one message to each entry, and a share of a batched write, for each cancellation of a job that has ended.

--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -265,8 +265,8 @@
 
   #cancelRequested (request: number, id: string, remaining: number, now: number): void {
     const answer = this.#cancel(id, now) ? CANCELLED : unknown()
-    if (this.#answers.get(id) === undefined) this.#cancellations.add(id, { request, answer, remaining }, now)
-    else this.#answer(request, answer)
+    // An answer that this entry gave doesn't show that the job has ended: it may run again at another entry.
+    this.#cancellations.add(id, { request, answer, remaining }, now)
   }
 
   #cancelAll (ids: readonly string[], now: number): void {
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -56,6 +56,28 @@
   expect([bench.stops(), bench.answers()]).toEqual([['one job.0.0'], [[request, 'cancelled cancelled']]])
 })
 
+// The answer of a completed job was lost, its caller submitted it to another entry, and cancels it here.
+test('a cancellation of a job that was answered here is sent to the other entries and stored', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.peer('other')
+  bench.submit('job')
+  bench.end('one', 'job.0.0')
+  bench.take()
+  cancel(bench, 'job')
+  expect(bench.told('other').filter(({ type }) => type === 'cancel')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 0 }] }])
+  expect([stored(bench), bench.entry.status().cancelled]).toEqual([[['job']], 1])
+})
+
+test('a completed job that is cancelled and submitted again here keeps its answer', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.submit('job')
+  bench.end('one', 'job.0.0')
+  cancel(bench, 'job')
+  bench.take()
+  const again = bench.submit('job')
+  expect(bench.answers()).toEqual([[again, 'completed']])
+})
+
 // The other entry is away for a moment, or starts after the cancellation.
 test('a cancellation is sent to linked entries at once, and to others when they link', () => {
   const bench = EntryBench.withAgents('one')
