Explorer: entries that do not reach the store

Since cancellations are stored, the test that the explorer finds the missing guard cancelNews failed: its theme, cancels, plays no entry that is cut from the store, and each entry reads there what another one doesn't tell it.

Change: the theme losses cuts single entries from the store, not while one is cut from the other entries, since an entry that reaches neither is out of touch; the guard is looked for in this theme.

--- a/packages/dispatch/explore/faults.ts
+++ b/packages/dispatch/explore/faults.ts
@@ -21,7 +21,7 @@
   Lateness = 'lateness',
   /** The faults of `Processes`, targets that fail all or some of what they start, and targets that crash shortly after each other. */
   Failures = 'failures',
-  /** Waves of cancellations, the loss of all entries or all processes at once, also during recovery, outages of the store, and submissions that arrive again seconds after their answer. */
+  /** Waves of cancellations, the loss of all entries or all processes at once, also during recovery, outages of the store, entries that do not reach it, and submissions that arrive again seconds after their answer. */
   Losses = 'losses'
 }
 
@@ -241,7 +241,14 @@
     world.timeline.after(world.random.next() * 20, () => world.store.away(300 + world.random.next() * 2000))
     world.timeline.after(30, () => world.restartAllEntries(100 + world.random.next() * 1000))
   },
-  cutPeers: world => world.cutPeers(randomEntryIndex(world), 300 + world.random.next() * 4000)
+  // An entry that reaches neither the store nor the others is out of touch, and may run a cancelled job.
+  cutPeers: world => { if (!world.store.isCut) world.cutPeers(randomEntryIndex(world), 300 + world.random.next() * 4000) },
+  cutStore: world => { if (!world.arePeersCut) world.store.cut(randomEntry(world), 300 + world.random.next() * 8000) },
+  cutStoreAndCancelWave: world => {
+    if (world.arePeersCut) return
+    world.store.cut(randomEntry(world), 6000 + world.random.next() * 3000)
+    world.timeline.after(50, () => world.cancels.wave())
+  }
 }
 
 /** A target fails a fraction of the tasks that start there, for a random time. */
@@ -309,7 +316,7 @@
   heldStarts: ['cutOne', 'cutEntry', 'resetOne', 'freezeAgent'],
   stopAgain: ['cancelWaveAndResets'],
   cancelMemory: ['cancelWave', 'cancelWaveAndRemovedEntry'],
-  cancelNews: ['cancelWave'],
+  cancelNews: ['cancelWave', 'cutStoreAndCancelWave'],
   cancelStored: ['cancelWaveAndLoseEntries', 'cancelWaveAndLoseAll'],
   capacityNews: ['shrink', 'shrinkAll'],
   drain: ['notice'],
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -193,6 +193,11 @@
     this.#peers.cut(entry, milliseconds)
   }
 
+  /** Whether an entry is disconnected from the other entries. */
+  get arePeersCut (): boolean {
+    return this.#peers.isAnyCut
+  }
+
   /**
    * Reports to an entry that no other entry can grant capacity. It then grants that of all targets, concurrently with their
    * owners, until it receives the next member messages.
@@ -331,7 +336,7 @@
 
   /** Gives a started entry what it reads from the store. */
   #prepare (entry: EntryProcess): void {
-    this.store.entryStarted(entry)
+    this.store.list(entry)
     entry.post({ type: 'configured', configuration: { version: 1, queues: [this.#queue], limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
 
--- a/packages/dispatch/test/explore.test.ts
+++ b/packages/dispatch/test/explore.test.ts
@@ -24,7 +24,7 @@
   evacuationReads: { first: 1, runs: 60, theme: Theme.Operators },
   stopAgain: { first: 1, runs: 40, theme: Theme.Cancels },
   cancelMemory: { first: 1, runs: 40, theme: Theme.Cancels },
-  cancelNews: { first: 1, runs: 40, theme: Theme.Cancels },
+  cancelNews: { first: 1, runs: 40, theme: Theme.Losses },
   cancelStored: { first: 1, runs: 40, theme: Theme.Losses },
   capacityNews: { first: 1, runs: 60, theme: Theme.Capacity },
   drain: { first: 1, runs: 60, theme: Theme.Capacity },
--- a/packages/emulator/src/cancellationstore.ts
+++ b/packages/emulator/src/cancellationstore.ts
@@ -14,6 +14,8 @@
   readonly #timeline: Timeline
   readonly #entries: readonly EntryProcess[]
   readonly #jobs = new Set<string>()
+  /** When the cut of each entry from the store ends, on the timeline. */
+  readonly #cuts = new Map<EntryProcess, number>()
   #awayUntil = 0
   #writes = 0
 
@@ -32,10 +34,20 @@
     this.#awayUntil = Math.max(this.#awayUntil, this.#timeline.now + milliseconds)
   }
 
-  /** Reads all cancellations for an entry that has just started. */
-  entryStarted (entry: EntryProcess): void {
+  /** An entry does not reach the store for a time, and lists everything afterwards. */
+  cut (entry: EntryProcess, milliseconds: number): void {
+    this.#cuts.set(entry, Math.max(this.#cuts.get(entry) ?? 0, this.#timeline.now + milliseconds))
+  }
+
+  /** Whether any entry does not reach the store. */
+  get isCut (): boolean {
+    return this.#entries.some(entry => this.#isCutFrom(entry))
+  }
+
+  /** Reads all cancellations for an entry that has just started, or has not reached the store. */
+  list (entry: EntryProcess): void {
     entry.after(WRITE_DELAY, () => {
-      if (this.#isAway) return entry.after(RETRY_DELAY, () => this.entryStarted(entry))
+      if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => this.list(entry))
       this.#report(entry, [...this.#jobs])
     })
   }
@@ -44,7 +56,7 @@
   write (entry: EntryProcess, jobs: readonly string[]): void {
     const { incarnation } = entry
     this.#timeline.after(WRITE_DELAY, () => {
-      if (this.#isAway) return entry.after(RETRY_DELAY, () => { if (entry.incarnation === incarnation) this.write(entry, jobs) })
+      if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => { if (entry.incarnation === incarnation) this.write(entry, jobs) })
       this.#writes += 1
       for (const job of jobs) this.#jobs.add(job)
       this.#timeline.after(REPORT_DELAY, () => { if (entry.incarnation === incarnation) entry.post({ type: 'cancellationsStored' }) })
@@ -52,12 +64,20 @@
     })
   }
 
-  get #isAway (): boolean {
-    return this.#timeline.now < this.#awayUntil
+  #isReachedBy (entry: EntryProcess): boolean {
+    return this.#timeline.now >= this.#awayUntil && !this.#isCutFrom(entry)
+  }
+
+  #isCutFrom (entry: EntryProcess): boolean {
+    return this.#timeline.now < (this.#cuts.get(entry) ?? 0)
   }
 
   #report (entry: EntryProcess, jobs: readonly string[]): void {
     const { incarnation } = entry
-    this.#timeline.after(REPORT_DELAY, () => { if (entry.incarnation === incarnation) entry.post({ type: 'cancellationsRead', jobs }) })
+    this.#timeline.after(REPORT_DELAY, () => {
+      if (entry.incarnation !== incarnation) return
+      if (this.#isCutFrom(entry)) this.list(entry)
+      else entry.post({ type: 'cancellationsRead', jobs })
+    })
   }
 }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -216,7 +216,7 @@
   #startEntry (index: number): void {
     const entry = this.entries[index] as EntryProcess
     entry.start()
-    this.#cancellations.entryStarted(entry)
+    this.#cancellations.list(entry)
     this.#sendEvacuations(entry)
     entry.post({ type: 'configured', configuration: { version: 1, queues: this.#plan.queues, limits: { header: 0, body: 0, headerTimeout: 0, idleTimeout: 0 } } })
   }
--- a/packages/emulator/src/peerlinks.ts
+++ b/packages/emulator/src/peerlinks.ts
@@ -73,6 +73,10 @@
     })
   }
 
+  get isAnyCut (): boolean {
+    return [...this.#cuts.keys()].some(entry => this.#isCut(entry))
+  }
+
   #isCut (entry: number): boolean {
     return (this.#cuts.get(entry) ?? 0) > this.#timeline.now
   }
