A cancellation names the job of one queue

Cause: cancellations were keyed by the id alone, though callers choose the ids and the address was at hand.

Change: a cancellation names host and path, in memory, in messages between entries, and in the store. Earlier builds send the id alone, which stands for the job of any queue, as it does with them; they ignore the address. A write has 2,000 cancellations at most, since addresses are longer than ids.

--- a/packages/daemon/src/entryservice.ts
+++ b/packages/daemon/src/entryservice.ts
@@ -1,5 +1,6 @@
 /** Runs a lease-based entry: connects its decision logic to callers, agents, other entries and the store. */
 import type { EntryEffect, EntryEvent } from '@amaranthmast/dispatch/entrytypes'
+import type { JobName } from '@amaranthmast/dispatch/jobname'
 import type { AgentMessage } from '@amaranthmast/dispatch/messages'
 import type { DispatchConfiguration, Queue } from '@amaranthmast/dispatch/queues'
 import type { PeerMessage } from '@amaranthmast/dispatch/peermessages'
@@ -128,7 +129,7 @@
       limits: () => this.#configuration?.limits,
       // Deferred by one turn: if the caller has already disconnected, the end of its connection is read right after the request.
       submitted: (request, job) => this.#loop.postDeferred({ type: 'submitted', request, job }),
-      cancelAsked: (request, id, remaining) => this.#loop.postDeferred({ type: 'cancelAsked', request, id, remaining }),
+      cancelAsked: (request, job, remaining) => this.#loop.postDeferred({ type: 'cancelAsked', request, job, remaining }),
       stateAsked: (request, id) => this.#loop.postDeferred({ type: 'stateAsked', request, id }),
       waiting: () => 0,
       gone: request => this.#callerDisconnected(request),
@@ -202,7 +203,7 @@
     else this.#loop.postUrgent({ type: 'requestGone', request })
   }
 
-  async #storeCancellations (jobs: readonly string[]): Promise<void> {
+  async #storeCancellations (jobs: readonly JobName[]): Promise<void> {
     if (await this.#options.store.storeCancellations(jobs)) this.#loop.post({ type: 'cancellationsStored' })
   }
 
--- a/packages/daemon/src/ports.ts
+++ b/packages/daemon/src/ports.ts
@@ -2,6 +2,7 @@
 import type { AgentEffect, AgentEvent } from '@amaranthmast/dispatch/agenttypes'
 import type { Answer } from '@amaranthmast/dispatch/entrytypes'
 import type { JobRequest } from '@amaranthmast/dispatch/job'
+import type { JobName } from '@amaranthmast/dispatch/jobname'
 import type { TargetFacts } from '@amaranthmast/dispatch/messages'
 import type { EvacuationState } from '@amaranthmast/dispatch/evacuations'
 import type { DispatchConfiguration, Queue, RequestLimits } from '@amaranthmast/dispatch/queues'
@@ -58,9 +59,9 @@
   /** Reads the evacuated data centres; undefined while the store does not answer. */
   readEvacuations: () => Promise<EvacuationState | undefined>
   /** Reports the stored cancellations: all of them once, even if there are none, and new ones within a second. */
-  watchCancellations: (read: (jobs: readonly string[]) => void) => void
+  watchCancellations: (read: (jobs: readonly JobName[]) => void) => void
   /** Stores cancellations. Repeats failed calls; resolves when the store has confirmed them, and to false when it is closed first. */
-  storeCancellations: (jobs: readonly string[]) => Promise<boolean>
+  storeCancellations: (jobs: readonly JobName[]) => Promise<boolean>
   /** Parses a configuration document sent by another entry; undefined when it cannot be read. */
   readConfiguration: (document: string) => DispatchConfiguration | undefined
   /** Stores what an agent has recorded about its target; it is kept for a while after this process has ended. */
@@ -90,7 +91,7 @@
   limits: () => RequestLimits | undefined
   submitted: (request: number, job: JobRequest) => void
   /** @param remaining how long the caller waits, in milliseconds */
-  cancelAsked: (request: number, id: string, remaining: number) => void
+  cancelAsked: (request: number, job: JobName, remaining: number) => void
   stateAsked: (request: number, id: string) => void
   /** Number of jobs of the queue that have no started task. */
   waiting: (queue: Queue) => number
--- a/packages/dispatch/explore/cancels.ts
+++ b/packages/dispatch/explore/cancels.ts
@@ -2,6 +2,8 @@
 import type { EntryProcess } from '@amaranthmast/emulator/linkends'
 import type { Timeline } from '@amaranthmast/emulator/timeline'
 import type { SeededRandom } from '@amaranthmast/standins/random'
+import type { Queue } from '../src/queues.ts'
+import { nameOf } from '../src/jobname.ts'
 
 /** Time after an acknowledged cancellation from which no task of the job may start, in milliseconds; none may run after one stop more. Both are platform bounds. */
 const CANCELLATION_BOUND = 4000
@@ -19,6 +21,7 @@
   timeline: Timeline
   random: SeededRandom
   entries: readonly EntryProcess[]
+  queue: Queue
   /** Ids of the jobs whose callers are waiting. */
   waiting: () => Iterable<string>
   /** Longest duration of the stop of a task, in milliseconds. */
@@ -43,12 +46,12 @@
   }
 
   cancel (job: string): void {
-    const { entries, random } = this.#dependencies
+    const { entries, random, queue } = this.#dependencies
     const alive = entries.filter(entry => entry.alive && !entry.frozen)
     if (alive.length === 0) return
     this.#requests += 1
     this.#jobOfRequest.set(this.#requests, job)
-    random.pick(alive).post({ type: 'cancelAsked', request: this.#requests, id: job, remaining: PATIENCE })
+    random.pick(alive).post({ type: 'cancelAsked', request: this.#requests, job: nameOf(job, queue), remaining: PATIENCE })
   }
 
   answered (request: number): void {
--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -168,7 +168,7 @@
     this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: this.#queue, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined, repeats: options.repeats ?? false })
     // Operators and cancellations have their own random sequences, so that a seed yields the same process faults with and without them.
     this.operators = new Operators({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, agents: this.agents, dataCentreOf: agent => this.dataCentreOf(agent) })
-    this.cancels = new Cancellations({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, waiting: () => this.callers.waiting(), stop: PLATFORM_BOUNDS.stop })
+    this.cancels = new Cancellations({ timeline: this.timeline, random: new SeededRandom(seed), entries: this.entries, queue: this.#queue, waiting: () => this.callers.waiting(), stop: PLATFORM_BOUNDS.stop })
     const timings = timingsFor(PLATFORM_BOUNDS)
     for (let index = 0; index < options.agents; index += 1) this.#addAgent(index, timings, guards)
     for (let index = 0; index < options.entries; index += 1) this.#addEntry(index, timings, guards)
--- a/packages/dispatch/src/cancellationdefaults.ts
+++ b/packages/dispatch/src/cancellationdefaults.ts
@@ -9,8 +9,8 @@
 /** Shortest time between the starts of two writes. */
 export const CANCELLATION_WRITE_INTERVAL_MILLISECONDS = 250
 
-/** Cancellations in one write: below half of the size limit of a stored value. */
-export const MAX_CANCELLATIONS_PER_WRITE = 10_000
+/** Cancellations in one write: with addresses of 250 bytes below half of the size limit of a stored value. */
+export const MAX_CANCELLATIONS_PER_WRITE = 2000
 
 /** How long a request to cancel waits for the store: less than callers wait for an acknowledgement. */
 export const CANCELLATION_PATIENCE_MILLISECONDS = 2000
--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -10,6 +10,7 @@
  * stored, and an entry accepts jobs once it knows the stored cancellations: from the store, or from an entry that does.
  */
 import type { Answer, EntryEffect } from './entrytypes.ts'
+import type { JobName } from './jobname.ts'
 import { refused } from './answers.ts'
 import { CancellationWrites } from './cancellationwrites.ts'
 import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS } from './cancellationdefaults.ts'
@@ -34,18 +35,28 @@
   remaining: number
 }
 
-/** A cancelled job, and how long ago it was cancelled, in milliseconds. */
+/** A cancelled job in a message between entries. */
 export interface CancelledJob {
+  /** Id of the job. */
   job: string
+  /** Address of the job. Earlier builds omit it: the job of any queue is meant. */
+  address?: string
+  /** How long ago it was cancelled, in milliseconds. */
   ago: number
 }
 
+interface Cancellation {
+  job: JobName
+  at: number
+}
+
 export class Cancellations {
   readonly #dependencies: CancellationsDependencies
   readonly #writes: CancellationWrites
   readonly #peers = new Set<string>()
-  /** When each job was cancelled, roughly in that order: those that other entries send may be older than the last. */
-  readonly #cancelled = new Map<string, number>()
+  /** By address, or by id where that is all that is known; roughly in order of time: those that other entries send may be older than the last. */
+  readonly #cancelled = new Map<string, Cancellation>()
+  /** Addresses of the cancelled jobs that the store knows. */
   readonly #stored = new Set<string>()
   #complete: boolean
 
@@ -72,37 +83,38 @@
     return this.#complete
   }
 
-  has (job: string): boolean {
-    return this.#cancelled.has(job)
+  has ({ id, address }: JobName): boolean {
+    return this.#cancelled.has(address) || this.#cancelled.has(id)
   }
 
   /** Records a cancellation by a caller of this entry, sends it to the other entries, and answers the caller once it is stored. */
-  add (job: string, { request, answer, remaining }: CancelRequest, now: number): void {
+  add (job: JobName, { request, answer, remaining }: CancelRequest, now: number): void {
     if (!this.has(job) && this.#cancelled.size >= MAX_CANCELLATIONS) return this.#answer(request, refused(Reason.Overload, CANCELLATION_RETRY_MILLISECONDS))
     this.#remember(job, now)
-    for (const peer of this.#peers) this.#send(peer, [job], now)
-    if (!this.#dependencies.stores || this.#stored.has(job)) return this.#answer(request, answer)
+    for (const peer of this.#peers) this.#send(peer, [{ job, at: now }], now)
+    if (!this.#dependencies.stores || this.#stored.has(job.address)) return this.#answer(request, answer)
     this.#writes.add(job, { request, answer, until: now + Math.min(remaining, CANCELLATION_PATIENCE_MILLISECONDS) }, now)
   }
 
   /**
-   * Records cancellations sent by another entry, and returns the ids that are new here.
+   * Records cancellations sent by another entry, and returns the jobs that are new here.
    *
    * @param complete whether these are all that the other entry knows, and it knows all stored ones
    */
-  receive (jobs: readonly CancelledJob[], complete: boolean, now: number): string[] {
-    const fresh = jobs.filter(({ job, ago }) => !this.#cancelled.has(job) && ago < CANCELLATION_RETENTION_MILLISECONDS)
-    for (const { job, ago } of fresh) this.#remember(job, now - ago)
+  receive (jobs: readonly CancelledJob[], complete: boolean, now: number): JobName[] {
+    const fresh = jobs.map(({ job, address = '', ago }) => ({ job: { id: job, address }, at: now - ago }))
+      .filter(({ job, at }) => !this.#cancelled.has(keyOf(job)) && now - at < CANCELLATION_RETENTION_MILLISECONDS)
+    for (const { job, at } of fresh) this.#remember(job, at)
     if (complete) this.#completed('entry', now)
     return fresh.map(({ job }) => job)
   }
 
-  /** Records cancellations read from the store, and returns the ids that are new here. */
-  read (jobs: readonly string[], now: number): string[] {
-    const fresh = jobs.filter(job => !this.#cancelled.has(job))
+  /** Records cancellations read from the store, and returns the jobs that are new here. */
+  read (jobs: readonly JobName[], now: number): JobName[] {
+    const fresh = jobs.filter(job => !this.#cancelled.has(keyOf(job)))
     for (const job of jobs) {
       this.#remember(job, now)
-      this.#stored.add(job)
+      this.#stored.add(job.address)
     }
     this.#completed('store', now)
     return fresh
@@ -111,9 +123,9 @@
   /** The last write has been stored. The retention starts now, when the callers get their answers. */
   written (now: number): void {
     for (const job of this.#writes.written(now)) {
-      this.#cancelled.delete(job)
+      this.#cancelled.delete(keyOf(job))
       this.#remember(job, now)
-      this.#stored.add(job)
+      this.#stored.add(job.address)
     }
   }
 
@@ -128,15 +140,16 @@
 
   tick (now: number): void {
     this.#writes.tick(now)
-    for (const [job, at] of this.#cancelled) {
+    for (const [key, { at }] of this.#cancelled) {
       if (now - at < CANCELLATION_RETENTION_MILLISECONDS) break
-      this.#forget(job)
+      this.#forget(key)
     }
   }
 
-  #remember (job: string, at: number): void {
-    if (!this.#dependencies.remembers || this.#cancelled.has(job)) return
-    this.#cancelled.set(job, at)
+  #remember (job: JobName, at: number): void {
+    const key = keyOf(job)
+    if (!this.#dependencies.remembers || this.#cancelled.has(key)) return
+    this.#cancelled.set(key, { job, at })
     if (this.#cancelled.size <= MAX_CANCELLATIONS) return
     const [oldest] = this.#cancelled.keys()
     if (oldest === undefined) return
@@ -144,9 +157,9 @@
     this.#note('cancellation dropped, too many are remembered', { job: oldest })
   }
 
-  #forget (job: string): void {
-    this.#cancelled.delete(job)
-    this.#stored.delete(job)
+  #forget (key: string): void {
+    this.#cancelled.delete(key)
+    this.#stored.delete(key)
   }
 
   #completed (source: string, now: number): void {
@@ -157,14 +170,14 @@
   }
 
   #sendAll (peer: string, now: number): void {
-    if (this.#dependencies.stores && this.#complete) this.#send(peer, [...this.#cancelled.keys()], now, { complete: true })
-    else if (this.#cancelled.size > 0) this.#send(peer, [...this.#cancelled.keys()], now)
+    if (this.#dependencies.stores && this.#complete) this.#send(peer, [...this.#cancelled.values()], now, { complete: true })
+    else if (this.#cancelled.size > 0) this.#send(peer, [...this.#cancelled.values()], now)
   }
 
-  #send (peer: string, jobs: readonly string[], now: number, extra: { complete?: true } = {}): void {
+  #send (peer: string, cancellations: readonly Cancellation[], now: number, extra: { complete?: true } = {}): void {
     if (!this.#dependencies.sendsToPeers) return
-    const cancelled = jobs.map(job => ({ job, ago: Math.round(now - (this.#cancelled.get(job) ?? now)) }))
-    this.#dependencies.emit({ type: 'tell', peer, message: { type: 'cancel', jobs: cancelled, ...extra } })
+    const jobs = cancellations.map(({ job: { id, address }, at }) => ({ job: id, ...address === '' ? {} : { address }, ago: Math.round(now - at) }))
+    this.#dependencies.emit({ type: 'tell', peer, message: { type: 'cancel', jobs, ...extra } })
   }
 
   #answer (request: number, answer: Answer): void {
@@ -175,3 +188,7 @@
     this.#dependencies.emit({ type: 'note', what, fields })
   }
 }
+
+function keyOf ({ id, address }: JobName): string {
+  return address === '' ? id : address
+}
--- a/packages/dispatch/src/cancellationwrites.ts
+++ b/packages/dispatch/src/cancellationwrites.ts
@@ -4,13 +4,14 @@
  * One write is in progress at a time, so that a wave of cancellations costs each entry a few calls a second.
  */
 import type { Answer } from './entrytypes.ts'
+import type { JobName } from './jobname.ts'
 import { refused } from './answers.ts'
 import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, CANCELLATION_WRITE_INTERVAL_MILLISECONDS, MAX_CANCELLATIONS_PER_WRITE } from './cancellationdefaults.ts'
 import { Reason } from './entrytypes.ts'
 
 export interface CancellationWritesDependencies {
   /** Starts a write, which is repeated until it has succeeded. */
-  write: (jobs: readonly string[]) => void
+  write: (jobs: readonly JobName[]) => void
   answer: (request: number, answer: Answer) => void
 }
 
@@ -24,11 +25,12 @@
 
 export class CancellationWrites {
   readonly #dependencies: CancellationWritesDependencies
-  /** Jobs to be written, in order; the first ones are those of the write in progress. */
-  readonly #jobs = new Set<string>()
+  /** Jobs to be written, by address and in order; the first ones are those of the write in progress. */
+  readonly #jobs = new Map<string, JobName>()
+  /** By address of the job. */
   readonly #waiting = new Map<string, WaitingRequest[]>()
   /** Jobs of the write in progress. */
-  #writing: readonly string[] = []
+  #writing: readonly JobName[] = []
   #startedAt = Number.NEGATIVE_INFINITY
 
   constructor (dependencies: CancellationWritesDependencies) {
@@ -39,35 +41,36 @@
     return this.#jobs.size
   }
 
-  add (job: string, waiting: WaitingRequest, now: number): void {
-    this.#jobs.add(job)
+  add (job: JobName, waiting: WaitingRequest, now: number): void {
+    const { address } = job
+    if (!this.#jobs.has(address)) this.#jobs.set(address, job)
     if (this.#isStalled(now)) this.#refuse(waiting)
-    else this.#waiting.set(job, [...this.#waiting.get(job) ?? [], waiting])
+    else this.#waiting.set(address, [...this.#waiting.get(address) ?? [], waiting])
     this.#write(now)
   }
 
   /** The write in progress has succeeded: answers the requests that waited for it and returns its jobs. */
-  written (now: number): readonly string[] {
+  written (now: number): readonly JobName[] {
     const written = this.#writing
     this.#writing = []
-    for (const job of written) {
-      this.#jobs.delete(job)
-      for (const { request, answer } of this.#waiting.get(job) ?? []) this.#dependencies.answer(request, answer)
-      this.#waiting.delete(job)
+    for (const { address } of written) {
+      this.#jobs.delete(address)
+      for (const { request, answer } of this.#waiting.get(address) ?? []) this.#dependencies.answer(request, answer)
+      this.#waiting.delete(address)
     }
     this.#write(now)
     return written
   }
 
   tick (now: number): void {
-    for (const [job, requests] of this.#waiting) this.#refuseOverdue(job, requests, now)
+    for (const [address, requests] of this.#waiting) this.#refuseOverdue(address, requests, now)
     this.#write(now)
   }
 
   #write (now: number): void {
     if (this.#writing.length > 0 || this.#jobs.size === 0 || now - this.#startedAt < CANCELLATION_WRITE_INTERVAL_MILLISECONDS) return
     this.#startedAt = now
-    this.#writing = [...this.#jobs].slice(0, MAX_CANCELLATIONS_PER_WRITE)
+    this.#writing = [...this.#jobs.values()].slice(0, MAX_CANCELLATIONS_PER_WRITE)
     this.#dependencies.write(this.#writing)
   }
 
@@ -76,12 +79,12 @@
     return this.#writing.length > 0 && now - this.#startedAt >= CANCELLATION_PATIENCE_MILLISECONDS
   }
 
-  #refuseOverdue (job: string, requests: readonly WaitingRequest[], now: number): void {
+  #refuseOverdue (address: string, requests: readonly WaitingRequest[], now: number): void {
     const remaining = requests.filter(({ until }) => until > now)
     if (remaining.length === requests.length) return
     for (const waiting of requests) if (waiting.until <= now) this.#refuse(waiting)
-    if (remaining.length > 0) this.#waiting.set(job, remaining)
-    else this.#waiting.delete(job)
+    if (remaining.length > 0) this.#waiting.set(address, remaining)
+    else this.#waiting.delete(address)
   }
 
   #refuse ({ request }: WaitingRequest): void {
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -7,6 +7,7 @@
  */
 import type { Answer, EntryEffect, EntryEvent, EntryOptions, EntryStatus } from './entrytypes.ts'
 import type { JobRequest } from './job.ts'
+import type { JobName } from './jobname.ts'
 import type { DispatchConfiguration } from './queues.ts'
 import type { Policy } from './policy.ts'
 import type { SchedulingStatus } from './schedulingstatus.ts'
@@ -26,6 +27,7 @@
 import { ALL_FLEET_GUARDS } from './fleetguards.ts'
 import { Intake } from './intake.ts'
 import { Job, JobState } from './job.ts'
+import { isNamed, nameOf } from './jobname.ts'
 import { JobDeadlines } from './jobdeadlines.ts'
 import { JobQueue } from './jobqueue.ts'
 import { DEFAULT_POLICY } from './policy.ts'
@@ -68,7 +70,7 @@
   readonly #handlers: Handlers = {
     submitted: ({ request, job }, now) => this.#submitted(request, job, now),
     requestGone: ({ request }, now) => this.#callerGone(request, now),
-    cancelAsked: ({ request, id, remaining }, now) => this.#cancelRequested(request, id, remaining, now),
+    cancelAsked: ({ request, job, remaining }, now) => this.#cancelRequested(request, job, remaining, now),
     stateAsked: ({ request, id }) => this.#answer(request, this.#stateOf(id)),
     agentLinked: ({ agent, incarnation }, now) => this.#fleet.agentLinked(agent, incarnation, now),
     agentUnlinked: ({ agent }, now) => this.#fleet.agentUnlinked(agent, now),
@@ -210,7 +212,7 @@
     if (known?.state === JobState.Open) return this.#attach(request, known)
     const answered = this.#answers.get(submitted.id)
     if (answered !== undefined) return this.#answer(request, answered)
-    if (this.#cancellations.has(submitted.id)) return this.#answer(request, CANCELLED)
+    if (this.#cancellations.has(nameOf(submitted.id, submitted.queue))) return this.#answer(request, CANCELLED)
     const refusal = this.#cancellations.complete ? this.#intake.refusal(submitted, this.#endsAt, now) : refused(Reason.Recovering, RECOVERY_RETRY_MILLISECONDS)
     if (refusal !== undefined) return this.#refuse(request, submitted, refusal)
     const exceeded = known === undefined ? this.#fleetAdmission?.refusal(submitted, now) : undefined
@@ -263,28 +265,29 @@
     if (job.state === JobState.Open) this.#close(job, { kind: AnswerKind.Cancelled, reason: Reason.CallerGone, retryAfter: 0 }, now)
   }
 
-  #cancelRequested (request: number, id: string, remaining: number, now: number): void {
-    const answer = this.#cancel(id, now) ? CANCELLED : unknown()
+  #cancelRequested (request: number, name: JobName, remaining: number, now: number): void {
+    const answer = this.#cancel(name, now) ? CANCELLED : unknown()
     // An answer that this entry gave doesn't show that the job has ended: it may run again at another entry.
-    this.#cancellations.add(id, { request, answer, remaining }, now)
+    this.#cancellations.add(name, { request, answer, remaining }, now)
   }
 
-  #cancelAll (ids: readonly string[], now: number): void {
-    for (const id of ids) this.#cancel(id, now)
+  #cancelAll (names: readonly JobName[], now: number): void {
+    for (const name of names) this.#cancel(name, now)
   }
 
   /** Returns whether there was anything to cancel: an open job, or a repeated submission that waits for earlier tasks to stop. */
-  #cancel (id: string, now: number): boolean {
-    const job = this.#jobs.get(id)
-    const successor = job?.successor
-    if (job?.state === JobState.Open) {
+  #cancel (name: JobName, now: number): boolean {
+    const job = this.#jobs.get(name.id)
+    if (job === undefined || !isNamed(job.request, name)) return false
+    const { successor } = job
+    if (job.state === JobState.Open) {
       this.#close(job, CANCELLED, now)
       return true
     }
-    if (job === undefined || successor?.state !== JobState.Open) return false
+    if (successor?.state !== JobState.Open) return false
     job.successor = undefined
     for (const request of successor.waiting) this.#answer(request, CANCELLED)
-    this.#note('further submission cancelled', { job: id })
+    this.#note('further submission cancelled', { job: name.id })
     return true
   }
 
--- a/packages/dispatch/src/entrytypes.ts
+++ b/packages/dispatch/src/entrytypes.ts
@@ -3,6 +3,7 @@
 import type { EvacuationState } from './evacuations.ts'
 import type { FleetGuards } from './fleetguards.ts'
 import type { JobRequest } from './job.ts'
+import type { JobName } from './jobname.ts'
 import type { AgentMessage, EntryMessage } from './messages.ts'
 import type { DispatchConfiguration } from './queues.ts'
 import type { Policy } from './policy.ts'
@@ -59,7 +60,7 @@
   | { type: 'submitted', request: number, job: JobRequest }
   | { type: 'requestGone', request: number }
   /** `remaining`: how long the caller waits, in milliseconds. */
-  | { type: 'cancelAsked', request: number, id: string, remaining: number }
+  | { type: 'cancelAsked', request: number, job: JobName, remaining: number }
   | { type: 'stateAsked', request: number, id: string }
   | { type: 'agentLinked', agent: string, incarnation: string }
   | { type: 'agentUnlinked', agent: string }
@@ -71,7 +72,7 @@
   /** The evacuated data centres were read from the store. */
   | { type: 'evacuationsRead', state: EvacuationState }
   /** Cancellations were read from the store: all of them the first time, later at least the new ones. */
-  | { type: 'cancellationsRead', jobs: readonly string[] }
+  | { type: 'cancellationsRead', jobs: readonly JobName[] }
   /** The last `storeCancellations` has been carried out. */
   | { type: 'cancellationsStored' }
   | { type: 'tick' }
@@ -87,7 +88,7 @@
   /** Closes the link, so that it is opened again. */
   | { type: 'unlink', agent: string }
   /** Stores cancellations, and repeats that until it is confirmed. The next ones are emitted only then. */
-  | { type: 'storeCancellations', jobs: readonly string[] }
+  | { type: 'storeCancellations', jobs: readonly JobName[] }
   /** A job has ended; figures for histograms. */
   | { type: 'jobEnded', queue: string, kind: AnswerKind, reason: Reason, milliseconds: number, waited: number }
   /** A decision or a change of state, for the log. */
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -4,12 +4,13 @@
 import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_WRITE_INTERVAL_MILLISECONDS, MAX_CANCELLATIONS } from '../src/cancellationdefaults.ts'
 import { ORPHANED_RUN_MILLISECONDS } from '../src/crashdefaults.ts'
 import { AgentBench, BOUNDS, order } from './agentbench.ts'
-import { EntryBench } from './entrybench.ts'
+import { nameOf } from '../src/jobname.ts'
+import { EntryBench, QUEUE } from './entrybench.ts'
 
 const CANCEL = 90
 
 function cancel (bench: EntryBench, id: string): void {
-  bench.do({ type: 'cancelAsked', request: CANCEL, id, remaining: 4000 })
+  bench.do({ type: 'cancelAsked', request: CANCEL, job: nameOf(id, QUEUE), remaining: 4000 })
 }
 
 // A caller submits a job again that it, or another holder of the id, has cancelled meanwhile.
@@ -64,7 +65,7 @@
   bench.end('one', 'job.0.0')
   bench.take()
   cancel(bench, 'job')
-  expect(bench.told('other').filter(({ type }) => type === 'cancel')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 0 }] }])
+  expect(bench.told('other').filter(({ type }) => type === 'cancel')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', address: 'h/checks/job', ago: 0 }] }])
   expect([stored(bench), bench.entry.status().cancelled]).toEqual([[['job']], 1])
 })
 
@@ -87,8 +88,8 @@
   bench.advance(200, ['one'])
   bench.do({ type: 'peerLinked', peer: 'second' })
   const cancels = (peer: string): unknown[] => bench.told(peer).filter(({ type }) => type === 'cancel')
-  expect(cancels('first')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 0 }] }])
-  expect(cancels('second')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', ago: 200 }], complete: true }])
+  expect(cancels('first')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', address: 'h/checks/job', ago: 0 }] }])
+  expect(cancels('second')).toEqual([{ type: 'cancel', jobs: [{ job: 'job', address: 'h/checks/job', ago: 200 }], complete: true }])
 })
 
 test('a received cancellation is not forwarded to linked entries', () => {
@@ -121,7 +122,7 @@
 // The store
 
 function stored (bench: EntryBench): string[][] {
-  return bench.take().flatMap(effect => effect.type === 'storeCancellations' ? [[...effect.jobs]] : [])
+  return bench.take().flatMap(effect => effect.type === 'storeCancellations' ? [effect.jobs.map(({ id }) => id)] : [])
 }
 
 // All entries are killed right after a cancellation was acknowledged, and nobody remembers it.
@@ -139,7 +140,7 @@
 // A job that was cancelled before all entries were killed is submitted again after their start.
 test('a job whose cancellation was read from the store is not started', () => {
   const bench = EntryBench.withAgents('one')
-  bench.do({ type: 'cancellationsRead', jobs: ['job'] })
+  bench.do({ type: 'cancellationsRead', jobs: [nameOf('job', QUEUE)] })
   const request = bench.submit('job')
   expect([bench.starts(), bench.answers()]).toEqual([[], [[request, 'cancelled cancelled']]])
 })
@@ -171,7 +172,7 @@
 test('a cancellation read from the store stops the job here', () => {
   const bench = EntryBench.withAgents('one')
   const request = bench.submit('job')
-  bench.do({ type: 'cancellationsRead', jobs: ['job'] })
+  bench.do({ type: 'cancellationsRead', jobs: [nameOf('job', QUEUE)] })
   expect([bench.stops(), bench.answers()]).toEqual([['one job.0.0'], [[request, 'cancelled cancelled']]])
 })
 
@@ -216,6 +217,41 @@
   expect(bench.answers()).toEqual([[CANCEL, 'unknown']])
 })
 
+// Another queue
+
+const OTHER_QUEUE = { ...QUEUE, name: 'other', prefix: '/other/' }
+
+function cancelElsewhere (bench: EntryBench): void {
+  bench.do({ type: 'cancelAsked', request: CANCEL, job: nameOf('job', OTHER_QUEUE), remaining: 4000 })
+}
+
+// Two workspaces have chosen the same id, and one cancels its job.
+test('a cancellation does not stop the job of another queue with the same id', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.submit('job')
+  bench.take()
+  cancelElsewhere(bench)
+  bench.do({ type: 'cancellationsRead', jobs: [nameOf('job', OTHER_QUEUE)] })
+  bench.receive('other', { type: 'cancel', jobs: [{ job: 'job', address: 'h/other/job', ago: 0 }] })
+  expect([bench.stops(), bench.answers()]).toEqual([[], [[CANCEL, 'unknown']]])
+})
+
+test('a cancelled job of another queue with the same id does not keep a job from starting', () => {
+  const bench = EntryBench.withAgents('one')
+  cancelElsewhere(bench)
+  bench.submit('job')
+  expect(bench.starts()).toEqual(['one job.0.0 1'])
+})
+
+// An earlier build sends the id alone.
+test('a cancellation without an address stops the job of any queue', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.submit('job')
+  bench.receive('earlier', { type: 'cancel', jobs: [{ job: 'job', ago: 5 }, { job: 'later', ago: 5 }] })
+  const later = bench.submit('later')
+  expect([bench.stops(), bench.answers().at(-1)]).toEqual([['one job.0.0'], [later, 'cancelled cancelled']])
+})
+
 // The link breaks and loses the stop; without another stop the task runs to its end.
 test('stops are sent again on a new link', () => {
   const bench = EntryBench.withAgents('one')
--- a/packages/dispatch/test/entry.test.ts
+++ b/packages/dispatch/test/entry.test.ts
@@ -1,8 +1,9 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { nameOf } from '../src/jobname.ts'
 import { Cause, CrashEvidence, Outcome } from '../src/messages.ts'
 import { TIMINGS } from './agentbench.ts'
-import { EntryBench, NO_LOAD, step } from './entrybench.ts'
+import { EntryBench, NO_LOAD, QUEUE, step } from './entrybench.ts'
 
 test('a job is answered when its last task is done', () => {
   const bench = EntryBench.withAgents('one')
@@ -260,9 +261,9 @@
 test('a job that was cancelled is stopped, and unknown afterwards', () => {
   const bench = EntryBench.withAgents('one')
   const request = bench.submit('job')
-  bench.do({ type: 'cancelAsked', request: 90, id: 'job', remaining: 4000 })
+  bench.do({ type: 'cancelAsked', request: 90, job: nameOf('job', QUEUE), remaining: 4000 })
   expect(bench.answers()).toEqual([[request, 'cancelled cancelled'], [90, 'cancelled cancelled']])
-  bench.do({ type: 'cancelAsked', request: 91, id: 'job', remaining: 4000 })
+  bench.do({ type: 'cancelAsked', request: 91, job: nameOf('job', QUEUE), remaining: 4000 })
   bench.do({ type: 'stateAsked', request: 92, id: 'other' })
   expect(bench.answers().slice(2)).toEqual([[91, 'unknown'], [92, 'unknown']])
 })
--- a/packages/emulator/src/cancellationstore.ts
+++ b/packages/emulator/src/cancellationstore.ts
@@ -1,4 +1,5 @@
 /** The platform's store as far as cancellations go: it confirms writes and reports them to all running entries. */
+import type { JobName } from '@amaranthmast/dispatch/jobname'
 import type { EntryProcess } from './linkends.ts'
 import type { Timeline } from './timeline.ts'
 
@@ -13,7 +14,8 @@
 export class CancellationStore {
   readonly #timeline: Timeline
   readonly #entries: readonly EntryProcess[]
-  readonly #jobs = new Set<string>()
+  /** By address. */
+  readonly #jobs = new Map<string, JobName>()
   /** When the cut of each entry from the store ends, on the timeline. */
   readonly #cuts = new Map<EntryProcess, number>()
   #awayUntil = 0
@@ -48,17 +50,17 @@
   list (entry: EntryProcess): void {
     entry.after(WRITE_DELAY, () => {
       if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => this.list(entry))
-      this.#report(entry, [...this.#jobs])
+      this.#report(entry, [...this.#jobs.values()])
     })
   }
 
   /** Carries out a write of an entry. It takes effect even if the entry ends meanwhile. */
-  write (entry: EntryProcess, jobs: readonly string[]): void {
+  write (entry: EntryProcess, jobs: readonly JobName[]): void {
     const { incarnation } = entry
     this.#timeline.after(WRITE_DELAY, () => {
       if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => { if (entry.incarnation === incarnation) this.write(entry, jobs) })
       this.#writes += 1
-      for (const job of jobs) this.#jobs.add(job)
+      for (const job of jobs) this.#jobs.set(job.address, job)
       this.#timeline.after(REPORT_DELAY, () => { if (entry.incarnation === incarnation) entry.post({ type: 'cancellationsStored' }) })
       for (const reader of this.#entries) if (reader.alive) this.#report(reader, jobs)
     })
@@ -72,7 +74,7 @@
     return this.#timeline.now < (this.#cuts.get(entry) ?? 0)
   }
 
-  #report (entry: EntryProcess, jobs: readonly string[]): void {
+  #report (entry: EntryProcess, jobs: readonly JobName[]): void {
     const { incarnation } = entry
     this.#timeline.after(REPORT_DELAY, () => {
       if (entry.incarnation !== incarnation) return
