Waiting requests to cancel are answered when an entry ends

Found by reading: a request to cancel waits up to 2 s for the store, and an entry that ended meanwhile closed its connection without an answer.

Test: "a request to cancel that waits for the store is answered when the entry ends" fails without the change.

--- a/packages/dispatch/src/cancellationdefaults.ts
+++ b/packages/dispatch/src/cancellationdefaults.ts
@@ -3,7 +3,7 @@
 /** How long a cancellation is remembered: a caller or a delayed submission may arrive for as long as callers wait, 30 s. */
 export const CANCELLATION_RETENTION_MILLISECONDS = 30_000
 
-/** Cancellations an entry remembers: a tenth of 23,000 jobs a second, cancelled within the retention, with little memory. */
+/** Cancellations an entry remembers: those of a tenth of 23,000 jobs a second within the retention. */
 export const MAX_CANCELLATIONS = 70_000
 
 /** Shortest time between the starts of two writes. */
--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -138,6 +138,11 @@
     this.#peers.delete(peer)
   }
 
+  /** The process is about to exit: the requests that wait for the store are answered. */
+  end (): void {
+    this.#writes.end()
+  }
+
   tick (now: number): void {
     this.#writes.tick(now)
     for (const [key, { at }] of this.#cancelled) {
--- a/packages/dispatch/src/cancellationwrites.ts
+++ b/packages/dispatch/src/cancellationwrites.ts
@@ -67,6 +67,12 @@
     this.#write(now)
   }
 
+  /** Refuses all waiting requests, because the process is about to exit. */
+  end (): void {
+    for (const requests of this.#waiting.values()) for (const waiting of requests) this.#refuse(waiting)
+    this.#waiting.clear()
+  }
+
   #write (now: number): void {
     if (this.#writing.length > 0 || this.#jobs.size === 0 || now - this.#startedAt < CANCELLATION_WRITE_INTERVAL_MILLISECONDS) return
     this.#startedAt = now
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -103,7 +103,10 @@
       this.#note('stop ordered', { open: this.#jobs.size })
       this.#sharing.stopping(now)
     },
-    ending: (_event, now) => this.#answerAllOpenJobs(now)
+    ending: (_event, now) => {
+      this.#answerAllOpenJobs(now)
+      this.#cancellations.end()
+    }
   }
 
   constructor (options: EntryOptions) {
--- a/packages/dispatch/test/cancellations.test.ts
+++ b/packages/dispatch/test/cancellations.test.ts
@@ -217,6 +217,15 @@
   expect(bench.answers()).toEqual([[CANCEL, 'unknown']])
 })
 
+// The process exits before the store has confirmed the cancellation.
+test('a request to cancel that waits for the store is answered when the entry ends', () => {
+  const bench = EntryBench.withAgents('one')
+  bench.storeAway = true
+  cancel(bench, 'job')
+  bench.do({ type: 'ending' })
+  expect(bench.answers()).toEqual([[CANCEL, 'refused notStored']])
+})
+
 // Another queue
 
 const OTHER_QUEUE = { ...QUEUE, name: 'other', prefix: '/other/' }
