Many cancellations fit into messages and memory

Found by reading: all that an entry remembers went into one message on a new link. With 70,000 cancellations it is above the 4 MiB at which the other end closes the link, and the same message would close the next one. And while the store is away, cancellations expire in memory and still wait to be written, without a limit.

Change: 2,000 cancellations a message, then one that says that all were sent; no more wait for the store than an entry can remember, and further ones are refused.

Changed test: the message on a new link is followed by one that says "complete", instead of saying it itself.

Tests: "many cancellations are sent to an entry in several messages" and "no more cancellations wait for the store than an entry can remember" fail without the change.

--- a/packages/dispatch/src/cancellationdefaults.ts
+++ b/packages/dispatch/src/cancellationdefaults.ts
@@ -12,6 +12,9 @@
 /** Cancellations in one write: with addresses of 250 bytes below half of the size limit of a stored value. */
 export const MAX_CANCELLATIONS_PER_WRITE = 2000
 
+/** Cancellations in one message: with addresses of 250 bytes far below the size limit of a message. */
+export const MAX_CANCELLATIONS_PER_MESSAGE = 2000
+
 /** How long a request to cancel waits for the store: less than callers wait for an acknowledgement. */
 export const CANCELLATION_PATIENCE_MILLISECONDS = 2000
 
--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -13,7 +13,7 @@
 import type { JobName } from './jobname.ts'
 import { refused } from './answers.ts'
 import { CancellationWrites } from './cancellationwrites.ts'
-import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS } from './cancellationdefaults.ts'
+import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS, MAX_CANCELLATIONS_PER_MESSAGE } from './cancellationdefaults.ts'
 import { Reason } from './entrytypes.ts'
 
 export interface CancellationsDependencies {
@@ -89,7 +89,7 @@
 
   /** Records a cancellation by a caller of this entry, sends it to the other entries, and answers the caller once it is stored. */
   add (job: JobName, { request, answer, remaining }: CancelRequest, now: number): void {
-    if (!this.has(job) && this.#cancelled.size >= MAX_CANCELLATIONS) return this.#answer(request, refused(Reason.Overload, CANCELLATION_RETRY_MILLISECONDS))
+    if (!this.has(job) && Math.max(this.#cancelled.size, this.#writes.size) >= MAX_CANCELLATIONS) return this.#answer(request, refused(Reason.Overload, CANCELLATION_RETRY_MILLISECONDS))
     this.#remember(job, now)
     for (const peer of this.#peers) this.#send(peer, [{ job, at: now }], now)
     if (!this.#dependencies.stores || this.#stored.has(job.address)) return this.#answer(request, answer)
@@ -99,7 +99,7 @@
   /**
    * Records cancellations sent by another entry, and returns the jobs that are new here.
    *
-   * @param complete whether these are all that the other entry knows, and it knows all stored ones
+   * @param complete whether these and the ones before are all that the other entry knows, and it knows all stored ones
    */
   receive (jobs: readonly CancelledJob[], complete: boolean, now: number): JobName[] {
     const fresh = jobs.map(({ job, address = '', ago }) => ({ job: { id: job, address }, at: now - ago }))
@@ -175,8 +175,11 @@
   }
 
   #sendAll (peer: string, now: number): void {
-    if (this.#dependencies.stores && this.#complete) this.#send(peer, [...this.#cancelled.values()], now, { complete: true })
-    else if (this.#cancelled.size > 0) this.#send(peer, [...this.#cancelled.values()], now)
+    const cancellations = [...this.#cancelled.values()]
+    for (let first = 0; first < cancellations.length; first += MAX_CANCELLATIONS_PER_MESSAGE) {
+      this.#send(peer, cancellations.slice(first, first + MAX_CANCELLATIONS_PER_MESSAGE), now)
+    }
+    if (this.#dependencies.stores && this.#complete) this.#send(peer, [], now, { complete: true })
   }
 
   #send (peer: string, cancellations: readonly Cancellation[], now: number, extra: { complete?: true } = {}): void {
--- a/packages/dispatch/src/peermessages.ts
+++ b/packages/dispatch/src/peermessages.ts
@@ -96,7 +96,7 @@
   /** Evacuated data centres, as recorded by the sender. */
   | { type: 'evacuations', state: EvacuationState }
   /**
-   * Jobs cancelled by their callers. `complete`: these are all that the sender knows, among them all stored ones. Earlier
-   * builds omit it.
+   * Jobs cancelled by their callers. `complete`: with this message the sender has sent all that it knows, among them all
+   * stored ones. Earlier builds omit it.
    */
   | { type: 'cancel', jobs: CancelledJob[], complete?: boolean }
