An entry asks for stored cancellations only when the store is slow

Cause: each entry sent every other one a message that it knows the stored cancellations, at the start and on each new link, n x (n - 1) messages that nobody needs while the store answers.

Change: an entry that has not read the store 300 ms after its start asks the linked entries, and those that know answer. Nothing is sent otherwise.

--- a/packages/dispatch/src/cancellationdefaults.ts
+++ b/packages/dispatch/src/cancellationdefaults.ts
@@ -21,5 +21,8 @@
 /** When to ask again after a cancellation could not be stored. */
 export const CANCELLATION_RETRY_MILLISECONDS = 1000
 
+/** How long an entry waits for the store, and for an answer, until it asks the other entries for the stored cancellations. */
+export const RECOVERY_ASK_MILLISECONDS = 300
+
 /** When to submit again to an entry that has not read the stored cancellations yet. */
 export const RECOVERY_RETRY_MILLISECONDS = 500
--- a/packages/dispatch/src/cancellations.ts
+++ b/packages/dispatch/src/cancellations.ts
@@ -7,13 +7,14 @@
  * circles.
  *
  * The memory of the entries is lost when all of them are killed. A cancellation is therefore acknowledged once it is
- * stored, and an entry accepts jobs once it knows the stored cancellations: from the store, or from an entry that does.
+ * stored, and an entry accepts jobs once it knows the stored cancellations. It reads them from the store, and asks the
+ * other entries when that takes too long.
  */
 import type { Answer, EntryEffect } from './entrytypes.ts'
 import type { JobName } from './jobname.ts'
 import { refused } from './answers.ts'
 import { CancellationWrites } from './cancellationwrites.ts'
-import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS, MAX_CANCELLATIONS_PER_MESSAGE } from './cancellationdefaults.ts'
+import { CANCELLATION_PATIENCE_MILLISECONDS, CANCELLATION_RETENTION_MILLISECONDS, CANCELLATION_RETRY_MILLISECONDS, MAX_CANCELLATIONS, MAX_CANCELLATIONS_PER_MESSAGE, RECOVERY_ASK_MILLISECONDS } from './cancellationdefaults.ts'
 import { Reason } from './entrytypes.ts'
 
 export interface CancellationsDependencies {
@@ -45,6 +46,15 @@
   ago: number
 }
 
+/** A message between entries. */
+export interface CancellationsMessage {
+  jobs: readonly CancelledJob[]
+  /** Whether the sender has sent all that it knows, among them all stored ones. */
+  complete?: boolean
+  /** Whether the sender doesn't know all stored ones, and asks for them. */
+  asks?: boolean
+}
+
 interface Cancellation {
   job: JobName
   at: number
@@ -59,6 +69,8 @@
   /** Addresses of the cancelled jobs that the store knows. */
   readonly #stored = new Set<string>()
   #complete: boolean
+  /** When the other entries were asked last; at first the time of the first tick. */
+  #askedAt: number | undefined
 
   constructor (dependencies: CancellationsDependencies) {
     this.#dependencies = dependencies
@@ -97,15 +109,15 @@
   }
 
   /**
-   * Records cancellations sent by another entry, and returns the jobs that are new here.
-   *
-   * @param complete whether these and the ones before are all that the other entry knows, and it knows all stored ones
+   * Records cancellations sent by another entry, and returns the jobs that are new here. Sends that entry all that is known
+   * here when it asks.
    */
-  receive (jobs: readonly CancelledJob[], complete: boolean, now: number): JobName[] {
+  receive (peer: string, { jobs, complete, asks }: CancellationsMessage, now: number): JobName[] {
     const fresh = jobs.map(({ job, address = '', ago }) => ({ job: { id: job, address }, at: now - ago }))
       .filter(({ job, at }) => !this.#cancelled.has(keyOf(job)) && now - at < CANCELLATION_RETENTION_MILLISECONDS)
     for (const { job, at } of fresh) this.#remember(job, at)
-    if (complete) this.#completed('entry', now)
+    if (complete === true) this.#completed('entry')
+    if (asks === true && this.#complete) this.#sendAll(peer, now, { complete: true })
     return fresh.map(({ job }) => job)
   }
 
@@ -116,7 +128,7 @@
       this.#remember(job, now)
       this.#stored.add(job.address)
     }
-    this.#completed('store', now)
+    this.#completed('store')
     return fresh
   }
 
@@ -145,6 +157,7 @@
 
   tick (now: number): void {
     this.#writes.tick(now)
+    if (!this.#complete) this.#askPeers(now)
     for (const [key, { at }] of this.#cancelled) {
       if (now - at < CANCELLATION_RETENTION_MILLISECONDS) break
       this.#forget(key)
@@ -167,22 +180,29 @@
     this.#stored.delete(key)
   }
 
-  #completed (source: string, now: number): void {
+  /** Asks the other entries for what the store has not told in time, which may be away. */
+  #askPeers (now: number): void {
+    this.#askedAt ??= now
+    if (now - this.#askedAt < RECOVERY_ASK_MILLISECONDS) return
+    this.#askedAt = now
+    for (const peer of this.#peers) this.#send(peer, [], now, { asks: true })
+  }
+
+  #completed (source: string): void {
     if (this.#complete) return
     this.#complete = true
     this.#note('stored cancellations known', { source, cancelled: this.size })
-    for (const peer of this.#peers) this.#sendAll(peer, now)
   }
 
-  #sendAll (peer: string, now: number): void {
+  #sendAll (peer: string, now: number, extra?: { complete: true }): void {
     const cancellations = [...this.#cancelled.values()]
     for (let first = 0; first < cancellations.length; first += MAX_CANCELLATIONS_PER_MESSAGE) {
       this.#send(peer, cancellations.slice(first, first + MAX_CANCELLATIONS_PER_MESSAGE), now)
     }
-    if (this.#dependencies.stores && this.#complete) this.#send(peer, [], now, { complete: true })
+    if (extra !== undefined) this.#send(peer, [], now, extra)
   }
 
-  #send (peer: string, cancellations: readonly Cancellation[], now: number, extra: { complete?: true } = {}): void {
+  #send (peer: string, cancellations: readonly Cancellation[], now: number, extra: Pick<CancellationsMessage, 'complete' | 'asks'> = {}): void {
     if (!this.#dependencies.sendsToPeers) return
     const jobs = cancellations.map(({ job: { id, address }, at }) => ({ job: id, ...address === '' ? {} : { address }, ago: Math.round(now - at) }))
     this.#dependencies.emit({ type: 'tell', peer, message: { type: 'cancel', jobs, ...extra } })
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -89,7 +89,7 @@
     },
     peerMessage: ({ peer, message }, now) => {
       if (message.type === 'evacuations') this.#evacuations.receive(peer, message.state)
-      else if (message.type === 'cancel') this.#cancelAll(this.#cancellations.receive(message.jobs, message.complete === true, now), now)
+      else if (message.type === 'cancel') this.#cancelAll(this.#cancellations.receive(peer, message, now), now)
       else if (message.type === 'demand') this.#fleetAdmission?.receive(peer, message, now)
       else this.#sharing.received(peer, message, now)
     },
--- a/packages/dispatch/src/peermessages.ts
+++ b/packages/dispatch/src/peermessages.ts
@@ -1,5 +1,5 @@
 /** Messages between entries: capacity requests and grants, demand, evacuations and cancellations. */
-import type { CancelledJob } from './cancellations.ts'
+import type { CancellationsMessage } from './cancellations.ts'
 import type { EvacuationState } from './evacuations.ts'
 import type { Step } from './job.ts'
 import type { Isolation } from './messages.ts'
@@ -95,8 +95,5 @@
   | { type: 'demand', dataCentre: string, kinds: QueueDemand[], returns?: ReturnNotice[] }
   /** Evacuated data centres, as recorded by the sender. */
   | { type: 'evacuations', state: EvacuationState }
-  /**
-   * Jobs cancelled by their callers. `complete`: with this message the sender has sent all that it knows, among them all
-   * stored ones. Earlier builds omit it.
-   */
-  | { type: 'cancel', jobs: CancelledJob[], complete?: boolean }
+  /** Jobs cancelled by their callers. Earlier builds omit `complete` and `asks`, and ignore them. */
+  | { type: 'cancel' } & CancellationsMessage
