Explorer and emulator: entries read the store at once where nothing depends on it

Change: the time of the first read is 0 in the emulator and in the themes without repeated submissions, as the configuration's is, and 4 ms in the theme losses, which needs it.

--- a/packages/dispatch/explore/world.ts
+++ b/packages/dispatch/explore/world.ts
@@ -58,6 +58,9 @@
 
 /** Time within which a started entry is linked to the other entries and has received their state, in milliseconds. */
 const PEER_SYNC_TIME = 200
+
+/** Time until a started entry has read the stored cancellations, in milliseconds, in simulations where jobs are submitted again. */
+const READ_DELAY = 4
 const TASK_CPU = 3000
 const PARTITIONED_CAPACITY = 6000
 const CHECK_INTERVAL = 5
@@ -163,7 +166,7 @@
     this.#quietPing = seed % 2 === 0 ? LONG_QUIET_PING : DEFAULT_POLICY.quietPing
     const messageDelay = (): number => MIN_MESSAGE_DELAY + this.random.next() * MESSAGE_DELAY_SPREAD
     this.#connections = new Connections(this.timeline, messageDelay)
-    this.store = new CancellationStore(this.timeline, this.entries)
+    this.store = new CancellationStore(this.timeline, this.entries, options.repeats === true ? READ_DELAY : 0)
     this.#peers = new PeerLinks(this.timeline, this.entries, messageDelay)
     this.callers = new Callers({ timeline: this.timeline, random: this.random, entries: this.entries, queue: this.#queue, cpu: TASK_CPU, deadline: options.longTasks ? LONG_CALLER_DEADLINE : CALLER_DEADLINE, resubmission: PLATFORM_BOUNDS.resubmission, messageDelay: options.late ? messageDelay : undefined, repeats: options.repeats ?? false })
     // Operators and cancellations have their own random sequences, so that a seed yields the same process faults with and without them.
--- a/packages/emulator/src/cancellationstore.ts
+++ b/packages/emulator/src/cancellationstore.ts
@@ -16,19 +16,16 @@
   readonly #entries: readonly EntryProcess[]
   /** By address. */
   readonly #jobs = new Map<string, JobName>()
+  readonly #readDelay: number
   /** When the cut of each entry from the store ends, on the timeline. */
   readonly #cuts = new Map<EntryProcess, number>()
   #awayUntil = 0
-  #writes = 0
 
-  constructor (timeline: Timeline, entries: readonly EntryProcess[]) {
+  /** @param readDelay time until a started entry has read all cancellations, in milliseconds; 0 for no time at all */
+  constructor (timeline: Timeline, entries: readonly EntryProcess[], readDelay: number) {
     this.#timeline = timeline
     this.#entries = entries
-  }
-
-  /** Writes so far. */
-  get writes (): number {
-    return this.#writes
+    this.#readDelay = readDelay
   }
 
   /** The store answers no call for a time. */
@@ -48,10 +45,10 @@
 
   /** Reads all cancellations for an entry that has just started, or has not reached the store. */
   list (entry: EntryProcess): void {
-    entry.after(WRITE_DELAY, () => {
-      if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => this.list(entry))
-      this.#report(entry, [...this.#jobs.values()])
-    })
+    if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => this.list(entry))
+    const read = (): void => entry.post({ type: 'cancellationsRead', jobs: [...this.#jobs.values()] })
+    if (this.#readDelay === 0) read()
+    else entry.after(this.#readDelay, read)
   }
 
   /** Carries out a write of an entry. It takes effect even if the entry ends meanwhile. */
@@ -59,7 +56,6 @@
     const { incarnation } = entry
     this.#timeline.after(WRITE_DELAY, () => {
       if (!this.#isReachedBy(entry)) return entry.after(RETRY_DELAY, () => { if (entry.incarnation === incarnation) this.write(entry, jobs) })
-      this.#writes += 1
       for (const job of jobs) this.#jobs.set(job.address, job)
       this.#timeline.after(REPORT_DELAY, () => { if (entry.incarnation === incarnation) entry.post({ type: 'cancellationsStored' }) })
       for (const reader of this.#entries) if (reader.alive) this.#report(reader, jobs)
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -49,6 +49,9 @@
 const WATCH_DELAY = 10
 const READ_INTERVAL = 1000
 
+/** Time until a started entry has read the stored cancellations, in milliseconds: none, since it has its configuration at once as well. */
+const READ_DELAY = 0
+
 /** Maximum random delay that is added to the delay of a link, in milliseconds. */
 const MAX_JITTER = 0.3
 
@@ -100,7 +103,7 @@
     this.#jobs = new Map(plan.jobs.map(job => [job.id, job]))
     this.#connections = new Connections(timeline, pair => this.#travelTime(pair))
     this.#peers = new PeerLinks(timeline, this.entries, (from, to) => this.#linkDelay(plan.entries[from]?.dataCentre, plan.entries[to]?.dataCentre))
-    this.#cancellations = new CancellationStore(timeline, this.entries)
+    this.#cancellations = new CancellationStore(timeline, this.entries, READ_DELAY)
     const timings = timingsFor(BOUNDS)
     for (const index of plan.targets.keys()) this.#addAgent(index, () => new Agent({ timings, stop: BOUNDS.stop, drain: BOUNDS.drain, wallClock: () => 1_000_000 + timeline.now, policy }))
     for (const [index, { dataCentre }] of plan.entries.entries()) this.#addEntry(index, () => new Entry({ name: `entry${index}`, dataCentre, timings, grace: BOUNDS.grace, policy, strength: processorStrength(plan.processor.entries[index]) }))
