--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -2,8 +2,8 @@
  * Decision logic of an entry: accepts jobs, places their tasks at targets through the agents, and answers each job
  * exactly once.
  *
- * A caller that gets no answer submits its job again, through any entry. An entry therefore keeps no durable state:
- * agents stop the tasks of a lost entry before the caller retries.
+ * A caller that gets no answer submits its job again, through any entry. An entry therefore stores no jobs: agents stop
+ * the tasks of a lost entry before the caller retries. It stores the cancellations that it acknowledges.
  */
 import type { Answer, EntryEffect, EntryEvent, EntryOptions, EntryStatus } from './entrytypes.ts'
 import type { JobRequest } from './job.ts'
