--- a/review/common-3/fleet.mjs
+++ b/review/common-3/fleet.mjs
@@ -11,6 +11,7 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { FleetStore } from '../../packages/standins/src/fleetstore.ts'
+import { Cuts, Relay } from './relay.mjs'
 import { Worker } from './worker.mjs'
 
 export { Outage } from '../../packages/standins/src/fleetstore.ts'
@@ -33,6 +34,10 @@
   entries = []
   agents = []
   workers = []
+  /** Partitions in force; they need the option `relays`. */
+  cuts = new Cuts()
+  #relays = []
+  #usesRelays
   #record
   #folder = mkdtempSync(join(tmpdir(), 'review-'))
   #commands = commandsOf(readFileSync('deploy/system.toml', 'utf8'))
@@ -44,10 +49,12 @@
   #bounds
   #heartbeat
 
-  constructor (record, { bounds = {}, heartbeat = 1500 } = {}) {
+  /** @param options relays: whether the machines reach each other and the store over relays, which can be cut */
+  constructor (record, { bounds = {}, heartbeat = 1500, relays = false } = {}) {
     this.#record = record
     this.#bounds = { ...BOUNDS, ...bounds }
     this.#heartbeat = heartbeat
+    this.#usesRelays = relays
     this.#network = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`
     process.once('exit', () => this.#killAll())
   }
@@ -70,14 +77,14 @@
     const worker = new Worker({ id: `i-${number}`, service: SERVICE, zone, agent: `${ip}:${this.#ports.control}`, address: `${ip}:${this.#ports.app}`, heartbeat: this.#heartbeat, longestLease: this.#bounds.hold_max_ms, ...options })
     await worker.listen(ip, this.#ports.app)
     this.workers.push(worker)
-    const agent = this.#machine(`side-${zone}-${number}`, 'agent', ip, zone, `${ip}:${this.#ports.app}`)
+    const agent = await this.#machine(`side-${zone}-${number}`, 'agent', ip, zone, `${ip}:${this.#ports.app}`)
     this.agents.push(agent)
     return { worker, agent }
   }
 
   /** Prepares an edge machine with its entry, which is not started yet. */
-  addEntry (zone) {
-    const entry = this.#machine(`edge-${zone}-${this.entries.length + 1}`, 'entry', `${this.#network}.${1 + this.entries.length}`, zone, '')
+  async addEntry (zone) {
+    const entry = await this.#machine(`edge-${zone}-${this.entries.length + 1}`, 'entry', `${this.#network}.${1 + this.entries.length}`, zone, '')
     this.entries.push(entry)
     return entry
   }
@@ -130,16 +137,39 @@
     this.#killAll()
     await Promise.all([...this.entries, ...this.agents].map(({ ended }) => ended))
     for (const worker of this.workers) worker.close()
+    for (const relay of this.#relays) relay.close()
     this.store.close()
     if (process.env.KEEP_LOGS === undefined) rmSync(this.#folder, { recursive: true, force: true })
     else process.stderr.write(`logs: ${this.#folder}\n`)
   }
 
+  /** Partitions a machine from the store and from the machines that are not in its zone. */
+  isolate (machine) {
+    this.cuts.cut(machine.name, STORE)
+    for (const other of [...this.entries, ...this.agents]) if (other.zone !== machine.zone) this.cuts.cut(machine.name, other.name)
+  }
+
+  /** Address at which a machine reaches the store. */
+  async #storeFor (name, ip) {
+    if (!this.#usesRelays) return this.#storeAddress
+    const relay = new Relay(this.cuts, this.#storeAddress, STORE, name)
+    this.#relays.push(relay)
+    return await relay.listen(ip, 0)
+  }
+
+  /** The setting by which the others reach a machine over its relay. */
+  async #linkAddressOf (name, ip) {
+    if (!this.#usesRelays) return {}
+    const relay = new Relay(this.cuts, `${ip}:${this.#ports.link}`, name)
+    this.#relays.push(relay)
+    return { linkAddress: await relay.listen(ip, 0) }
+  }
+
   #killAll () {
     for (const child of this.#children) child.kill('SIGKILL')
   }
 
-  #machine (name, role, ip, zone, app) {
+  async #machine (name, role, ip, zone, app) {
     const { front, ready, control, link } = this.#ports
     const serves = role === 'entry' ? { front: `${ip}:${front}`, ready_addr: `${ip}:${ready}` } : { control: `${ip}:${control}` }
     const fields = {
@@ -155,19 +185,23 @@
       listen: serves,
       limits: { memory_mb: role === 'entry' ? 350 : 218 },
       bounds: this.#bounds,
-      platform: { address: this.#storeAddress, ttl_min_ms: 1000, value_bytes: 1_048_576 }
+      platform: { address: await this.#storeFor(name, ip), ttl_min_ms: 1000, value_bytes: 1_048_576 }
     }
     const settings = join(this.#folder, `${name}.json`)
-    writeFileSync(settings, render(this.#template, fields))
-    return { name, role, ip, settings, front: `${ip}:${front}`, ready: `${ip}:${ready}`, link: `${ip}:${link}`, control: `${ip}:${control}` }
+    const rendered = JSON.parse(render(this.#template, fields))
+    writeFileSync(settings, JSON.stringify({ ...rendered, ...await this.#linkAddressOf(name, ip) }))
+    return { name, role, ip, zone, settings, front: `${ip}:${front}`, ready: `${ip}:${ready}`, link: `${ip}:${link}`, control: `${ip}:${control}` }
   }
 }
 
+/** Name of the store in `Fleet.cuts`. */
+export const STORE = 'store'
+
 /** Starts a deployment in which each zone has one entry and the given number of workers, and waits until it serves. */
 export async function startFleet (record, { zones = ['one', 'two', 'three'], workersPerZone = 1, worker = {}, configuration, ...options }) {
   const fleet = new Fleet(record, options)
   await fleet.open(configuration)
-  for (const zone of zones) fleet.addEntry(zone)
+  for (const zone of zones) await fleet.addEntry(zone)
   for (const zone of zones) for (let count = 0; count < workersPerZone; count += 1) await fleet.addWorker(zone, worker)
   for (const machine of [...fleet.entries, ...fleet.agents]) fleet.start(machine)
   return fleet
