Review case 12: a cancelled job runs on while connections are silent

The open connections of one entry to the store and those between the entries go silent. A job that runs there is cancelled at another entry, and its tasks are started up to 3.4 s after the acknowledgement, at machines in touch: the watch on cancellations is deaf for as long, and links between entries are never replaced.

--- a/review/common-4/fleet.mjs
+++ b/review/common-4/fleet.mjs
@@ -124,6 +124,8 @@
     this.address = { host, port }
     this.target = target
     this.server = createServer((request, response) => this.#forward(request, response))
+    /** Called with the path of each call. */
+    this.called = () => {}
     this.server.keepAliveTimeout = 0
     this.server.on('connection', socket => {
       this.#sockets.add(socket)
@@ -160,6 +162,7 @@
 
   #forward (request, response) {
     const { socket } = request
+    if (socket.silent !== true) this.called(request.url)
     if (this.#busy) {
       request.resume()
       return this.#refuse(response)
